--- /dev/null
+++ b/include/ibiswall/core/fleet.hpp
@@ -0,0 +1,80 @@
+// The agents that an entry is linked to, and the choice of one for a task.
+
+#pragma once
+
+#include <ibiswall/core/configuration.hpp>
+#include <ibiswall/core/job.hpp>
+#include <ibiswall/core/plan.hpp>
+#include <ibiswall/core/random.hpp>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace ibiswall {
+
+/// An agent that has been silent for this long is sent nothing more.
+constexpr Millis agentSilence{2000};
+
+/// An agent that has been silent for this long is given up, and its link closed.
+constexpr Millis agentLoss{10000};
+
+/// Names an agent to the core: the link it came by. Never used again after the link closes.
+using AgentRef = std::uint64_t;
+
+/// What an agent announces about itself and its target.
+struct AgentInfo
+{
+    Incarnation agent_;
+    TargetPlace place_;
+    /// Tasks that the target runs at a time.
+    int slots_ = 0;
+    /// Tasks that this entry may have sent without a report.
+    int credits_ = 0;
+};
+
+/// One linked agent.
+struct Agent
+{
+    AgentRef ref_ = 0;
+    AgentInfo info_;
+    /// Tasks sent and not yet reported; never more than the agent's credits.
+    std::vector<TaskRef> placed_;
+    /// Set once the agent has announced that it stops.
+    bool leaving_ = false;
+    /// When the agent was last heard.
+    Millis heard_;
+    /// Configuration version that the agent last confirmed.
+    std::uint64_t version_ = 0;
+    /// Position in Fleet::ready_, or notReady.
+    std::size_t readyIndex_ = 0;
+};
+
+/// All linked agents.
+struct Fleet
+{
+    static constexpr std::size_t notReady = ~std::size_t{0};
+
+    std::unordered_map<AgentRef, Agent> agents_;
+    /// Exactly the agents that may be sent a task now.
+    std::vector<AgentRef> ready_;
+};
+
+/// Adds an agent.
+void addAgent(Fleet &fleet, const Configuration &configuration, Millis now, AgentRef ref, const AgentInfo &info);
+
+/// Forgets an agent.
+void removeAgent(Fleet &fleet, AgentRef ref);
+
+/// Finds an agent, or null.
+Agent *findAgent(Fleet &fleet, AgentRef ref);
+
+/// Brings ready_ up to date with one agent's state.
+void refreshReady(Fleet &fleet, const Configuration &configuration, Millis now, Agent &agent);
+
+/// Brings ready_ up to date with the configuration and the time.
+void refreshAll(Fleet &fleet, const Configuration &configuration, Millis now);
+
+/// Chooses the less loaded of two agents drawn at random from those that may be sent a task.
+std::optional<AgentRef> chooseAgent(Fleet &fleet, Random &random);
+
+} // namespace ibiswall
--- /dev/null
+++ b/include/ibiswall/net.hpp
@@ -0,0 +1,9 @@
+// Public header of the net library: HTTP, links between processes, and rings between threads.
+
+#pragma once
+
+#include <ibiswall/net/channel.hpp> // IWYU pragma: export
+#include <ibiswall/net/httpcall.hpp> // IWYU pragma: export
+#include <ibiswall/net/httppool.hpp> // IWYU pragma: export
+#include <ibiswall/net/httpserver.hpp> // IWYU pragma: export
+#include <ibiswall/net/link.hpp> // IWYU pragma: export
--- /dev/null
+++ b/include/ibiswall/settings.hpp
@@ -0,0 +1,78 @@
+// Public header of the settings library: reads and checks the files that processes start with.
+
+#pragma once
+
+#include <ibiswall/core.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ibiswall {
+
+/// Another entry.
+struct PeerPlace
+{
+    std::string name_;
+    Address links_;
+};
+
+/// Somebody who may call: a member, or an operator.
+struct Credential
+{
+    std::string name_;
+    std::string token_;
+};
+
+/// Settings of `ibiswall entry`.
+struct EntrySettings
+{
+    std::string name_;
+    std::string domain_;
+    /// Where callers and operators connect.
+    Address callers_;
+    /// Where agents and other entries connect.
+    Address links_;
+    /// Addresses of the platform's key-value service.
+    std::vector<Address> platform_;
+    std::vector<PeerPlace> peers_;
+    std::vector<Credential> members_;
+    std::vector<Credential> operators_;
+    std::string logLevel_ = "info";
+    /// Time between turning unhealthy and refusing new jobs when a stop begins.
+    Millis drainDelay_{1000};
+    std::size_t maxBody_ = 8U << 20U;
+    std::size_t maxConnections_ = 1024;
+    DispatchLimits limits_;
+};
+
+/// Settings of `ibiswall agent`.
+struct AgentSettings
+{
+    std::string target_;
+    std::string worker_;
+    std::string domain_;
+    /// Tasks that the target runs at a time.
+    int slots_ = 1;
+    /// Where the target listens.
+    Address targetPlace_;
+    /// Where the agent serves its health and metrics.
+    Address health_;
+    /// Where entries accept links.
+    std::vector<Address> entries_;
+    std::string logLevel_ = "info";
+    /// Time from the first byte of a call to the end of its reply.
+    Millis callTimeout_{60000};
+};
+
+/// Settings of either kind of process.
+using Settings = std::variant<EntrySettings, AgentSettings>;
+
+/// Reads settings from JSON with comments.
+/// @param file names the text in errors
+/// @return every problem at once, one a line, as `file: key: reason`
+Result<Settings> parseSettings(std::string_view file, std::string_view text);
+
+/// Reads a settings file.
+Result<Settings> loadSettings(const std::string &file);
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/agent/callsduty.cpp
@@ -0,0 +1,51 @@
+// Turns calls into HTTP requests and replies into outcomes.
+
+#include "callsduty.hpp"
+
+namespace ibiswall {
+
+namespace {
+
+constexpr const char *runPath = "/run";
+constexpr int httpOk = 200;
+constexpr int httpFirstError = 300;
+
+TaskOutcome toOutcome(PoolAnswer &&answer)
+{
+    switch (answer.code_) {
+    case Code::Ok:
+        break;
+    case Code::ConnectRefused:
+    case Code::NoGrant:
+        return {TaskState::NotRun, answer.code_, {}};
+    default:
+        return {TaskState::MayHaveRun, answer.code_, {}};
+    }
+    if (answer.status_ >= httpOk && answer.status_ < httpFirstError) {
+        return {TaskState::Done, Code::Ok, std::move(answer.body_)};
+    }
+    return {TaskState::Failed, Code::TargetFailed, std::move(answer.body_)};
+}
+
+} // namespace
+
+CallsDuty::CallsDuty(boost::asio::io_context &io, const AgentSettings &settings, std::function<void(CallEnd)> report)
+    : pool_(io, settings.targetPlace_, static_cast<std::size_t>(settings.slots_))
+    , timeout_(settings.callTimeout_)
+    , report_(std::move(report))
+{
+}
+
+void CallsDuty::start(StartCall &&call)
+{
+    PoolCall request;
+    request.path_ = runPath;
+    request.headers_
+        = {{"X-Ibiswall-Job", call.key_.job_}, {"X-Ibiswall-Task", std::to_string(call.key_.task_)}, {"X-Ibiswall-Kind", call.kind_}};
+    request.body_ = std::move(call.payload_);
+    request.startBy_ = call.startBy_;
+    request.timeout_ = timeout_;
+    pool_.call(std::move(request), [this, number = call.call_](PoolAnswer answer) { report_({number, toOutcome(std::move(answer))}); });
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/cli/commands.hpp
@@ -0,0 +1,26 @@
+// The commands of the command line.
+
+#pragma once
+
+#include <ibiswall/cli.hpp>
+
+namespace ibiswall {
+
+/// A command and its arguments.
+struct CommandLine
+{
+    std::string command_;
+    std::vector<std::string> arguments_;
+};
+
+Exit runEntryCommand(const CommandLine &line);
+Exit runAgentCommand(const CommandLine &line);
+Exit runCheckSettings(const CommandLine &line);
+Exit runSubmit(const CommandLine &line);
+Exit runCancel(const CommandLine &line);
+Exit runPlan(const CommandLine &line);
+Exit runConfirm(const CommandLine &line);
+Exit runStatus(const CommandLine &line);
+Exit runAudit(const CommandLine &line);
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/codec/wire.cpp
@@ -0,0 +1,282 @@
+// CBOR frames: an array whose first item tells the message, fields in order.
+
+#include <ibiswall/codec/wire.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace ibiswall {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Reads array items one after the other; a wrong type or a missing item throws.
+class Reader
+{
+public:
+    explicit Reader(const Json &array)
+        : array_(array)
+    {
+        if (!array.is_array()) {
+            throw std::invalid_argument("not an array");
+        }
+    }
+
+    std::uint64_t number()
+    {
+        const Json &item = next();
+        if (!item.is_number_unsigned()) {
+            throw std::invalid_argument("not an unsigned number");
+        }
+        return item.get<std::uint64_t>();
+    }
+
+    int smallNumber()
+    {
+        constexpr std::uint64_t most = 1000000;
+        const std::uint64_t value = number();
+        if (value > most) {
+            throw std::invalid_argument("number too large");
+        }
+        return static_cast<int>(value);
+    }
+
+    Millis millis()
+    {
+        constexpr std::uint64_t most = std::uint64_t{1} << 52U;
+        const std::uint64_t value = number();
+        if (value > most) {
+            throw std::invalid_argument("time too large");
+        }
+        return {static_cast<std::int64_t>(value)};
+    }
+
+    std::string text()
+    {
+        return next().get_ref<const std::string &>();
+    }
+
+    bool flag()
+    {
+        return next().get<bool>();
+    }
+
+    const Json &next()
+    {
+        return array_.at(position_++);
+    }
+
+    bool atEnd() const
+    {
+        return position_ >= array_.size();
+    }
+
+private:
+    const Json &array_;
+    std::size_t position_ = 0;
+};
+
+std::uint64_t positive(Millis time)
+{
+    return time.count_ > 0 ? static_cast<std::uint64_t>(time.count_) : 0;
+}
+
+Json write(const AgentHello &m)
+{
+    const AgentInfo &info = m.info_;
+    return {m.protocol_,         info.agent_.name_,   info.agent_.number_, info.place_.target_,
+            info.place_.worker_, info.place_.domain_, info.slots_,         info.credits_};
+}
+
+Json write(const Renewal &m)
+{
+    return {m.number_, m.version_};
+}
+
+Json write(const Reports &m)
+{
+    Json out = Json::array();
+    for (const TaskReport &report : m.reports_) {
+        const TaskOutcome &outcome = report.outcome_;
+        out.push_back({report.key_.job_, report.key_.task_, static_cast<unsigned>(outcome.state_), static_cast<unsigned>(outcome.code_),
+                       outcome.answer_});
+    }
+    return out;
+}
+
+Json write(const Leaving & /*unused*/)
+{
+    return Json::array();
+}
+
+Json write(const Orders &m)
+{
+    Json out = Json::array();
+    for (const Order &order : m.orders_) {
+        out.push_back({order.key_.job_, order.key_.task_, order.kind_, order.payload_, positive(order.startWithin_)});
+    }
+    return out;
+}
+
+Json write(const Grant &m)
+{
+    return {m.renewal_, m.version_, m.out_, positive(m.length_)};
+}
+
+Json write(const PeerHello &m)
+{
+    return {m.protocol_, m.entry_.name_, m.entry_.number_};
+}
+
+Json write(const RelayRequest &m)
+{
+    return {m.relay_, static_cast<unsigned>(m.op_), m.id_, m.member_, m.body_};
+}
+
+Json write(const RelayReply &m)
+{
+    return {m.relay_, static_cast<unsigned>(m.status_), m.body_};
+}
+
+TaskState readFinalState(Reader &in)
+{
+    const int number = in.smallNumber();
+    if (number < static_cast<int>(TaskState::Done) || number > static_cast<int>(TaskState::MayHaveRun)) {
+        throw std::invalid_argument("not a final task state");
+    }
+    return static_cast<TaskState>(number);
+}
+
+TaskKey readKey(Reader &in)
+{
+    std::string job = in.text();
+    return {std::move(job), static_cast<std::uint32_t>(in.smallNumber())};
+}
+
+void read(Reader &in, AgentHello &m)
+{
+    m.protocol_ = in.number();
+    m.info_.agent_.name_ = in.text();
+    m.info_.agent_.number_ = in.number();
+    m.info_.place_.target_ = in.text();
+    m.info_.place_.worker_ = in.text();
+    m.info_.place_.domain_ = in.text();
+    m.info_.slots_ = in.smallNumber();
+    m.info_.credits_ = in.smallNumber();
+    if (m.info_.slots_ < 1 || !isName(m.info_.place_.target_) || !isName(m.info_.place_.domain_)) {
+        throw std::invalid_argument("agent announces no slots or a bad name");
+    }
+}
+
+void read(Reader &in, Renewal &m)
+{
+    m.number_ = in.number();
+    m.version_ = in.number();
+}
+
+void read(Reader &in, Reports &m)
+{
+    while (!in.atEnd()) {
+        Reader item(in.next());
+        TaskReport report;
+        report.key_ = readKey(item);
+        report.outcome_.state_ = readFinalState(item);
+        report.outcome_.code_ = static_cast<Code>(item.smallNumber());
+        report.outcome_.answer_ = item.text();
+        m.reports_.push_back(std::move(report));
+    }
+}
+
+void read(Reader & /*unused*/, Leaving & /*unused*/)
+{
+}
+
+void read(Reader &in, Orders &m)
+{
+    while (!in.atEnd()) {
+        Reader item(in.next());
+        Order order;
+        order.key_ = readKey(item);
+        order.kind_ = item.text();
+        order.payload_ = item.text();
+        order.startWithin_ = item.millis();
+        m.orders_.push_back(std::move(order));
+    }
+}
+
+void read(Reader &in, Grant &m)
+{
+    m.renewal_ = in.number();
+    m.version_ = in.number();
+    m.out_ = in.flag();
+    m.length_ = in.millis();
+}
+
+void read(Reader &in, PeerHello &m)
+{
+    m.protocol_ = in.number();
+    m.entry_.name_ = in.text();
+    m.entry_.number_ = in.number();
+}
+
+void read(Reader &in, RelayRequest &m)
+{
+    m.relay_ = in.number();
+    const int op = in.smallNumber();
+    if (op > static_cast<int>(RelayOp::Cancel)) {
+        throw std::invalid_argument("unknown relay operation");
+    }
+    m.op_ = static_cast<RelayOp>(op);
+    m.id_ = in.text();
+    m.member_ = in.text();
+    m.body_ = in.text();
+}
+
+void read(Reader &in, RelayReply &m)
+{
+    m.relay_ = in.number();
+    m.status_ = in.smallNumber();
+    m.body_ = in.text();
+}
+
+template<typename T>
+Message readAs(Reader &in)
+{
+    T message;
+    read(in, message);
+    return message;
+}
+
+template<std::size_t... Index>
+Message readTagged(std::size_t tag, Reader &in, std::index_sequence<Index...> /*unused*/)
+{
+    using Read = Message (*)(Reader &);
+    constexpr std::array<Read, sizeof...(Index)> readers = {&readAs<std::variant_alternative_t<Index, Message>>...};
+    return readers.at(tag)(in);
+}
+
+} // namespace
+
+std::string encode(const Message &message)
+{
+    Json frame = Json::array({message.index()});
+    std::visit([&frame](const auto &m) { frame.push_back(write(m)); }, message);
+    std::string out;
+    Json::to_cbor(frame, out);
+    return out;
+}
+
+Result<Message> decode(std::string_view frame)
+{
+    try {
+        const Json whole = Json::from_cbor(frame.begin(), frame.end());
+        Reader outer(whole);
+        const std::uint64_t tag = outer.number();
+        Reader fields(outer.next());
+        return readTagged(tag, fields, std::make_index_sequence<std::variant_size_v<Message>>());
+    } catch (const std::exception &error) {
+        return Error{Code::BadFrame, std::string("frame of ") + std::to_string(frame.size()) + " bytes: " + error.what()};
+    }
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/codec/wire_test.cpp
@@ -0,0 +1,59 @@
+// Checks that frames round-trip and that damaged ones are refused.
+
+#include <boost/test/unit_test.hpp>
+#include <ibiswall/codec.hpp>
+
+namespace ibiswall {
+
+namespace {
+
+std::vector<Message> samples()
+{
+    return {
+        AgentHello{protocolVersion, {{"a", 5}, {"t", "w", "d"}, 8, 16}},
+        Renewal{1, 2},
+        Reports{{{{"job", 3}, {TaskState::MayHaveRun, Code::ConnectionLost, "x"}}}},
+        Leaving{},
+        Orders{{{{"job", 3}, "note", "payload", {500}}}},
+        Grant{1, 2, true, {300}},
+        PeerHello{protocolVersion, {"entry-1", 9}},
+        RelayRequest{1, RelayOp::Cancel, "id", "member", "body"},
+        RelayReply{1, 200, "body"},
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(wire)
+
+BOOST_AUTO_TEST_CASE(every_message_round_trips)
+{
+    for (const Message &message : samples()) {
+        const std::string frame = encode(message);
+        const auto back = decode(frame);
+        BOOST_REQUIRE(back.has_value());
+        BOOST_TEST(back.value().index() == message.index());
+        BOOST_TEST(encode(back.value()) == frame);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(truncated_frames_are_refused)
+{
+    for (const Message &message : samples()) {
+        const std::string frame = encode(message);
+        for (std::size_t size = 0; size < frame.size(); ++size) {
+            BOOST_TEST(decode(std::string_view(frame).substr(0, size)).has_error());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(wrong_types_are_refused)
+{
+    BOOST_TEST(decode("\x82\x18\x63\x80").has_error()); // unknown tag 99
+    BOOST_TEST(decode("\x82\x05\x80").has_error()); // grant without fields
+    BOOST_TEST(decode("\x01").has_error()); // not an array
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -0,0 +1,424 @@
+// Runs jobs: admission, placement, outcomes, answers.
+
+#include <ibiswall/core/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace ibiswall {
+
+namespace {
+
+// An answer outlives its id by this much, so that a last resubmission still finds it.
+constexpr Millis answerGrace{60000};
+
+std::shared_ptr<const JobAnswer> makeRefusal(std::string id, Code code, std::string text, Millis retryAfter)
+{
+    auto answer = std::make_shared<JobAnswer>();
+    answer->id_ = std::move(id);
+    answer->code_ = code;
+    answer->text_ = std::move(text);
+    answer->retryAfter_ = retryAfter;
+    return answer;
+}
+
+void refuse(Dispatcher &dispatcher, const Submission &submission, CallerRef caller, Code code, std::string text, DispatchActions &actions)
+{
+    ++dispatcher.counts_.jobsRefused_;
+    const Millis retryAfter = meansNotRun(code) ? dispatcher.limits_.retryAfter_ : Millis{0};
+    actions.answers_.push_back({caller, makeRefusal(format(submission.id_), code, std::move(text), retryAfter)});
+}
+
+Job *findJob(Dispatcher &dispatcher, std::string_view id)
+{
+    const auto found = dispatcher.numbers_.find(std::string(id));
+    return found == dispatcher.numbers_.end() ? nullptr : &dispatcher.jobs_.at(found->second);
+}
+
+void attach(Job &job, CallerRef caller, DispatchActions &actions)
+{
+    if (job.answer_) {
+        actions.answers_.push_back({caller, job.answer_});
+        return;
+    }
+    job.callers_.push_back(caller);
+}
+
+// Tells why a new job cannot be taken in.
+Error admissionError(const Dispatcher &dispatcher, Now now, const Submission &submission)
+{
+    const DispatchLimits &limits = dispatcher.limits_;
+    const std::size_t count = submission.payloads_.size();
+    if (submission.id_.home_ != dispatcher.self_) {
+        return {Code::HomeGone, "id was issued by another incarnation"};
+    }
+    if (isExpired(submission.id_, now.wall_, limits.idLife_)) {
+        return {Code::ExpiredId, "id expired, ask for a new one"};
+    }
+    if (dispatcher.draining_) {
+        return {Code::Draining, "entry is stopping, use another"};
+    }
+    if (count == 0) {
+        return {Code::BadRequest, "tasks: a job needs at least one"};
+    }
+    if (count > limits.maxTasksPerJob_) {
+        return {Code::TooManyTasks, "tasks: " + std::to_string(count) + " given, at most " + std::to_string(limits.maxTasksPerJob_)};
+    }
+    if (dispatcher.configuration_.kinds_.count(submission.kind_) == 0) {
+        return {Code::UnknownKind, "kind \"" + submission.kind_ + "\" is not configured"};
+    }
+    if (dispatcher.queue_.size_ + count > limits.maxQueuedTasks_ || dispatcher.jobs_.size() >= limits.maxJobs_) {
+        return {Code::Overloaded, "queue is full"};
+    }
+    const int quota = memberOf(dispatcher.configuration_, submission.member_).quota_;
+    const auto open = dispatcher.openTasks_.find(submission.member_);
+    const std::size_t already = open == dispatcher.openTasks_.end() ? 0 : open->second;
+    if (quota > 0 && already + count > static_cast<std::size_t>(quota)) {
+        return {Code::QuotaExceeded,
+                "member \"" + submission.member_ + "\" has " + std::to_string(already) + " open tasks of " + std::to_string(quota)};
+    }
+    return {};
+}
+
+void enqueue(Dispatcher &dispatcher, const Job &job, std::uint32_t task)
+{
+    const Member member = memberOf(dispatcher.configuration_, job.submission_.member_);
+    push(dispatcher.queue_, job.submission_.member_, member.weight_, job.startBy_, job.kind_.value_, {job.number_, task});
+}
+
+void answer(Dispatcher &dispatcher, Job &job, DispatchActions &actions)
+{
+    auto whole = std::make_shared<JobAnswer>();
+    whole->id_ = job.idText_;
+    whole->tasks_.reserve(job.tasks_.size());
+    bool complete = true;
+    for (Task &task : job.tasks_) {
+        complete = complete && task.outcome_.state_ == TaskState::Done;
+        whole->tasks_.push_back(std::move(task.outcome_));
+    }
+    whole->code_ = complete ? Code::Ok : Code::TaskFailed;
+    ++(complete ? dispatcher.counts_.jobsComplete_ : dispatcher.counts_.jobsFailed_);
+    --dispatcher.openJobs_;
+    job.answer_ = std::move(whole);
+    job.tasks_.clear();
+    job.submission_.payloads_.clear();
+    for (const CallerRef caller : job.callers_) {
+        actions.answers_.push_back({caller, job.answer_});
+    }
+    job.callers_.clear();
+}
+
+void countOutcome(DispatchCounts &counts, TaskState state)
+{
+    switch (state) {
+    case TaskState::Done:
+        ++counts.tasksDone_;
+        break;
+    case TaskState::Failed:
+        ++counts.tasksFailed_;
+        break;
+    case TaskState::NotRun:
+        ++counts.tasksNotRun_;
+        break;
+    case TaskState::MayHaveRun:
+        ++counts.tasksMayHaveRun_;
+        break;
+    case TaskState::Queued:
+    case TaskState::Placed:
+        break;
+    }
+}
+
+// Gives a task its final outcome, and the job its answer when it was the last.
+void settle(Dispatcher &dispatcher, Job &job, std::uint32_t index, TaskOutcome outcome, DispatchActions &actions)
+{
+    Task &task = job.tasks_[index];
+    countOutcome(dispatcher.counts_, outcome.state_);
+    task.outcome_ = std::move(outcome);
+    auto open = dispatcher.openTasks_.find(job.submission_.member_);
+    if (--open->second == 0) {
+        dispatcher.openTasks_.erase(open);
+    }
+    if (--job.open_ == 0) {
+        answer(dispatcher, job, actions);
+    }
+}
+
+// Queues a task again that surely has not started, or gives it up after too many attempts.
+void placeAgain(Dispatcher &dispatcher, Job &job, std::uint32_t index, Code code, DispatchActions &actions)
+{
+    Task &task = job.tasks_[index];
+    if (task.attempts_ >= dispatcher.limits_.maxAttempts_) {
+        settle(dispatcher, job, index, {TaskState::NotRun, code, {}}, actions);
+        return;
+    }
+    task.outcome_.state_ = TaskState::Queued;
+    enqueue(dispatcher, job, index);
+}
+
+Job *openJob(Dispatcher &dispatcher, TaskRef ref)
+{
+    const auto found = dispatcher.jobs_.find(ref.job_);
+    if (found == dispatcher.jobs_.end() || found->second.answer_) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void addOrder(DispatchActions &actions, AgentRef agent, Order &&order)
+{
+    if (actions.orders_.empty() || actions.orders_.back().agent_ != agent) {
+        actions.orders_.push_back({agent, {}});
+    }
+    actions.orders_.back().orders_.push_back(std::move(order));
+}
+
+void place(Dispatcher &dispatcher, Now now, Job &job, TaskRef ref, AgentRef chosen, DispatchActions &actions)
+{
+    Task &task = job.tasks_[ref.task_];
+    task.outcome_.state_ = TaskState::Placed;
+    ++task.attempts_;
+    Agent &agent = *findAgent(dispatcher.fleet_, chosen);
+    agent.placed_.push_back(ref);
+    refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, agent);
+    ++dispatcher.counts_.ordersSent_;
+    const Order order{{job.idText_, ref.task_}, job.submission_.kind_, job.submission_.payloads_[ref.task_], job.startBy_ - now.boot_};
+    addOrder(actions, chosen, Order(order));
+}
+
+// Sends queued tasks for as long as an agent can take one.
+void dispatch(Dispatcher &dispatcher, Now now, DispatchActions &actions)
+{
+    while (dispatcher.queue_.size_ > 0 && !dispatcher.fleet_.ready_.empty()) {
+        const TaskRef ref = *pop(dispatcher.queue_);
+        Job *job = openJob(dispatcher, ref);
+        if (job == nullptr || job->tasks_[ref.task_].outcome_.state_ != TaskState::Queued) {
+            continue;
+        }
+        if (job->startBy_ <= now.boot_) {
+            settle(dispatcher, *job, ref.task_, {TaskState::NotRun, Code::DeadlinePassed, {}}, actions);
+            continue;
+        }
+        place(dispatcher, now, *job, ref, *chooseAgent(dispatcher.fleet_, dispatcher.random_), actions);
+    }
+}
+
+void settleQueued(Dispatcher &dispatcher, Job &job, Code code, DispatchActions &actions)
+{
+    const std::size_t count = job.tasks_.size();
+    for (std::size_t i = 0; i < count && !job.answer_; ++i) {
+        if (job.tasks_[i].outcome_.state_ == TaskState::Queued) {
+            settle(dispatcher, job, static_cast<std::uint32_t>(i), {TaskState::NotRun, code, {}}, actions);
+        }
+    }
+}
+
+// Takes a task off an agent's list.
+// @return false when the agent was not sent this task
+bool unplace(Agent &agent, TaskRef ref)
+{
+    const auto found = std::find(agent.placed_.begin(), agent.placed_.end(), ref);
+    if (found == agent.placed_.end()) {
+        return false;
+    }
+    agent.placed_.erase(found);
+    return true;
+}
+
+void takeReport(Dispatcher &dispatcher, Agent &agent, const TaskReport &report, DispatchActions &actions)
+{
+    Job *job = findJob(dispatcher, report.key_.job_);
+    if (job == nullptr || !unplace(agent, {job->number_, report.key_.task_})) {
+        return;
+    }
+    if (report.outcome_.state_ == TaskState::NotRun) {
+        ++dispatcher.counts_.ordersRefused_;
+        placeAgain(dispatcher, *job, report.key_.task_, report.outcome_.code_, actions);
+        return;
+    }
+    if (report.outcome_.state_ == TaskState::MayHaveRun && job->kind_.repeatable_) {
+        placeAgain(dispatcher, *job, report.key_.task_, report.outcome_.code_, actions);
+        return;
+    }
+    settle(dispatcher, *job, report.key_.task_, report.outcome_, actions);
+}
+
+void loseSilentAgents(Dispatcher &dispatcher, Now now, DispatchActions &actions)
+{
+    const std::size_t before = actions.lostAgents_.size();
+    for (const auto &[ref, agent] : dispatcher.fleet_.agents_) {
+        if (agent.heard_ + agentLoss < now.boot_) {
+            actions.lostAgents_.push_back(ref);
+        }
+    }
+    for (std::size_t i = before; i < actions.lostAgents_.size(); ++i) {
+        loseAgent(dispatcher, now, actions.lostAgents_[i], actions);
+    }
+}
+
+} // namespace
+
+JobId issueId(Dispatcher &dispatcher, Now now)
+{
+    return {dispatcher.self_, now.wall_, dispatcher.nextSerial_++, dispatcher.random_()};
+}
+
+void submit(Dispatcher &dispatcher, Now now, Submission submission, CallerRef caller, DispatchActions &actions)
+{
+    Job *known = findJob(dispatcher, format(submission.id_));
+    if (known != nullptr) {
+        if (known->submission_.member_ != submission.member_) {
+            refuse(dispatcher, submission, caller, Code::UnknownJob, "no such job of this caller", actions);
+        } else if (known->submission_.bodyHash_ != submission.bodyHash_) {
+            refuse(dispatcher, submission, caller, Code::BodyDiffers, "id was used with another body", actions);
+        } else {
+            attach(*known, caller, actions);
+        }
+        return;
+    }
+    Error error = admissionError(dispatcher, now, submission);
+    if (error.code_ != Code::Ok) {
+        refuse(dispatcher, submission, caller, error.code_, std::move(error.text_), actions);
+        return;
+    }
+    Job job;
+    job.number_ = dispatcher.nextNumber_++;
+    job.idText_ = format(submission.id_);
+    job.kind_ = dispatcher.configuration_.kinds_.find(submission.kind_)->second;
+    job.startBy_ = now.boot_ + job.kind_.deadline_;
+    job.tasks_.resize(submission.payloads_.size());
+    job.open_ = job.tasks_.size();
+    job.callers_.push_back(caller);
+    dispatcher.openTasks_[submission.member_] += job.open_;
+    job.submission_ = std::move(submission);
+    ++dispatcher.counts_.jobsAccepted_;
+    ++dispatcher.openJobs_;
+    dispatcher.numbers_[job.idText_] = job.number_;
+    const Job &stored = dispatcher.jobs_.emplace(job.number_, std::move(job)).first->second;
+    for (std::uint32_t i = 0; i < stored.tasks_.size(); ++i) {
+        enqueue(dispatcher, stored, i);
+    }
+    dispatch(dispatcher, now, actions);
+}
+
+void fetch(Dispatcher &dispatcher, std::string_view id, std::string_view member, CallerRef caller, DispatchActions &actions)
+{
+    Job *job = findJob(dispatcher, id);
+    if (job == nullptr || job->submission_.member_ != member) {
+        actions.answers_.push_back({caller, makeRefusal(std::string(id), Code::UnknownJob, "no such job of this caller", {0})});
+        return;
+    }
+    attach(*job, caller, actions);
+}
+
+bool cancel(Dispatcher &dispatcher, std::string_view id, std::string_view member, DispatchActions &actions)
+{
+    Job *job = findJob(dispatcher, id);
+    if (job == nullptr || job->submission_.member_ != member) {
+        return false;
+    }
+    settleQueued(dispatcher, *job, Code::Cancelled, actions);
+    return true;
+}
+
+void dropCaller(Dispatcher &dispatcher, CallerRef caller)
+{
+    for (auto &[number, job] : dispatcher.jobs_) {
+        auto &callers = job.callers_;
+        callers.erase(std::remove(callers.begin(), callers.end(), caller), callers.end());
+    }
+}
+
+void joinAgent(Dispatcher &dispatcher, Now now, AgentRef ref, const AgentInfo &info, DispatchActions &actions)
+{
+    addAgent(dispatcher.fleet_, dispatcher.configuration_, now.boot_, ref, info);
+    dispatch(dispatcher, now, actions);
+}
+
+void hearAgent(Dispatcher &dispatcher, Now now, AgentRef ref, std::uint64_t version, DispatchActions &actions)
+{
+    Agent *agent = findAgent(dispatcher.fleet_, ref);
+    if (agent == nullptr) {
+        return;
+    }
+    agent->heard_ = now.boot_;
+    agent->version_ = version;
+    refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, *agent);
+    dispatch(dispatcher, now, actions);
+}
+
+void leaveAgent(Dispatcher &dispatcher, Now now, AgentRef ref)
+{
+    Agent *agent = findAgent(dispatcher.fleet_, ref);
+    if (agent == nullptr) {
+        return;
+    }
+    agent->leaving_ = true;
+    refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, *agent);
+}
+
+void loseAgent(Dispatcher &dispatcher, Now now, AgentRef ref, DispatchActions &actions)
+{
+    Agent *agent = findAgent(dispatcher.fleet_, ref);
+    if (agent == nullptr) {
+        return;
+    }
+    const std::vector<TaskRef> placed = std::move(agent->placed_);
+    removeAgent(dispatcher.fleet_, ref);
+    for (const TaskRef lost : placed) {
+        Job *job = openJob(dispatcher, lost);
+        if (job == nullptr) {
+            continue;
+        }
+        if (job->kind_.repeatable_) {
+            placeAgain(dispatcher, *job, lost.task_, Code::ConnectionLost, actions);
+        } else {
+            settle(dispatcher, *job, lost.task_, {TaskState::MayHaveRun, Code::ConnectionLost, {}}, actions);
+        }
+    }
+    dispatch(dispatcher, now, actions);
+}
+
+void takeReports(Dispatcher &dispatcher, Now now, AgentRef ref, Span<const TaskReport> reports, DispatchActions &actions)
+{
+    Agent *agent = findAgent(dispatcher.fleet_, ref);
+    if (agent == nullptr) {
+        return;
+    }
+    for (const TaskReport &report : reports) {
+        takeReport(dispatcher, *agent, report, actions);
+    }
+    refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, *agent);
+    dispatch(dispatcher, now, actions);
+}
+
+bool takeChange(Dispatcher &dispatcher, Now now, const Change &change, DispatchActions &actions)
+{
+    if (!apply(dispatcher.configuration_, change)) {
+        return false;
+    }
+    refreshAll(dispatcher.fleet_, dispatcher.configuration_, now.boot_);
+    dispatch(dispatcher, now, actions);
+    return true;
+}
+
+void tick(Dispatcher &dispatcher, Now now, DispatchActions &actions)
+{
+    loseSilentAgents(dispatcher, now, actions);
+    refreshAll(dispatcher.fleet_, dispatcher.configuration_, now.boot_);
+    std::vector<std::uint64_t> forgotten;
+    for (auto &[number, job] : dispatcher.jobs_) {
+        if (!job.answer_ && job.startBy_ <= now.boot_) {
+            settleQueued(dispatcher, job, Code::DeadlinePassed, actions);
+        }
+        if (job.answer_ && isExpired(job.submission_.id_, now.wall_, dispatcher.limits_.idLife_ + answerGrace)) {
+            forgotten.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : forgotten) {
+        dispatcher.numbers_.erase(dispatcher.jobs_.at(number).idText_);
+        dispatcher.jobs_.erase(number);
+    }
+    dispatch(dispatcher, now, actions);
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/core/fleet.cpp
@@ -0,0 +1,90 @@
+// Keeps the set of agents that may be sent a task, and draws from it.
+
+#include <ibiswall/core/fleet.hpp>
+
+namespace ibiswall {
+
+namespace {
+
+bool mayReceive(const Configuration &configuration, Millis now, const Agent &agent)
+{
+    return !agent.leaving_ && now < agent.heard_ + agentSilence && agent.placed_.size() < static_cast<std::size_t>(agent.info_.credits_)
+        && !isOut(configuration, agent.info_.place_.domain_, agent.info_.place_.target_);
+}
+
+void dropReady(Fleet &fleet, Agent &agent)
+{
+    if (agent.readyIndex_ == Fleet::notReady) {
+        return;
+    }
+    const AgentRef last = fleet.ready_.back();
+    fleet.ready_[agent.readyIndex_] = last;
+    fleet.agents_.at(last).readyIndex_ = agent.readyIndex_;
+    fleet.ready_.pop_back();
+    agent.readyIndex_ = Fleet::notReady;
+}
+
+double load(const Agent &agent)
+{
+    return static_cast<double>(agent.placed_.size()) / agent.info_.slots_;
+}
+
+} // namespace
+
+void addAgent(Fleet &fleet, const Configuration &configuration, Millis now, AgentRef ref, const AgentInfo &info)
+{
+    Agent agent;
+    agent.ref_ = ref;
+    agent.info_ = info;
+    agent.readyIndex_ = Fleet::notReady;
+    agent.heard_ = now;
+    Agent &stored = fleet.agents_.emplace(ref, std::move(agent)).first->second;
+    refreshReady(fleet, configuration, now, stored);
+}
+
+void removeAgent(Fleet &fleet, AgentRef ref)
+{
+    const auto found = fleet.agents_.find(ref);
+    if (found == fleet.agents_.end()) {
+        return;
+    }
+    dropReady(fleet, found->second);
+    fleet.agents_.erase(found);
+}
+
+Agent *findAgent(Fleet &fleet, AgentRef ref)
+{
+    const auto found = fleet.agents_.find(ref);
+    return found == fleet.agents_.end() ? nullptr : &found->second;
+}
+
+void refreshReady(Fleet &fleet, const Configuration &configuration, Millis now, Agent &agent)
+{
+    if (!mayReceive(configuration, now, agent)) {
+        dropReady(fleet, agent);
+        return;
+    }
+    if (agent.readyIndex_ == Fleet::notReady) {
+        agent.readyIndex_ = fleet.ready_.size();
+        fleet.ready_.push_back(agent.ref_);
+    }
+}
+
+void refreshAll(Fleet &fleet, const Configuration &configuration, Millis now)
+{
+    for (auto &[ref, agent] : fleet.agents_) {
+        refreshReady(fleet, configuration, now, agent);
+    }
+}
+
+std::optional<AgentRef> chooseAgent(Fleet &fleet, Random &random)
+{
+    if (fleet.ready_.empty()) {
+        return std::nullopt;
+    }
+    const AgentRef first = fleet.ready_[drawIndex(random, fleet.ready_.size())];
+    const AgentRef second = fleet.ready_[drawIndex(random, fleet.ready_.size())];
+    return load(fleet.agents_.at(second)) < load(fleet.agents_.at(first)) ? second : first;
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/core/jobid.cpp
@@ -0,0 +1,101 @@
+// Writes, reads and judges job ids.
+
+#include <ibiswall/core/jobid.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace ibiswall {
+
+namespace {
+
+constexpr std::size_t maxNameLength = 64;
+constexpr int hex = 16;
+
+std::string toHex(std::uint64_t value)
+{
+    std::array<char, 16> buffer{};
+    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value, hex).ptr;
+    return {buffer.data(), end};
+}
+
+bool takeField(std::string_view &text, std::string_view &field)
+{
+    if (text.empty()) {
+        return false;
+    }
+    const auto dot = text.find('.');
+    field = text.substr(0, dot);
+    text = dot == std::string_view::npos ? std::string_view() : text.substr(dot + 1);
+    return !field.empty();
+}
+
+bool takeNumber(std::string_view &text, std::uint64_t &number)
+{
+    std::string_view field;
+    if (!takeField(text, field)) {
+        return false;
+    }
+    const auto end = field.data() + field.size();
+    const auto parsed = std::from_chars(field.data(), end, number, hex);
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+bool isNameCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+}
+
+} // namespace
+
+bool operator==(const Incarnation &a, const Incarnation &b)
+{
+    return a.number_ == b.number_ && a.name_ == b.name_;
+}
+
+bool operator!=(const Incarnation &a, const Incarnation &b)
+{
+    return !(a == b);
+}
+
+std::uint64_t makeIncarnationNumber(Millis wallNow, std::uint64_t noise)
+{
+    constexpr unsigned noiseBits = 12;
+    const std::uint64_t mask = (1U << noiseBits) - 1;
+    return (static_cast<std::uint64_t>(wallNow.count_) << noiseBits) | (noise & mask);
+}
+
+std::string format(const JobId &id)
+{
+    return id.home_.name_ + '.' + toHex(id.home_.number_) + '.' + toHex(static_cast<std::uint64_t>(id.issued_.count_)) + '.'
+        + toHex(id.serial_) + '.' + toHex(id.secret_);
+}
+
+Result<JobId> parseJobId(std::string_view text)
+{
+    const std::string_view whole = text;
+    JobId id;
+    std::string_view name;
+    std::uint64_t issued = 0;
+    const bool ok = takeField(text, name) && isName(name) && takeNumber(text, id.home_.number_) && takeNumber(text, issued)
+        && takeNumber(text, id.serial_) && takeNumber(text, id.secret_) && text.empty();
+    if (!ok) {
+        return Error{Code::UnknownJob, "\"" + std::string(whole) + "\" is not a job id"};
+    }
+    id.home_.name_ = std::string(name);
+    id.issued_ = {static_cast<std::int64_t>(issued)};
+    return id;
+}
+
+bool isExpired(const JobId &id, Millis wallNow, Millis life)
+{
+    return wallNow > id.issued_ + life;
+}
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxNameLength && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/entry/callersduty.cpp
@@ -0,0 +1,228 @@
+// Routes HTTP requests.
+
+#include "callersduty.hpp"
+
+#include <charconv>
+#include <ibiswall/log.hpp>
+
+namespace ibiswall {
+
+namespace {
+
+constexpr std::size_t maxIdsPerCall = 10000;
+constexpr std::string_view jobsPath = "/v1/jobs/";
+constexpr int httpOk = 200;
+constexpr int httpUnavailable = 503;
+
+HttpReply errorReply(const Error &error)
+{
+    HttpReply reply = jsonReply(httpStatus(error.code_), formatError(error));
+    constexpr Millis comeBack{1000};
+    reply.retryAfter_ = reply.status_ == httpUnavailable ? comeBack : Millis{0};
+    return reply;
+}
+
+HttpReply answerReply(const JobAnswer &answer)
+{
+    HttpReply reply = jsonReply(httpStatus(answer.code_), formatAnswer(answer));
+    reply.retryAfter_ = answer.retryAfter_;
+    return reply;
+}
+
+std::unordered_map<std::string, std::string> byToken(const std::vector<Credential> &credentials)
+{
+    std::unordered_map<std::string, std::string> out;
+    for (const Credential &credential : credentials) {
+        out["Bearer " + credential.token_] = credential.name_;
+    }
+    return out;
+}
+
+// Reads one whole number out of a query such as `count=5`.
+Result<std::uint64_t> queryNumber(const std::string &query, const std::string &key, std::uint64_t fallback)
+{
+    if (query.empty()) {
+        return fallback;
+    }
+    const std::string start = key + '=';
+    std::uint64_t value = 0;
+    const char *end = query.data() + query.size();
+    const bool named = query.compare(0, start.size(), start) == 0;
+    const auto parsed = std::from_chars(query.data() + (named ? start.size() : query.size()), end, value);
+    if (!named || parsed.ec != std::errc() || parsed.ptr != end) {
+        return Error{Code::BadRequest, "query \"" + query + "\": only " + key + "=NUMBER is known"};
+    }
+    return value;
+}
+
+bool startsWith(std::string_view text, std::string_view start)
+{
+    return text.substr(0, start.size()) == start;
+}
+
+Error wrongMethod(const HttpRequest &request, std::string_view allowed)
+{
+    return {Code::WrongMethod, request.method_ + ' ' + request.path_ + ": use " + std::string(allowed)};
+}
+
+} // namespace
+
+CallersDuty::CallersDuty(boost::asio::io_context &io, const EntrySettings &settings, std::function<bool(DispatchMessage)> forward)
+    : forward_(std::move(forward))
+    , members_(byToken(settings.members_))
+    , operators_(byToken(settings.operators_))
+    , self_(settings.name_)
+    , server_(io,
+              HttpLimits{settings.maxBody_, HttpLimits{}.maxHeader_, settings.maxConnections_, HttpLimits{}.idle_},
+              [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); })
+{
+}
+
+Result<std::uint16_t> CallersDuty::listen(const Address &address)
+{
+    return server_.listen(address);
+}
+
+void CallersDuty::turnUnhealthy()
+{
+    healthy_ = false;
+}
+
+void CallersDuty::stopAccepting()
+{
+    server_.stopAccepting();
+}
+
+std::size_t CallersDuty::pending() const
+{
+    return server_.pending();
+}
+
+void CallersDuty::reply(CallerReply &&reply)
+{
+    const auto found = waiting_.find(reply.caller_);
+    if (found == waiting_.end()) {
+        return;
+    }
+    const Respond respond = std::move(found->second);
+    waiting_.erase(found);
+    respond(reply.answer_ ? answerReply(*reply.answer_) : std::move(reply.reply_));
+}
+
+void CallersDuty::forward(const Respond &respond, const std::function<DispatchMessage(CallerRef)> &make)
+{
+    const CallerRef caller = nextCaller_++;
+    waiting_[caller] = respond;
+    if (!forward_(make(caller))) {
+        waiting_.erase(caller);
+        respond(errorReply({Code::Overloaded, "entry \"" + self_ + "\" is overloaded"}));
+    }
+}
+
+void CallersDuty::handle(HttpRequest &&request, Respond respond)
+{
+    if (request.path_ == "/healthz") {
+        respond(jsonReply(healthy_ ? httpOk : httpUnavailable, healthy_ ? R"({"healthy":true})" : R"({"healthy":false})"));
+        return;
+    }
+    if (request.path_ == "/metrics") {
+        forward(respond, [](CallerRef caller) { return MetricsRequest{caller}; });
+        return;
+    }
+    const auto member = members_.find(request.authorization_);
+    if (member != members_.end()) {
+        handleJob(request, member->second, respond);
+        return;
+    }
+    const auto op = operators_.find(request.authorization_);
+    if (op != operators_.end()) {
+        handleOperator(request, op->second, respond);
+        return;
+    }
+    respond(errorReply({Code::Unauthorized, "Authorization: Bearer TOKEN of a member or an operator is required"}));
+}
+
+void CallersDuty::handleJob(const HttpRequest &request, const std::string &member, const Respond &respond)
+{
+    if (request.path_ == "/v1/ids") {
+        const auto count = queryNumber(request.query_, "count", 1);
+        if (request.method_ != "POST") {
+            respond(errorReply(wrongMethod(request, "POST")));
+        } else if (count.has_error()) {
+            respond(errorReply(count.error()));
+        } else if (count.value() < 1 || count.value() > maxIdsPerCall) {
+            respond(errorReply({Code::BadRequest, "count: must lie between 1 and " + std::to_string(maxIdsPerCall)}));
+        } else {
+            forward(respond, [&](CallerRef caller) { return IdsRequest{caller, count.value()}; });
+        }
+        return;
+    }
+    if (!startsWith(request.path_, jobsPath)) {
+        respond(errorReply({Code::UnknownPath, request.path_}));
+        return;
+    }
+    const auto id = parseJobId(std::string_view(request.path_).substr(jobsPath.size()));
+    if (id.has_error()) {
+        respond(errorReply(id.error()));
+        return;
+    }
+    if (request.method_ == "PUT") {
+        auto submission = parseSubmission(id.value(), member, request.body_);
+        if (submission.has_error()) {
+            respond(errorReply(submission.error()));
+            return;
+        }
+        const bool own = id.value().home_.name_ == self_;
+        forward(respond, [&](CallerRef caller) {
+            return SubmitRequest{caller, std::move(submission).value(), own ? std::string() : request.body_};
+        });
+        return;
+    }
+    if (request.method_ == "GET" || request.method_ == "DELETE") {
+        const RelayOp op = request.method_ == "GET" ? RelayOp::Fetch : RelayOp::Cancel;
+        forward(respond, [&](CallerRef caller) { return JobRequest{caller, op, id.value(), member}; });
+        return;
+    }
+    respond(errorReply(wrongMethod(request, "PUT, GET or DELETE")));
+}
+
+void CallersDuty::handleOperator(const HttpRequest &request, const std::string &name, const Respond &respond)
+{
+    const std::string wanted = request.path_ == "/v1/status" || request.path_ == "/v1/audit" ? "GET" : "POST";
+    const bool known = request.path_ == "/v1/plan" || request.path_ == "/v1/confirm" || wanted == "GET";
+    if (!known) {
+        respond(errorReply({Code::UnknownPath, request.path_}));
+        return;
+    }
+    if (request.method_ != wanted) {
+        respond(errorReply(wrongMethod(request, wanted)));
+        return;
+    }
+    if (request.path_ == "/v1/status") {
+        forward(respond, [](CallerRef caller) { return StatusRequest{caller}; });
+    } else if (request.path_ == "/v1/audit") {
+        const auto after = queryNumber(request.query_, "after", 0);
+        if (after.has_error()) {
+            respond(errorReply(after.error()));
+            return;
+        }
+        forward(respond, [&](CallerRef caller) { return AuditRequest{caller, after.value()}; });
+    } else if (request.path_ == "/v1/plan") {
+        const auto intent = parseIntent(request.body_);
+        if (intent.has_error()) {
+            respond(errorReply(intent.error()));
+            return;
+        }
+        forward(respond, [&](CallerRef caller) { return PlanRequest{caller, intent.value()}; });
+    } else {
+        auto confirmation = parseConfirmation(request.body_);
+        if (confirmation.has_error()) {
+            respond(errorReply(confirmation.error()));
+            return;
+        }
+        confirmation.value().who_ = name;
+        forward(respond, [&](CallerRef caller) { return ConfirmRequest{caller, std::move(confirmation).value()}; });
+    }
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/entry/callersduty.hpp
@@ -0,0 +1,52 @@
+// The duty that serves callers and operators by HTTP.
+
+#pragma once
+
+#include "messages.hpp"
+
+#include <ibiswall/settings.hpp>
+#include <unordered_map>
+
+namespace ibiswall {
+
+/// Checks requests, passes them on, and writes the replies.
+class CallersDuty
+{
+public:
+    /// @param forward passes a message to the dispatch duty; false when its ring is full
+    CallersDuty(boost::asio::io_context &io, const EntrySettings &settings, std::function<bool(DispatchMessage)> forward);
+
+    /// Starts to listen.
+    Result<std::uint16_t> listen(const Address &address);
+
+    /// Sends the reply to a request that was forwarded.
+    void reply(CallerReply &&reply);
+
+    /// Makes the health check fail, so that the balancer sends no more callers.
+    void turnUnhealthy();
+
+    /// Stops to accept connections.
+    void stopAccepting();
+
+    /// Requests without a reply.
+    std::size_t pending() const;
+
+private:
+    void handle(HttpRequest &&request, Respond respond);
+    void handleJob(const HttpRequest &request, const std::string &member, const Respond &respond);
+    void handleOperator(const HttpRequest &request, const std::string &name, const Respond &respond);
+    void forward(const Respond &respond, const std::function<DispatchMessage(CallerRef)> &make);
+
+    std::function<bool(DispatchMessage)> forward_;
+    /// Names by `Bearer TOKEN`.
+    std::unordered_map<std::string, std::string> members_;
+    std::unordered_map<std::string, std::string> operators_;
+    std::string self_;
+    HttpServer server_;
+    /// Requests passed on and not yet answered.
+    std::unordered_map<CallerRef, Respond> waiting_;
+    CallerRef nextCaller_ = 1;
+    bool healthy_ = true;
+};
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/entry/dispatchduty.hpp
@@ -0,0 +1,87 @@
+// The duty that decides: owns the dispatcher and the links to agents and entries.
+
+#pragma once
+
+#include "messages.hpp"
+#include "peers.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <ibiswall/settings.hpp>
+
+namespace ibiswall {
+
+/// How the dispatch duty reaches the other duties.
+struct DispatchOutlets
+{
+    std::function<void(CallersMessage)> callers_;
+    std::function<bool(WriteRequest)> platform_;
+};
+
+/// Runs the dispatcher on its own event loop.
+class DispatchDuty
+{
+public:
+    DispatchDuty(boost::asio::io_context &io, const EntrySettings &settings, DispatchOutlets outlets);
+
+    /// Starts to accept links and to connect to the other entries.
+    Result<std::uint16_t> start(const Address &address);
+
+    /// Closes every link.
+    void stop();
+
+    /// Takes a request of a caller in.
+    void take(DispatchMessage &&message);
+
+    /// Takes news of the platform in.
+    void take(PlatformMessage &&message);
+
+private:
+    void on(SubmitRequest &&request);
+    void on(const JobRequest &request);
+    void on(const IdsRequest &request);
+    void on(const PlanRequest &request);
+    void on(const ConfirmRequest &request);
+    void on(const StatusRequest &request);
+    void on(const AuditRequest &request);
+    void on(const MetricsRequest &request);
+    void on(const DrainRequest &request);
+    void on(LogRead &&message);
+    void on(const WriteReply &message);
+
+    void receive(LinkId link, std::string_view frame);
+    void onFrame(LinkId link, const AgentHello &hello);
+    void onFrame(LinkId link, const Renewal &renewal);
+    void onFrame(LinkId link, const Reports &reports);
+    void onFrame(LinkId link, const Leaving &leaving);
+    void onFrame(LinkId link, const PeerHello &hello);
+    void onFrame(LinkId link, const RelayRequest &request);
+    template<typename T>
+    void onFrame(LinkId link, const T &unexpected);
+
+    void act(const DispatchActions &actions);
+    void answer(CallerRef caller, const std::shared_ptr<const JobAnswer> &answer);
+    void reply(CallerRef caller, HttpReply reply);
+    void replyError(CallerRef caller, const Error &error);
+    void applyChange(const Change &change);
+    void notifyAgents();
+    Grant makeGrant(const Agent &agent, std::uint64_t renewal, Millis length) const;
+    std::vector<TargetPlace> announced() const;
+    void scheduleTick();
+    void reportDrained();
+
+    Dispatcher dispatcher_;
+    DispatchOutlets outlets_;
+    LinkServer links_;
+    Peers peers_;
+    boost::asio::steady_timer timer_;
+    Freshness freshness_;
+    /// The latest changes, newest last, for the audit trail.
+    std::deque<Change> audit_;
+    /// Where replies to relayed requests go; such callers have the top bit set.
+    std::unordered_map<CallerRef, std::pair<LinkId, std::uint64_t>> relayed_;
+    CallerRef nextRelayed_;
+    bool drainReported_ = false;
+};
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/entry/entry.cpp
@@ -0,0 +1,204 @@
+// Joins the duties of an entry, each on its own thread, and stops them in order.
+
+#include <ibiswall/entry.hpp>
+
+#include "callersduty.hpp"
+#include "dispatchduty.hpp"
+#include "platformduty.hpp"
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <ibiswall/log.hpp>
+#include <thread>
+
+namespace ibiswall {
+
+namespace {
+
+constexpr std::string_view part = "entry";
+constexpr std::size_t smallRing = 256;
+constexpr std::chrono::milliseconds pendingCheck(20);
+constexpr int exitAbandoned = 1;
+
+using Work = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+// An event loop on a thread of its own.
+struct Loop
+{
+    void start()
+    {
+        thread_ = std::thread([this] { io_.run(); });
+    }
+
+    void stop()
+    {
+        io_.stop();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    boost::asio::io_context io_{1};
+    Work work_{boost::asio::make_work_guard(io_)};
+    std::thread thread_;
+};
+
+Store makeStore(const EntrySettings &settings)
+{
+    Store store;
+    store.addresses_ = settings.platform_;
+    return store;
+}
+
+// The duties of one entry. The callers' duty runs on the thread that calls run().
+class Entry
+{
+public:
+    explicit Entry(const EntrySettings &settings)
+        : settings_(settings)
+        , ringSize_(settings.maxConnections_ * 2 + smallRing)
+        , callers_(callersLoop_, settings, [this](DispatchMessage message) { return toDispatch_.push(std::move(message)); })
+        , dispatch_(dispatchLoop_.io_,
+                    settings,
+                    {[this](CallersMessage message) { toCallers_.push(std::move(message)); },
+                     [this](WriteRequest request) {
+                         return toPlatform_.push(std::move(request));
+                     }})
+        , platform_(platformLoop_.io_, makeStore(settings), [this](PlatformMessage message) { send(std::move(message)); })
+        , toDispatch_(dispatchLoop_.io_, ringSize_, [this](DispatchMessage &&message) { dispatch_.take(std::move(message)); })
+        , toCallers_(callersLoop_, ringSize_, [this](CallersMessage &&message) { take(std::move(message)); })
+        , toPlatform_(platformLoop_.io_, smallRing, [this](WriteRequest &&request) { platform_.write(request); })
+        , fromPlatform_(dispatchLoop_.io_, smallRing, [this](PlatformMessage &&message) { dispatch_.take(std::move(message)); })
+        , signals_(callersLoop_, SIGTERM, SIGINT)
+        , timer_(callersLoop_)
+    {
+    }
+
+    Result<EntryPorts> listen()
+    {
+        EntryPorts ports;
+        BOOST_OUTCOME_TRY(ports.callers_, callers_.listen(settings_.callers_));
+        BOOST_OUTCOME_TRY(ports.links_, dispatch_.start(settings_.links_));
+        return ports;
+    }
+
+    int run()
+    {
+        boost::asio::post(platformLoop_.io_, [this] { platform_.start(); });
+        dispatchLoop_.start();
+        platformLoop_.start();
+        awaitSignal();
+        callersLoop_.run();
+        stopping_ = true;
+        platformLoop_.stop();
+        dispatchLoop_.stop();
+        log(LogLevel::Info, part, "stopped");
+        return exitCode_;
+    }
+
+private:
+    // The ring to the dispatch duty is never left short: the platform's news must arrive in order.
+    void send(PlatformMessage message)
+    {
+        while (!fromPlatform_.push(message) && !stopping_) {
+            std::this_thread::sleep_for(pendingCheck);
+        }
+    }
+
+    void awaitSignal()
+    {
+        signals_.async_wait([this](boost::system::error_code error, int /*signal*/) {
+            if (error) {
+                return;
+            }
+            if (draining_) {
+                abandon();
+                return;
+            }
+            beginDrain();
+            awaitSignal();
+        });
+    }
+
+    void abandon()
+    {
+        log(LogLevel::Warning, part, "second signal: abandoned " + std::to_string(callers_.pending()) + " requests in flight");
+        exitCode_ = exitAbandoned;
+        callersLoop_.stop();
+    }
+
+    void beginDrain()
+    {
+        draining_ = true;
+        log(LogLevel::Info, part, "stop begins: unhealthy, jobs in flight go on");
+        callers_.turnUnhealthy();
+        timer_.expires_after(std::chrono::milliseconds(settings_.drainDelay_.count_));
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                toDispatch_.push(DrainRequest{});
+            }
+        });
+    }
+
+    void take(CallersMessage &&message)
+    {
+        if (auto *reply = std::get_if<CallerReply>(&message)) {
+            callers_.reply(std::move(*reply));
+            return;
+        }
+        callers_.stopAccepting();
+        awaitReplies();
+    }
+
+    // Waits until the last reply has left.
+    void awaitReplies()
+    {
+        timer_.expires_after(pendingCheck);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (error) {
+                return;
+            }
+            if (callers_.pending() > 0) {
+                awaitReplies();
+                return;
+            }
+            callersLoop_.stop();
+        });
+    }
+
+    EntrySettings settings_;
+    std::size_t ringSize_;
+    boost::asio::io_context callersLoop_{1};
+    Loop dispatchLoop_;
+    Loop platformLoop_;
+    CallersDuty callers_;
+    DispatchDuty dispatch_;
+    PlatformDuty platform_;
+    Channel<DispatchMessage> toDispatch_;
+    Channel<CallersMessage> toCallers_;
+    Channel<WriteRequest> toPlatform_;
+    Channel<PlatformMessage> fromPlatform_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    bool draining_ = false;
+    /// Set when the loops stop, so that no sender waits for a full ring.
+    std::atomic<bool> stopping_{false};
+    int exitCode_ = 0;
+};
+
+} // namespace
+
+int runEntry(const EntrySettings &settings, const std::function<void(EntryPorts)> &started)
+{
+    Entry entry(settings);
+    const auto ports = entry.listen();
+    if (ports.has_error()) {
+        log(LogLevel::Error, part, ports.error().text_);
+        return static_cast<int>(ports.error().code_) % 256;
+    }
+    started(ports.value());
+    return entry.run();
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/entry/views.cpp
@@ -0,0 +1,98 @@
+// Writes status, audit trail and metrics.
+
+#include "views.hpp"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace ibiswall {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json agentJson(const Agent &agent)
+{
+    return {{"target", agent.info_.place_.target_},
+            {"worker", agent.info_.place_.worker_},
+            {"failure_domain", agent.info_.place_.domain_},
+            {"slots", agent.info_.slots_},
+            {"in_flight", agent.placed_.size()},
+            {"leaving", agent.leaving_},
+            {"version", agent.version_}};
+}
+
+void addCounter(prometheus::Registry &registry, const char *name, const char *help, std::uint64_t value)
+{
+    prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({}).Increment(static_cast<double>(value));
+}
+
+void addGauge(prometheus::Registry &registry, const char *name, const char *help, double value)
+{
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
+}
+
+} // namespace
+
+std::string formatStatus(const Dispatcher &dispatcher, const Freshness &freshness, Millis now)
+{
+    const Configuration &configuration = dispatcher.configuration_;
+    Json json;
+    json["entry"] = dispatcher.self_.name_;
+    json["version"] = configuration.version_;
+    json["read_ms_ago"] = freshness.known_ ? Json((now - freshness.asOf_).count_) : Json();
+    json["domains_out"] = configuration.domainsOut_;
+    json["targets_out"] = configuration.targetsOut_;
+    json["open_jobs"] = dispatcher.openJobs_;
+    json["queued_tasks"] = dispatcher.queue_.size_;
+    json["agents"] = Json::array();
+    json["unconfirmed"] = Json::array();
+    for (const auto &[ref, agent] : dispatcher.fleet_.agents_) {
+        json["agents"].push_back(agentJson(agent));
+        if (agent.version_ < configuration.version_) {
+            json["unconfirmed"].push_back(agent.info_.place_.target_);
+        }
+    }
+    return json.dump();
+}
+
+std::string formatAudit(const std::deque<Change> &changes, std::uint64_t after)
+{
+    Json json;
+    json["changes"] = Json::array();
+    for (const Change &change : changes) {
+        if (change.version_ > after) {
+            json["changes"].push_back(Json::parse(formatChange(change)));
+        }
+    }
+    return json.dump();
+}
+
+std::string formatMetrics(const Dispatcher &dispatcher, const Freshness &freshness, Millis now)
+{
+    const DispatchCounts &counts = dispatcher.counts_;
+    prometheus::Registry registry;
+    addCounter(registry, "ibiswall_jobs_accepted_total", "Jobs accepted", counts.jobsAccepted_);
+    addCounter(registry, "ibiswall_jobs_refused_total", "Jobs refused whole", counts.jobsRefused_);
+    addCounter(registry, "ibiswall_jobs_complete_total", "Jobs answered complete", counts.jobsComplete_);
+    addCounter(registry, "ibiswall_jobs_failed_total", "Jobs answered failed", counts.jobsFailed_);
+    addCounter(registry, "ibiswall_tasks_done_total", "Tasks done", counts.tasksDone_);
+    addCounter(registry, "ibiswall_tasks_failed_total", "Tasks that ran and failed", counts.tasksFailed_);
+    addCounter(registry, "ibiswall_tasks_not_run_total", "Tasks reported as not run", counts.tasksNotRun_);
+    addCounter(registry, "ibiswall_tasks_may_have_run_total", "Tasks reported as may have run", counts.tasksMayHaveRun_);
+    addCounter(registry, "ibiswall_orders_sent_total", "Orders sent to agents", counts.ordersSent_);
+    addCounter(registry, "ibiswall_orders_refused_total", "Orders refused by agents", counts.ordersRefused_);
+    addGauge(registry, "ibiswall_configuration_version", "Configuration version in force here",
+             static_cast<double>(dispatcher.configuration_.version_));
+    addGauge(registry, "ibiswall_open_jobs", "Jobs without an answer", static_cast<double>(dispatcher.openJobs_));
+    addGauge(registry, "ibiswall_queued_tasks", "Tasks that wait for a slot", static_cast<double>(dispatcher.queue_.size_));
+    addGauge(registry, "ibiswall_agents", "Linked agents", static_cast<double>(dispatcher.fleet_.agents_.size()));
+    addGauge(registry, "ibiswall_configuration_age_ms", "Milliseconds since the platform was read",
+             freshness.known_ ? static_cast<double>((now - freshness.asOf_).count_) : -1);
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/net/httpcall.cpp
@@ -0,0 +1,80 @@
+// Blocking HTTP call on Boost.Beast.
+
+#include <ibiswall/net/httpcall.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace ibiswall {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr unsigned httpVersion11 = 11;
+constexpr std::uint64_t maxReply = 64U << 20U;
+
+http::request<http::string_body> makeRequest(const Address &address, const HttpCall &call)
+{
+    http::request<http::string_body> request(http::string_to_verb(call.method_), call.target_, httpVersion11);
+    request.set(http::field::host, format(address));
+    request.set(http::field::content_type, "application/json");
+    if (!call.authorization_.empty()) {
+        request.set(http::field::authorization, call.authorization_);
+    }
+    request.keep_alive(false);
+    request.body() = call.body_;
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+Result<HttpAnswer> callHttp(const Address &address, const HttpCall &call)
+{
+    beast::error_code bad;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host_, bad), address.port_);
+    if (bad) {
+        return Error{Code::CannotConnect, format(address) + ": " + bad.message()};
+    }
+    asio::io_context io;
+    beast::tcp_stream stream(io);
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request = makeRequest(address, call);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxReply);
+    std::optional<Error> error;
+    const auto fail = [&](Code code, beast::error_code reason) {
+        error = Error{reason == beast::error::timeout && code != Code::CannotConnect ? Code::CallTimeout : code,
+                      format(address) + ": " + reason.message()};
+    };
+    stream.expires_after(std::chrono::milliseconds(call.timeout_.count_));
+    stream.async_connect(endpoint, [&](beast::error_code failed) {
+        if (failed) {
+            return fail(Code::CannotConnect, failed);
+        }
+        http::async_write(stream, request, [&](beast::error_code writeFailed, std::size_t /*bytes*/) {
+            if (writeFailed) {
+                return fail(Code::ConnectionLost, writeFailed);
+            }
+            http::async_read(stream, buffer, parser, [&](beast::error_code readFailed, std::size_t /*bytes*/) {
+                if (readFailed) {
+                    fail(Code::ConnectionLost, readFailed);
+                }
+            });
+        });
+    });
+    io.run();
+    if (error) {
+        return *error;
+    }
+    return HttpAnswer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/net/linkclient.cpp
@@ -0,0 +1,166 @@
+// Connecting side of links, on websocketpp.
+
+#include <ibiswall/net/link.hpp>
+
+#include "endpoint.hpp"
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+
+namespace ibiswall {
+
+namespace {
+
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+
+constexpr std::int64_t firstPauseMillis = 100;
+constexpr std::int64_t maxPauseMillis = 2000;
+
+} // namespace
+
+struct LinkClient::State : std::enable_shared_from_this<LinkClient::State>
+{
+    State(boost::asio::io_context &io, Address server, LinkLimits limits, LinkEvents events)
+        : server_(std::move(server))
+        , limits_(limits)
+        , events_(std::move(events))
+        , timer_(io)
+        , noise_(std::random_device{}())
+    {
+        prepareEndpoint(client_, io, limits.maxFrame_);
+    }
+
+    void connect()
+    {
+        if (stopping_) {
+            return;
+        }
+        websocketpp::lib::error_code error;
+        const auto connection = client_.get_connection("ws://" + format(server_) + "/", error);
+        if (error) {
+            pause();
+            return;
+        }
+        const auto weak = weak_from_this();
+        connection->set_open_handler([weak](const Handle &handle) {
+            if (const auto self = weak.lock()) {
+                self->opened(handle);
+            }
+        });
+        const auto ended = [weak](const Handle & /*handle*/) {
+            if (const auto self = weak.lock()) {
+                self->ended();
+            }
+        };
+        connection->set_fail_handler(ended);
+        connection->set_close_handler(ended);
+        connection->set_message_handler([weak](const Handle & /*handle*/, const Client::message_ptr &message) {
+            const auto self = weak.lock();
+            if (self && self->open_) {
+                self->events_.received_(self->link_, message->get_payload());
+            }
+        });
+        client_.connect(connection);
+    }
+
+    void opened(const Handle &handle)
+    {
+        handle_ = handle;
+        open_ = true;
+        pauseMillis_ = firstPauseMillis;
+        ++link_;
+        events_.opened_(link_);
+    }
+
+    void ended()
+    {
+        if (open_) {
+            open_ = false;
+            events_.closed_(link_);
+        }
+        pause();
+    }
+
+    // Waits before the next attempt, with jitter so that a fleet does not come back at once.
+    void pause()
+    {
+        if (stopping_) {
+            return;
+        }
+        const std::int64_t jitter = std::uniform_int_distribution<std::int64_t>(0, pauseMillis_)(noise_);
+        timer_.expires_after(std::chrono::milliseconds(pauseMillis_ / 2 + jitter));
+        pauseMillis_ = std::min(pauseMillis_ * 2, maxPauseMillis);
+        const auto weak = weak_from_this();
+        timer_.async_wait([weak](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->connect();
+            }
+        });
+    }
+
+    Address server_;
+    LinkLimits limits_;
+    LinkEvents events_;
+    boost::asio::steady_timer timer_;
+    std::minstd_rand noise_;
+    Client client_;
+    Handle handle_;
+    /// Id of the current or latest opening.
+    LinkId link_ = 0;
+    bool open_ = false;
+    bool stopping_ = false;
+    std::int64_t pauseMillis_ = firstPauseMillis;
+};
+
+LinkClient::LinkClient(boost::asio::io_context &io, Address server, LinkLimits limits, LinkEvents events)
+    : state_(std::make_shared<State>(io, std::move(server), limits, std::move(events)))
+{
+}
+
+LinkClient::~LinkClient()
+{
+    stop();
+}
+
+void LinkClient::start()
+{
+    state_->connect();
+}
+
+bool LinkClient::send(std::string_view frame)
+{
+    if (!state_->open_) {
+        return false;
+    }
+    websocketpp::lib::error_code error;
+    const auto connection = state_->client_.get_con_from_hdl(state_->handle_, error);
+    if (error) {
+        return false;
+    }
+    if (connection->get_buffered_amount() > state_->limits_.maxBuffered_) {
+        close();
+        return false;
+    }
+    error = connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+    return !error;
+}
+
+void LinkClient::close()
+{
+    websocketpp::lib::error_code ignored;
+    if (state_->open_) {
+        state_->client_.close(state_->handle_, websocketpp::close::status::going_away, "", ignored);
+    }
+}
+
+void LinkClient::stop()
+{
+    state_->stopping_ = true;
+    state_->timer_.cancel();
+    close();
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/settings/checker.cpp
@@ -0,0 +1,147 @@
+// Checks values one by one and words the problems.
+
+#include "checker.hpp"
+
+#include <algorithm>
+
+namespace ibiswall {
+
+Checker::Checker(const nlohmann::json &object, std::string place, std::vector<std::string> &problems)
+    : object_(object)
+    , place_(std::move(place))
+    , problems_(problems)
+{
+}
+
+void Checker::problem(const std::string &key, const std::string &reason)
+{
+    problems_.push_back(place_ + key + ": " + reason);
+}
+
+const nlohmann::json *Checker::find(const char *key, bool required)
+{
+    known_.insert(key);
+    const auto found = object_.find(key);
+    if (found != object_.end()) {
+        return &*found;
+    }
+    if (required) {
+        problem(key, "is missing");
+    }
+    return nullptr;
+}
+
+bool Checker::isArray(const char *key, const nlohmann::json &value)
+{
+    if (!value.is_array()) {
+        problem(key, "an array is required");
+        return false;
+    }
+    return true;
+}
+
+std::string Checker::text(const char *key)
+{
+    const nlohmann::json *value = find(key, true);
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_string() || value->get_ref<const std::string &>().empty()) {
+        problem(key, "a string that is not empty is required");
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+std::string Checker::name(const char *key)
+{
+    std::string value = text(key);
+    if (!value.empty() && !isName(value)) {
+        problem(key, "\"" + value + "\" is not a name: use 1 to 64 of a-z, 0-9 and '-'");
+    }
+    return value;
+}
+
+Address Checker::readAddress(const std::string &key, const nlohmann::json &value)
+{
+    if (!value.is_string()) {
+        problem(key, "a string IP:PORT is required");
+        return {};
+    }
+    auto parsed = parseAddress(value.get_ref<const std::string &>());
+    if (parsed.has_error()) {
+        problem(key, parsed.error().text_);
+        return {};
+    }
+    return std::move(parsed).value();
+}
+
+Address Checker::address(const char *key)
+{
+    const nlohmann::json *value = find(key, true);
+    return value == nullptr ? Address{} : readAddress(key, *value);
+}
+
+std::vector<Address> Checker::addresses(const char *key)
+{
+    std::vector<Address> out;
+    const nlohmann::json *array = find(key, true);
+    if (array == nullptr || !isArray(key, *array)) {
+        return out;
+    }
+    if (array->empty()) {
+        problem(key, "at least one address is required");
+    }
+    for (std::size_t i = 0; i < array->size(); ++i) {
+        out.push_back(readAddress(std::string(key) + '[' + std::to_string(i) + ']', (*array)[i]));
+    }
+    return out;
+}
+
+std::int64_t Checker::number(const char *key, std::int64_t least, std::int64_t most, std::int64_t fallback)
+{
+    const nlohmann::json *value = find(key, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_number_integer() || value->get<std::int64_t>() < least || value->get<std::int64_t>() > most) {
+        problem(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most) + " is required");
+        return fallback;
+    }
+    return value->get<std::int64_t>();
+}
+
+std::int64_t Checker::requiredNumber(const char *key, std::int64_t least, std::int64_t most)
+{
+    find(key, true);
+    return number(key, least, most, least);
+}
+
+std::string Checker::word(const char *key, std::initializer_list<const char *> words, const char *fallback)
+{
+    const nlohmann::json *value = find(key, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    const bool known = value->is_string() && std::find(words.begin(), words.end(), value->get_ref<const std::string &>()) != words.end();
+    if (known) {
+        return value->get<std::string>();
+    }
+    std::string list;
+    for (const char *each : words) {
+        list += (list.empty() ? "" : ", ") + std::string(each);
+    }
+    problem(key, "one of " + list + " is required");
+    return fallback;
+}
+
+void Checker::refuseUnknown()
+{
+    for (const auto &item : object_.items()) {
+        if (known_.count(item.key()) == 0) {
+            problem(item.key(), "unknown key");
+        }
+    }
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/src/ibiswall/settings/settings.cpp
@@ -0,0 +1,167 @@
+// Reads the settings of entries and agents.
+
+#include <ibiswall/settings.hpp>
+
+#include "checker.hpp"
+#include <fstream>
+#include <sstream>
+
+namespace ibiswall {
+
+namespace {
+
+constexpr std::int64_t maxSlots = 4096;
+constexpr std::int64_t maxDelay = 600000;
+constexpr std::int64_t maxBytes = 1 << 30;
+constexpr std::int64_t maxCount = 10000000;
+
+std::string readLogLevel(Checker &in)
+{
+    return in.word("log_level", {"debug", "info", "warning", "error"}, "info");
+}
+
+// Reports an address that stands for two things. Port 0 asks for any free port.
+void refuseDuplicates(Checker &in, const std::vector<std::pair<std::string, Address>> &places)
+{
+    std::map<std::string, std::string> seen;
+    for (const auto &[key, place] : places) {
+        if (place.port_ == 0) {
+            continue;
+        }
+        const auto [first, fresh] = seen.emplace(format(place), key);
+        if (!fresh) {
+            in.problem(key, format(place) + " is given twice, first as " + first->second);
+        }
+    }
+}
+
+void refuseRepeatedNames(Checker &in, const char *key, const std::vector<Credential> &credentials)
+{
+    std::set<std::string> names;
+    std::set<std::string> tokens;
+    for (const Credential &credential : credentials) {
+        if (!names.insert(credential.name_).second) {
+            in.problem(key, "name \"" + credential.name_ + "\" is given twice");
+        }
+        if (!tokens.insert(credential.token_).second) {
+            in.problem(key, "\"" + credential.name_ + "\" has the token of another");
+        }
+    }
+}
+
+std::vector<Credential> readCredentials(Checker &in, const char *key)
+{
+    auto credentials = in.objects<Credential>(key, true, [](Checker &item) { return Credential{item.name("name"), item.text("token")}; });
+    refuseRepeatedNames(in, key, credentials);
+    return credentials;
+}
+
+void readLimits(Checker &in, EntrySettings &settings)
+{
+    DispatchLimits &limits = settings.limits_;
+    settings.maxBody_ = static_cast<std::size_t>(in.number("max_body_bytes", 1, maxBytes, static_cast<std::int64_t>(settings.maxBody_)));
+    settings.maxConnections_
+        = static_cast<std::size_t>(in.number("max_connections", 1, maxCount, static_cast<std::int64_t>(settings.maxConnections_)));
+    limits.maxTasksPerJob_
+        = static_cast<std::size_t>(in.number("max_tasks_per_job", 1, maxCount, static_cast<std::int64_t>(limits.maxTasksPerJob_)));
+    limits.maxQueuedTasks_
+        = static_cast<std::size_t>(in.number("max_queued_tasks", 1, maxCount, static_cast<std::int64_t>(limits.maxQueuedTasks_)));
+    limits.maxJobs_ = static_cast<std::size_t>(in.number("max_jobs", 1, maxCount, static_cast<std::int64_t>(limits.maxJobs_)));
+}
+
+EntrySettings readEntry(Checker &in)
+{
+    EntrySettings settings;
+    settings.name_ = in.name("name");
+    settings.domain_ = in.name("failure_domain");
+    settings.callers_ = in.address("callers_address");
+    settings.links_ = in.address("links_address");
+    settings.platform_ = in.addresses("platform_addresses");
+    settings.peers_ = in.objects<PeerPlace>("peers", false, [](Checker &item) {
+        return PeerPlace{item.name("name"), item.address("links_address")};
+    });
+    settings.members_ = readCredentials(in, "members");
+    settings.operators_ = readCredentials(in, "operators");
+    settings.logLevel_ = readLogLevel(in);
+    settings.drainDelay_ = {in.number("drain_delay_ms", 0, maxDelay, settings.drainDelay_.count_)};
+    readLimits(in, settings);
+    std::vector<std::pair<std::string, Address>> places = {{"callers_address", settings.callers_}, {"links_address", settings.links_}};
+    for (const PeerPlace &peer : settings.peers_) {
+        places.emplace_back("peers", peer.links_);
+    }
+    refuseDuplicates(in, places);
+    return settings;
+}
+
+AgentSettings readAgent(Checker &in)
+{
+    AgentSettings settings;
+    settings.target_ = in.name("target");
+    settings.worker_ = in.name("worker");
+    settings.domain_ = in.name("failure_domain");
+    settings.slots_ = static_cast<int>(in.requiredNumber("slots", 1, maxSlots));
+    settings.targetPlace_ = in.address("target_address");
+    settings.health_ = in.address("health_address");
+    settings.entries_ = in.addresses("entry_addresses");
+    settings.logLevel_ = readLogLevel(in);
+    settings.callTimeout_ = {in.number("call_timeout_ms", 1, maxDelay, settings.callTimeout_.count_)};
+    std::vector<std::pair<std::string, Address>> places = {{"target_address", settings.targetPlace_}, {"health_address", settings.health_}};
+    for (const Address &entry : settings.entries_) {
+        places.emplace_back("entry_addresses", entry);
+    }
+    refuseDuplicates(in, places);
+    return settings;
+}
+
+Error makeError(std::string_view file, const std::vector<std::string> &problems)
+{
+    std::string text;
+    for (const std::string &problem : problems) {
+        text += (text.empty() ? "" : "\n") + std::string(file) + ": " + problem;
+    }
+    return {Code::BadSettings, text};
+}
+
+} // namespace
+
+Result<Settings> parseSettings(std::string_view file, std::string_view text)
+{
+    nlohmann::json root;
+    try {
+        root = nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &error) {
+        return makeError(file, {std::string("not JSON: ") + error.what()});
+    }
+    if (!root.is_object()) {
+        return makeError(file, {"an object is required"});
+    }
+    std::vector<std::string> problems;
+    Checker in(root, "", problems);
+    const std::string role = in.word("role", {"entry", "agent"}, "");
+    Settings settings;
+    if (role == "entry") {
+        settings = readEntry(in);
+    } else if (role == "agent") {
+        settings = readAgent(in);
+    } else {
+        return makeError(file, {"role: \"entry\" or \"agent\" is required"});
+    }
+    in.refuseUnknown();
+    if (!problems.empty()) {
+        return makeError(file, problems);
+    }
+    return settings;
+}
+
+Result<Settings> loadSettings(const std::string &file)
+{
+    std::ifstream in(file);
+    if (!in) {
+        return makeError(file, {"cannot be read"});
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parseSettings(file, text.str());
+}
+
+} // namespace ibiswall
--- /dev/null
+++ b/tests/system/cluster.cpp
@@ -0,0 +1,209 @@
+// Writes settings for a small deployment and starts its processes.
+
+#include "cluster.hpp"
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace ibiswall::system {
+
+namespace {
+
+constexpr std::chrono::seconds awaitLimit(30);
+constexpr std::chrono::milliseconds awaitStep(20);
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+Result<HttpAnswer> callPort(
+    std::uint16_t port, const std::string &method, const std::string &target, const std::string &body, const std::string &token)
+{
+    constexpr Millis limit{120000};
+    return callHttp({"127.0.0.1", port}, {method, target, body, token, limit});
+}
+
+void write(const std::filesystem::path &file, const Json &json)
+{
+    std::ofstream(file) << "// Written by a test.\n" << json.dump(2);
+}
+
+} // namespace
+
+void await(const std::string &what, const std::function<bool()> &condition)
+{
+    const auto until = std::chrono::steady_clock::now() + awaitLimit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > until) {
+            throw std::runtime_error("never came true: " + what);
+        }
+        std::this_thread::sleep_for(awaitStep);
+    }
+}
+
+Cluster::Cluster(const ClusterShape &shape)
+    : shape_(shape)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "ibiswall-test-XXXXXX").string();
+    folder_ = mkdtemp(pattern.data());
+    platformPort_ = freePort();
+    startPlatform();
+    for (int i = 1; i <= shape.entries_; ++i) {
+        const std::string name = "entry-" + std::to_string(i);
+        entries_.push_back({name, freePort(), freePort(), folder_ / (name + ".json"), std::nullopt});
+    }
+    for (int i = 0; i < shape.targets_; ++i) {
+        const std::string name = "target-" + std::to_string(i + 1);
+        places_.push_back(
+            {name, "fd-" + std::to_string(i % shape.domains_ + 1), freePort(), folder_ / (name + ".json"), std::nullopt, std::nullopt});
+    }
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        writeEntrySettings(entries_[i]);
+        startEntry(i);
+    }
+    for (std::size_t i = 0; i < places_.size(); ++i) {
+        writeAgentSettings(places_[i]);
+        startTarget(i);
+        startAgent(i);
+    }
+    awaitAgents(places_.size());
+}
+
+Cluster::~Cluster()
+{
+    places_.clear();
+    entries_.clear();
+    platform_.reset();
+    std::filesystem::remove_all(folder_);
+}
+
+void Cluster::writeEntrySettings(EntryPlace &entry)
+{
+    Json json = {{"role", "entry"},
+                 {"name", entry.name_},
+                 {"failure_domain", "fd-1"},
+                 {"callers_address", loopback(entry.callersPort_)},
+                 {"links_address", loopback(entry.linksPort_)},
+                 {"platform_addresses", {loopback(platformPort_)}},
+                 {"peers", Json::array()},
+                 {"members", {{{"name", "studio"}, {"token", "studio-token"}}, {{"name", "rival"}, {"token", "rival-token"}}}},
+                 {"operators", {{{"name", "ops"}, {"token", "ops-token"}}}},
+                 {"log_level", "warning"}};
+    for (const EntryPlace &other : entries_) {
+        if (other.name_ != entry.name_) {
+            json["peers"].push_back({{"name", other.name_}, {"links_address", loopback(other.linksPort_)}});
+        }
+    }
+    write(entry.settings_, json);
+}
+
+void Cluster::writeAgentSettings(Place &place)
+{
+    Json json = {{"role", "agent"},
+                 {"target", place.name_},
+                 {"worker", "worker-of-" + place.name_},
+                 {"failure_domain", place.domain_},
+                 {"slots", shape_.slots_},
+                 {"target_address", loopback(place.targetPort_)},
+                 {"health_address", loopback(freePort())},
+                 {"entry_addresses", Json::array()},
+                 {"log_level", "warning"}};
+    for (const EntryPlace &entry : entries_) {
+        json["entry_addresses"].push_back(loopback(entry.linksPort_));
+    }
+    write(place.settings_, json);
+}
+
+void Cluster::startPlatform()
+{
+    platform_.emplace(std::vector<std::string>{STANDIN_PLATFORM, "--listen", loopback(platformPort_)});
+}
+
+void Cluster::startEntry(std::size_t index)
+{
+    entries_[index].process_.emplace(std::vector<std::string>{IBISWALL_BINARY, "entry", entries_[index].settings_.string()});
+}
+
+void Cluster::startTarget(std::size_t index)
+{
+    Place &place = places_[index];
+    place.target_.emplace(
+        std::vector<std::string>{STANDIN_TARGET, "--listen", loopback(place.targetPort_), "--run-ms", std::to_string(shape_.runMillis_)});
+}
+
+void Cluster::startAgent(std::size_t index)
+{
+    places_[index].agent_.emplace(std::vector<std::string>{IBISWALL_BINARY, "agent", places_[index].settings_.string()});
+}
+
+Result<HttpAnswer> Cluster::callAsMember(std::size_t entry,
+                                         const std::string &method,
+                                         const std::string &target,
+                                         const std::string &body) const
+{
+    return callPort(entries_[entry].callersPort_, method, target, body, "Bearer studio-token");
+}
+
+Result<HttpAnswer> Cluster::callAsOperator(std::size_t entry,
+                                           const std::string &method,
+                                           const std::string &target,
+                                           const std::string &body) const
+{
+    return callPort(entries_[entry].callersPort_, method, target, body, "Bearer ops-token");
+}
+
+std::string Cluster::takeId(std::size_t entry) const
+{
+    return Json::parse(callAsMember(entry, "POST", "/v1/ids").value().body_)["ids"][0];
+}
+
+Json Cluster::submit(std::size_t entry, const std::string &kind, std::size_t tasks) const
+{
+    Json body = {{"kind", kind}, {"tasks", Json::array()}};
+    for (std::size_t i = 0; i < tasks; ++i) {
+        body["tasks"].push_back("task " + std::to_string(i));
+    }
+    return Json::parse(callAsMember(entry, "PUT", "/v1/jobs/" + takeId(entry), body.dump()).value().body_);
+}
+
+Json Cluster::change(std::size_t entry, const Json &intent) const
+{
+    const Json plan = Json::parse(callAsOperator(entry, "POST", "/v1/plan", intent.dump()).value().body_);
+    if (!plan.contains("digest")) {
+        return plan;
+    }
+    const Json confirmation
+        = {{"intent", intent}, {"base_version", plan["base_version"]}, {"digest", plan["digest"]}, {"who", ""}, {"why", "test"}};
+    return Json::parse(callAsOperator(entry, "POST", "/v1/confirm", confirmation.dump()).value().body_);
+}
+
+void Cluster::setPlatformMode(const Json &mode) const
+{
+    callPort(platformPort_, "POST", "/standin/mode", mode.dump(), {}).value();
+}
+
+void Cluster::setTargetMode(std::size_t index, const Json &mode) const
+{
+    callPort(places_[index].targetPort_, "POST", "/standin/mode", mode.dump(), {}).value();
+}
+
+Json Cluster::starts(std::size_t index) const
+{
+    return Json::parse(callPort(places_[index].targetPort_, "GET", "/standin/starts", {}, {}).value().body_);
+}
+
+void Cluster::awaitAgents(std::size_t count) const
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        await("all agents are linked", [&] {
+            const auto answer = callAsOperator(i, "GET", "/v1/status");
+            const Json status = answer.has_value() ? Json::parse(answer.value().body_, nullptr, false) : Json();
+            return status.is_object() && status["agents"].size() == count && !status["read_ms_ago"].is_null();
+        });
+    }
+}
+
+} // namespace ibiswall::system
--- /dev/null
+++ b/tests/system/path_test.cpp
@@ -0,0 +1,80 @@
+// The whole path as separate processes: submit to either entry, take a failure domain out.
+
+#include "cluster.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+namespace ibiswall::system {
+
+namespace {
+
+const Json noteKind = {{"op", "set-kind"}, {"name", "note"}, {"value", 1}, {"repeatable", false}, {"deadline_ms", 20000}};
+
+std::size_t startsIn(const Cluster &cluster, const std::string &domain)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < cluster.places_.size(); ++i) {
+        count += cluster.places_[i].domain_ == domain ? cluster.starts(i).size() : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(path)
+
+BOOST_AUTO_TEST_CASE(jobs_are_answered_whole_by_either_entry)
+{
+    Cluster cluster({});
+    BOOST_TEST(cluster.change(0, noteKind).value("version", 0) == 1);
+    await("the kind is known to both entries", [&] { return cluster.submit(1, "note", 1).value("state", "") == "complete"; });
+    for (const std::size_t entry : {0U, 1U}) {
+        const Json answer = cluster.submit(entry, "note", 100);
+        BOOST_TEST(answer.value("state", "") == "complete");
+        BOOST_REQUIRE(answer["tasks"].size() == 100U);
+        for (std::size_t i = 0; i < 100; ++i) {
+            BOOST_TEST(answer["tasks"][i].value("answer", "") == "done: task " + std::to_string(i));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_job_reaches_its_home_through_the_other_entry)
+{
+    Cluster cluster({});
+    cluster.change(0, noteKind);
+    const std::string id = cluster.takeId(0);
+    const std::string body = R"({"kind":"note","tasks":["a","b"]})";
+    const auto first = cluster.callAsMember(1, "PUT", "/v1/jobs/" + id, body);
+    const auto second = cluster.callAsMember(0, "PUT", "/v1/jobs/" + id, body);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first.value().body_ == second.value().body_);
+    std::size_t starts = 0;
+    for (std::size_t i = 0; i < cluster.places_.size(); ++i) {
+        starts += cluster.starts(i).size();
+    }
+    BOOST_TEST(starts == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_domain_goes_out_and_comes_back)
+{
+    Cluster cluster({});
+    cluster.change(0, noteKind);
+    const Json out = {{"op", "domain-out"}, {"name", "fd-2"}};
+    const Json accepted = cluster.change(0, out);
+    BOOST_REQUIRE(accepted.value("version", 0) == 2);
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const std::size_t before = startsIn(cluster, "fd-2");
+    BOOST_TEST(cluster.submit(1, "note", 200).value("state", "") == "complete");
+    BOOST_TEST(startsIn(cluster, "fd-2") == before);
+    BOOST_TEST(cluster.change(1, out).value("code", 0) == 505);
+    cluster.change(1, {{"op", "domain-in"}, {"name", "fd-2"}});
+    await("work reaches the failure domain again", [&] {
+        cluster.submit(0, "note", 50);
+        return startsIn(cluster, "fd-2") > before;
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ibiswall::system
--- /dev/null
+++ b/tests/system/process.cpp
@@ -0,0 +1,136 @@
+// Starts programs with posix_spawn.
+
+#include "process.hpp"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <random>
+#include <set>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+extern char **environ; // NOLINT(readability-redundant-declaration)
+
+namespace ibiswall::system {
+
+namespace {
+
+std::string readLine(int file)
+{
+    std::string line;
+    char byte = 0;
+    while (read(file, &byte, 1) == 1 && byte != '\n') {
+        line += byte;
+    }
+    return line;
+}
+
+} // namespace
+
+Process::Process(const std::vector<std::string> &command)
+{
+    int ends[2];
+    if (pipe(ends) != 0) {
+        throw std::runtime_error("pipe failed");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addclose(&actions, ends[0]);
+    posix_spawn_file_actions_addclose(&actions, ends[1]);
+    std::vector<char *> arguments;
+    for (const std::string &each : command) {
+        arguments.push_back(const_cast<char *>(each.c_str()));
+    }
+    arguments.push_back(nullptr);
+    const int failed = posix_spawn(&pid_, command[0].c_str(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    output_ = ends[0];
+    if (failed != 0) {
+        throw std::runtime_error("cannot start " + command[0]);
+    }
+    firstLine_ = readLine(output_);
+}
+
+Process::~Process()
+{
+    kill();
+    if (output_ >= 0) {
+        close(output_);
+    }
+}
+
+Process::Process(Process &&other) noexcept
+    : pid_(std::exchange(other.pid_, -1))
+    , output_(std::exchange(other.output_, -1))
+    , firstLine_(std::move(other.firstLine_))
+{
+}
+
+Process &Process::operator=(Process &&other) noexcept
+{
+    std::swap(pid_, other.pid_);
+    std::swap(output_, other.output_);
+    std::swap(firstLine_, other.firstLine_);
+    return *this;
+}
+
+const std::string &Process::firstLine() const
+{
+    return firstLine_;
+}
+
+void Process::signal(int number) const
+{
+    if (pid_ > 0) {
+        ::kill(pid_, number);
+    }
+}
+
+int Process::wait()
+{
+    if (pid_ <= 0) {
+        return -1;
+    }
+    int status = 0;
+    waitpid(pid_, &status, 0);
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void Process::kill()
+{
+    signal(SIGKILL);
+    wait();
+}
+
+std::uint16_t freePort()
+{
+    constexpr int first = 10000;
+    constexpr int last = 30000;
+    static std::mt19937 random(std::random_device{}());
+    static std::set<int> taken;
+    for (;;) {
+        const int port = std::uniform_int_distribution<int>(first, last)(random);
+        if (!taken.insert(port).second) {
+            continue;
+        }
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool free = bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+        close(socket);
+        if (free) {
+            return static_cast<std::uint16_t>(port);
+        }
+    }
+}
+
+} // namespace ibiswall::system
