--- a/src/ibiswall/entry/callersduty.cpp
+++ b/src/ibiswall/entry/callersduty.cpp
@@ -74,7 +74,7 @@
     , self_(settings.name_)
     , server_(io,
               HttpLimits{settings.maxBody_, HttpLimits{}.maxHeader_, settings.maxConnections_, HttpLimits{}.idle_},
-              [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); })
+              [this](const HttpRequest &request, const Respond &respond) { handle(request, respond); })
 {
 }
 
@@ -119,7 +119,7 @@
     }
 }
 
-void CallersDuty::handle(HttpRequest &&request, Respond respond)
+void CallersDuty::handle(const HttpRequest &request, const Respond &respond)
 {
     if (request.path_ == "/healthz") {
         respond(jsonReply(healthy_ ? httpOk : httpUnavailable, healthy_ ? R"({"healthy":true})" : R"({"healthy":false})"));
--- a/src/ibiswall/entry/callersduty.hpp
+++ b/src/ibiswall/entry/callersduty.hpp
@@ -32,7 +32,7 @@
     std::size_t pending() const;
 
 private:
-    void handle(HttpRequest &&request, Respond respond);
+    void handle(const HttpRequest &request, const Respond &respond);
     void handleJob(const HttpRequest &request, const std::string &member, const Respond &respond);
     void handleOperator(const HttpRequest &request, const std::string &name, const Respond &respond);
     void forward(const Respond &respond, const std::function<DispatchMessage(CallerRef)> &make);
--- a/src/ibiswall/entry/entry.cpp
+++ b/src/ibiswall/entry/entry.cpp
@@ -65,7 +65,7 @@
                      [this](WriteRequest request) {
                          return toPlatform_.push(std::move(request));
                      }})
-        , platform_(platformLoop_.io_, makeStore(settings), [this](PlatformMessage message) { send(std::move(message)); })
+        , platform_(platformLoop_.io_, makeStore(settings), [this](const PlatformMessage &message) { send(message); })
         , toDispatch_(dispatchLoop_.io_, ringSize_, [this](DispatchMessage &&message) { dispatch_.take(std::move(message)); })
         , toCallers_(callersLoop_, ringSize_, [this](CallersMessage &&message) { take(std::move(message)); })
         , toPlatform_(platformLoop_.io_, smallRing, [this](WriteRequest &&request) { platform_.write(request); })
@@ -99,7 +99,7 @@
 
 private:
     // The ring to the dispatch duty is never left short: the platform's news must arrive in order.
-    void send(PlatformMessage message)
+    void send(const PlatformMessage &message)
     {
         while (!fromPlatform_.push(message) && !stopping_) {
             std::this_thread::sleep_for(pendingCheck);
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -171,7 +171,7 @@
 
 Json Cluster::change(std::size_t entry, const Json &intent) const
 {
-    const Json plan = Json::parse(callAsOperator(entry, "POST", "/v1/plan", intent.dump()).value().body_);
+    Json plan = Json::parse(callAsOperator(entry, "POST", "/v1/plan", intent.dump()).value().body_);
     if (!plan.contains("digest")) {
         return plan;
     }
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -43,6 +43,7 @@
     posix_spawn_file_actions_addclose(&actions, ends[0]);
     posix_spawn_file_actions_addclose(&actions, ends[1]);
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &each : command) {
         arguments.push_back(const_cast<char *>(each.c_str()));
     }
