--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -86,6 +86,11 @@
     return firstLine_;
 }
 
+pid_t Process::pid() const
+{
+    return pid_;
+}
+
 void Process::signal(int number) const
 {
     if (pid_ > 0) {
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -23,6 +23,9 @@
     /// The first line that the program printed.
     const std::string &firstLine() const;
 
+    /// Number of the process, or -1 once it has ended.
+    pid_t pid() const;
+
     /// Sends a signal.
     void signal(int number) const;
 
