Decode frames without a tree, and refuse deep nesting

Cause: decode built a JSON tree for each frame. The tree parser also recurses for each nested array: a frame of 4 MB of array heads overflowed the stack, so any peer could end an entry or an agent.

The frame is now read by parser events into a flat list. An event that no message has, an array of unknown size, and an array deeper than any message end the parse at once. Surplus items of an array are refused too.

Tests: deep_nesting_is_refused was seen to fail before (memory access violation); trailing_bytes_are_refused and announced_sizes_reserve_no_memory are new and held before.

--- /dev/null
+++ b/bench/codec/main.cpp
@@ -0,0 +1,69 @@
+// Times the codec of the links alone: orders and reports at several sizes of a frame.
+
+#include <chrono>
+#include <ibiswall/codec.hpp>
+#include <iomanip>
+#include <iostream>
+
+namespace ibiswall::bench {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t tasksTimed = 400000;
+constexpr std::size_t payloadBytes = 64;
+
+Message makeOrders(std::size_t count)
+{
+    Orders orders;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        orders.orders_.push_back(
+            {{"entry-1.19adf8c0c1b5a2.19adf8c0d00.1f4.9c81d2e4a7b35f60", i}, "note", std::string(payloadBytes, 'x'), {500}});
+    }
+    return orders;
+}
+
+Message makeReports(std::size_t count)
+{
+    Reports reports;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        reports.reports_.push_back(
+            {{"entry-1.19adf8c0c1b5a2.19adf8c0d00.1f4.9c81d2e4a7b35f60", i}, {TaskState::Done, Code::Ok, std::string(payloadBytes, 'x')}});
+    }
+    return reports;
+}
+
+template<typename Work>
+double nanosPerTask(std::size_t frameTasks, const Work &work)
+{
+    const auto began = Clock::now();
+    for (std::size_t done = 0; done < tasksTimed; done += frameTasks) {
+        work();
+    }
+    return std::chrono::duration<double, std::nano>(Clock::now() - began).count() / tasksTimed;
+}
+
+void measure(const std::string &name, std::size_t count, const Message &message)
+{
+    const std::string frame = encode(message);
+    std::size_t bytes = 0;
+    const double encoding = nanosPerTask(count, [&] { bytes += encode(message).size(); });
+    const double decoding = nanosPerTask(count, [&] { bytes += decode(frame).has_value() ? 1 : 0; });
+    std::cout << std::setw(8) << name << std::setw(6) << count << std::fixed << std::setprecision(0) << std::setw(10) << encoding
+              << std::setw(10) << decoding << std::setw(10) << frame.size() / count << (bytes > 0 ? "" : " empty") << '\n';
+}
+
+} // namespace
+
+} // namespace ibiswall::bench
+
+int main()
+{
+    using namespace ibiswall::bench;
+    std::cout << " message tasks encode/ns decode/ns   bytes, each per task\n";
+    for (const std::size_t count : {1U, 8U, 64U}) {
+        measure("orders", count, makeOrders(count));
+        measure("reports", count, makeReports(count));
+    }
+}
--- a/src/ibiswall/codec/wire.cpp
+++ b/src/ibiswall/codec/wire.cpp
@@ -10,25 +10,128 @@
 
 using Json = nlohmann::json;
 
-// Reads array items one after the other; a wrong type or a missing item throws.
+enum class ItemType : std::uint8_t {
+    Number,
+    Flag,
+    Text,
+    Array,
+};
+
+// One item of a frame. An array's items follow it.
+struct Item
+{
+    ItemType type_ = ItemType::Number;
+    /// The number, the flag, or the count of an array's items.
+    std::uint64_t number_ = 0;
+    std::string text_;
+};
+
+// Receives the parser's events and keeps them as a flat list, without a tree. An event that no message
+// has ends the parse, and so does an array below the depth of any message.
+class Collector : public nlohmann::json_sax<Json>
+{
+public:
+    bool null() override
+    {
+        return false;
+    }
+
+    bool boolean(bool value) override
+    {
+        items_.push_back({ItemType::Flag, value ? 1U : 0U, {}});
+        return true;
+    }
+
+    bool number_integer(std::int64_t /*value*/) override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+
+    bool number_unsigned(std::uint64_t value) override // NOLINT(readability-identifier-naming)
+    {
+        items_.push_back({ItemType::Number, value, {}});
+        return true;
+    }
+
+    bool number_float(double /*value*/, const std::string & /*text*/) override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+
+    bool string(std::string &value) override
+    {
+        items_.push_back({ItemType::Text, 0, std::move(value)});
+        value.clear();
+        return true;
+    }
+
+    bool binary(Json::binary_t & /*value*/) override
+    {
+        return false;
+    }
+
+    bool start_object(std::size_t /*size*/) override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+
+    bool key(std::string & /*name*/) override
+    {
+        return false;
+    }
+
+    bool end_object() override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+
+    bool start_array(std::size_t size) override // NOLINT(readability-identifier-naming)
+    {
+        constexpr std::size_t unknownSize = ~std::size_t{0};
+        constexpr int maxDepth = 4;
+        items_.push_back({ItemType::Array, size, {}});
+        return ++depth_ <= maxDepth && size != unknownSize;
+    }
+
+    bool end_array() override // NOLINT(readability-identifier-naming)
+    {
+        --depth_;
+        return true;
+    }
+
+    bool parse_error(std::size_t position, // NOLINT(readability-identifier-naming)
+                     const std::string & /*token*/,
+                     const nlohmann::detail::exception & /*error*/) override
+    {
+        position_ = position;
+        return false;
+    }
+
+    std::vector<Item> items_;
+    /// Where the parse failed.
+    std::size_t position_ = 0;
+
+private:
+    int depth_ = 0;
+};
+
+// Reads the items of one array in order; a wrong type, a missing or a surplus item throws.
 class Reader
 {
 public:
-    explicit Reader(const Json &array)
-        : array_(array)
+    /// @param cursor the array itself; moved behind each item that is read
+    explicit Reader(Item *&cursor)
+        : cursor_(cursor)
     {
-        if (!array.is_array()) {
+        if (cursor->type_ != ItemType::Array) {
             throw std::invalid_argument("not an array");
         }
+        left_ = cursor++->number_;
     }
 
     std::uint64_t number()
     {
-        const Json &item = next();
-        if (!item.is_number_unsigned()) {
-            throw std::invalid_argument("not an unsigned number");
-        }
-        return item.get<std::uint64_t>();
+        return next(ItemType::Number, "not an unsigned number").number_;
     }
 
     int smallNumber()
@@ -53,27 +156,53 @@
 
     std::string text()
     {
-        return next().get_ref<const std::string &>();
+        return std::move(next(ItemType::Text, "not a text").text_);
     }
 
     bool flag()
     {
-        return next().get<bool>();
+        return next(ItemType::Flag, "not a flag").number_ != 0;
     }
 
-    const Json &next()
+    Reader array()
     {
-        return array_.at(position_++);
+        takeOne();
+        return Reader(cursor_);
     }
 
     bool atEnd() const
     {
-        return position_ >= array_.size();
+        return left_ == 0;
+    }
+
+    void finish() const
+    {
+        if (!atEnd()) {
+            throw std::invalid_argument("surplus items");
+        }
     }
 
 private:
-    const Json &array_;
-    std::size_t position_ = 0;
+    void takeOne()
+    {
+        if (left_ == 0) {
+            throw std::invalid_argument("item missing");
+        }
+        --left_;
+    }
+
+    Item &next(ItemType type, const char *otherwise)
+    {
+        takeOne();
+        if (cursor_->type_ != type) {
+            throw std::invalid_argument(otherwise);
+        }
+        return *cursor_++;
+    }
+
+    Item *&cursor_;
+    /// Items of this array that have not been read. As the parse was whole, that many follow the cursor.
+    std::uint64_t left_ = 0;
 };
 
 std::uint64_t positive(Millis time)
@@ -177,12 +306,13 @@
 void read(Reader &in, Reports &m)
 {
     while (!in.atEnd()) {
-        Reader item(in.next());
+        Reader item = in.array();
         TaskReport report;
         report.key_ = readKey(item);
         report.outcome_.state_ = readFinalState(item);
         report.outcome_.code_ = static_cast<Code>(item.smallNumber());
         report.outcome_.answer_ = item.text();
+        item.finish();
         m.reports_.push_back(std::move(report));
     }
 }
@@ -194,12 +324,13 @@
 void read(Reader &in, Orders &m)
 {
     while (!in.atEnd()) {
-        Reader item(in.next());
+        Reader item = in.array();
         Order order;
         order.key_ = readKey(item);
         order.kind_ = item.text();
         order.payload_ = item.text();
         order.startWithin_ = item.millis();
+        item.finish();
         m.orders_.push_back(std::move(order));
     }
 }
@@ -244,6 +375,7 @@
 {
     T message;
     read(in, message);
+    in.finish();
     return message;
 }
 
@@ -268,14 +400,22 @@
 
 Result<Message> decode(std::string_view frame)
 {
+    Collector collector;
+    if (!Json::sax_parse(frame.begin(), frame.end(), &collector, Json::input_format_t::cbor)) {
+        return Error{Code::BadFrame,
+                     "frame of " + std::to_string(frame.size()) + " bytes: not a message, error near byte "
+                         + std::to_string(collector.position_)};
+    }
     try {
-        const Json whole = Json::from_cbor(frame.begin(), frame.end());
-        Reader outer(whole);
+        Item *cursor = collector.items_.data();
+        Reader outer(cursor);
         const std::uint64_t tag = outer.number();
-        Reader fields(outer.next());
-        return readTagged(tag, fields, std::make_index_sequence<std::variant_size_v<Message>>());
+        Reader fields = outer.array();
+        Message message = readTagged(tag, fields, std::make_index_sequence<std::variant_size_v<Message>>());
+        outer.finish();
+        return message;
     } catch (const std::exception &error) {
-        return Error{Code::BadFrame, std::string("frame of ") + std::to_string(frame.size()) + " bytes: " + error.what()};
+        return Error{Code::BadFrame, "frame of " + std::to_string(frame.size()) + " bytes: " + error.what()};
     }
 }
 
--- a/src/ibiswall/codec/wire_test.cpp
+++ b/src/ibiswall/codec/wire_test.cpp
@@ -54,6 +54,27 @@
     BOOST_TEST(decode("\x01").has_error()); // not an array
 }
 
+BOOST_AUTO_TEST_CASE(trailing_bytes_are_refused)
+{
+    for (const Message &message : samples()) {
+        BOOST_TEST(decode(encode(message) + '\0').has_error());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(deep_nesting_is_refused)
+{
+    constexpr std::size_t depth = 4000000;
+    BOOST_TEST(decode(std::string(depth, '\x81')).has_error());
+    BOOST_TEST(decode(std::string(depth, '\x9f')).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(announced_sizes_reserve_no_memory)
+{
+    using namespace std::string_view_literals;
+    BOOST_TEST(decode("\x9b\x00\x00\x00\xff\xff\xff\xff\xff"sv).has_error()); // array of 2^40 items
+    BOOST_TEST(decode("\x7b\x00\x00\x00\xff\xff\xff\xff\xff"sv).has_error()); // text of 2^40 bytes
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall
