Refuse numbers out of range and JSON nested too deeply

Cause: a number above 2^63 in an intent wrapped to a negative one (a value of 2^64-1 was planned as -1), a negative base version was read as a huge one, and a reason of any length went on to the platform. Brackets in a body cost memory in proportion to their number. Ruled out: a stack overflow in the JSON reader, which does not recurse; only its CBOR reader does.

--- a/src/ibiswall/codec/changes.cpp
+++ b/src/ibiswall/codec/changes.cpp
@@ -10,6 +10,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t maxReasonBytes = 2000;
+
 Json toJson(const Intent &intent)
 {
     Json json = {{"op", opName(intent.op_)}, {"name", intent.name_}};
@@ -116,10 +118,16 @@
     }
     BOOST_OUTCOME_TRY(confirmation.intent_, intentFrom(*intent));
     BOOST_OUTCOME_TRY(const auto version, numberField(object, "base_version", Code::BadIntent));
+    if (version < 0) {
+        return Error{Code::BadIntent, "base_version: must not be negative"};
+    }
     confirmation.baseVersion_ = static_cast<std::uint64_t>(version);
     BOOST_OUTCOME_TRY(confirmation.digest_, stringField(object, "digest", Code::BadIntent));
     BOOST_OUTCOME_TRY(confirmation.who_, stringField(object, "who", Code::BadIntent));
     BOOST_OUTCOME_TRY(confirmation.why_, stringField(object, "why", Code::BadIntent));
+    if (confirmation.why_.size() > maxReasonBytes) {
+        return Error{Code::BadIntent, "why: at most " + std::to_string(maxReasonBytes) + " bytes are allowed"};
+    }
     return confirmation;
 }
 
--- a/src/ibiswall/codec/fields.cpp
+++ b/src/ibiswall/codec/fields.cpp
@@ -3,12 +3,39 @@
 #include "fields.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace ibiswall {
 
+namespace {
+
+// No document of the project nests deeper than half of this.
+constexpr int maxDepth = 16;
+
+// Gives up as soon as the nesting is too deep, so that brackets cannot use up memory.
+nlohmann::json parseShallow(std::string_view text)
+{
+    struct TooDeep
+    {
+    };
+    const auto check = [](int depth, nlohmann::json::parse_event_t /*event*/, nlohmann::json & /*value*/) {
+        if (depth > maxDepth) {
+            throw TooDeep();
+        }
+        return true;
+    };
+    try {
+        return nlohmann::json::parse(text, check, false);
+    } catch (const TooDeep &) {
+        return nlohmann::json::value_t::discarded;
+    }
+}
+
+} // namespace
+
 Result<nlohmann::json> parseObject(std::string_view text, std::string_view what, Code code)
 {
-    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    nlohmann::json parsed = parseShallow(text);
     if (parsed.is_discarded() || !parsed.is_object()) {
         return Error{code, std::string(what) + ": not a JSON object"};
     }
@@ -30,6 +57,10 @@
     if (found == object.end() || !found->is_number_integer()) {
         return Error{code, std::string(key) + ": a whole number is required"};
     }
+    constexpr std::uint64_t most = std::numeric_limits<std::int64_t>::max();
+    if (found->is_number_unsigned() && found->get<std::uint64_t>() > most) {
+        return Error{code, std::string(key) + ": the number is too large"};
+    }
     return found->get<std::int64_t>();
 }
 
