Close links that stay silent, come past the limit or do not say hello

Cause: a peer could open a link, say nothing and keep it for good; connections in the websocket handshake were not counted; an entry of another protocol version was welcomed. Before: the system test badinput saw a silent link stay open past 30 s, and links past the limit stay. After: a link without a first frame within hello_ms is closed and the reason is logged, connections count towards max_links before the handshake, and the first message must be a hello of this version. The limits of callers and links are settings. Health and metrics of an entry answer GET only.

--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -18,6 +18,8 @@
     std::function<void(LinkId)> opened_;
     std::function<void(LinkId)> closed_;
     std::function<void(LinkId, std::string_view)> received_;
+    /// Why a server turned a peer away; may be empty.
+    std::function<void(std::string_view)> refused_;
 };
 
 /// Bounds on a link.
@@ -27,7 +29,10 @@
     std::size_t maxFrame_ = 16U << 20U;
     /// A link with more than this waiting to be sent is closed.
     std::size_t maxBuffered_ = 64U << 20U;
+    /// Connections that are still opening count as well.
     std::size_t maxLinks_ = 4096;
+    /// A link that has sent no frame this long after it connected is closed.
+    Millis firstFrame_{5000};
 };
 
 /// Accepts links.
--- a/include/ibiswall/settings.hpp
+++ b/include/ibiswall/settings.hpp
@@ -41,7 +41,15 @@
     /// Time between turning unhealthy and refusing new jobs when a stop begins.
     Millis drainDelay_{1000};
     std::size_t maxBody_ = 8U << 20U;
+    std::size_t maxHeader_ = 8192;
     std::size_t maxConnections_ = 1024;
+    /// A caller that sends no complete request for this long is dropped.
+    Millis idle_{30000};
+    std::size_t maxLinks_ = 4096;
+    /// Largest frame on a link.
+    std::size_t maxFrame_ = 16U << 20U;
+    /// A link that has not said hello this long after it connected is closed.
+    Millis hello_{5000};
     DispatchLimits limits_;
 };
 
--- a/src/ibiswall/entry/callersduty.cpp
+++ b/src/ibiswall/entry/callersduty.cpp
@@ -73,7 +73,7 @@
     , operators_(byToken(settings.operators_))
     , self_(settings.name_)
     , server_(io,
-              HttpLimits{settings.maxBody_, HttpLimits{}.maxHeader_, settings.maxConnections_, HttpLimits{}.idle_},
+              HttpLimits{settings.maxBody_, settings.maxHeader_, settings.maxConnections_, settings.idle_},
               [this](const HttpRequest &request, const Respond &respond) { handle(request, respond); })
 {
 }
@@ -121,6 +121,11 @@
 
 void CallersDuty::handle(const HttpRequest &request, const Respond &respond)
 {
+    const bool open = request.path_ == "/healthz" || request.path_ == "/metrics";
+    if (open && request.method_ != "GET" && request.method_ != "HEAD") {
+        respond(errorReply(wrongMethod(request, "GET")));
+        return;
+    }
     if (request.path_ == "/healthz") {
         respond(jsonReply(healthy_ ? httpOk : httpUnavailable, healthy_ ? R"({"healthy":true})" : R"({"healthy":false})"));
         return;
--- a/src/ibiswall/entry/dispatchduty.cpp
+++ b/src/ibiswall/entry/dispatchduty.cpp
@@ -25,20 +25,31 @@
     return {settings.name_, makeIncarnationNumber(wallClock(), std::random_device{}())};
 }
 
+LinkLimits makeLinkLimits(const EntrySettings &settings)
+{
+    LinkLimits limits;
+    limits.maxFrame_ = settings.maxFrame_;
+    limits.maxLinks_ = settings.maxLinks_;
+    limits.firstFrame_ = settings.hello_;
+    return limits;
+}
+
 } // namespace
 
 DispatchDuty::DispatchDuty(boost::asio::io_context &io, const EntrySettings &settings, DispatchOutlets outlets)
     : outlets_(std::move(outlets))
     , links_(io,
-             LinkLimits{},
+             makeLinkLimits(settings),
              LinkEvents{[](LinkId /*link*/) {},
                         [this](LinkId link) {
+                            peerLinks_.erase(link);
                             DispatchActions actions;
                             loseAgent(dispatcher_, readClocks(), link, actions);
                             act(actions);
                         },
-                        [this](LinkId link, std::string_view frame) {
-                            receive(link, frame);
+                        [this](LinkId link, std::string_view frame) { receive(link, frame); },
+                        [](std::string_view reason) {
+                            log(LogLevel::Warning, part, "link refused: " + std::string(reason));
                         }})
     , peers_(io, makeSelf(settings), settings.peers_, [this](CallerRef caller, HttpReply answer) { reply(caller, std::move(answer)); })
     , timer_(io)
@@ -268,6 +279,12 @@
         links_.close(link);
         return;
     }
+    const bool greets = std::holds_alternative<AgentHello>(message.value()) || std::holds_alternative<PeerHello>(message.value());
+    if (!greets && findAgent(dispatcher_.fleet_, link) == nullptr && peerLinks_.count(link) == 0) {
+        log(LogLevel::Warning, part, "link " + std::to_string(link) + " closed: no hello before other messages");
+        links_.close(link);
+        return;
+    }
     std::visit([this, link](const auto &m) { onFrame(link, m); }, message.value());
 }
 
@@ -314,8 +331,14 @@
     leaveAgent(dispatcher_, readClocks(), link);
 }
 
-void DispatchDuty::onFrame(LinkId link, const PeerHello & /*hello*/)
+void DispatchDuty::onFrame(LinkId link, const PeerHello &hello)
 {
+    if (hello.protocol_ != protocolVersion) {
+        log(LogLevel::Warning, part, "entry " + hello.entry_.name_ + " speaks protocol " + std::to_string(hello.protocol_));
+        links_.close(link);
+        return;
+    }
+    peerLinks_.insert(link);
     links_.send(link, encode(PeerHello{protocolVersion, dispatcher_.self_}));
 }
 
--- a/src/ibiswall/entry/dispatchduty.hpp
+++ b/src/ibiswall/entry/dispatchduty.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <ibiswall/settings.hpp>
+#include <unordered_set>
 
 namespace ibiswall {
 
@@ -78,6 +79,8 @@
     Freshness freshness_;
     /// The latest changes, newest last, for the audit trail.
     std::deque<Change> audit_;
+    /// Links on which another entry has said hello.
+    std::unordered_set<LinkId> peerLinks_;
     /// Where replies to relayed requests go; such callers have the top bit set.
     std::unordered_map<CallerRef, std::pair<LinkId, std::uint64_t>> relayed_;
     CallerRef nextRelayed_;
--- a/src/ibiswall/net/linkserver.cpp
+++ b/src/ibiswall/net/linkserver.cpp
@@ -4,7 +4,9 @@
 
 #include "endpoint.hpp"
 #include <map>
+#include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/server.hpp>
 
@@ -25,16 +27,38 @@
     {
     }
 
-    void open(const Handle &handle)
+    // Counts a connection before anything is read from it.
+    void connected(const Handle &handle)
     {
-        if (links_.size() >= limits_.maxLinks_) {
-            websocketpp::lib::error_code ignored;
-            server_.close(handle, websocketpp::close::status::try_again_later, "too many links", ignored);
+        if (connecting_.size() + links_.size() >= limits_.maxLinks_) {
+            refuse("more than " + std::to_string(limits_.maxLinks_) + " links");
+            boost::system::error_code ignored;
+            server_.get_con_from_hdl(handle)->get_raw_socket().close(ignored);
             return;
         }
+        connecting_.insert(handle);
+    }
+
+    void failed(const Handle &handle)
+    {
+        if (connecting_.erase(handle) > 0) {
+            refuse("no websocket: " + server_.get_con_from_hdl(handle)->get_ec().message());
+        }
+    }
+
+    void open(const Handle &handle)
+    {
+        connecting_.erase(handle);
         const LinkId link = nextLink_++;
         links_[link] = handle;
         ids_[handle] = link;
+        silent_.insert(link);
+        server_.set_timer(limits_.firstFrame_.count_, [this, link](const websocketpp::lib::error_code &error) {
+            if (!error && silent_.erase(link) > 0) {
+                refuse("silent for " + std::to_string(limits_.firstFrame_.count_) + " ms");
+                terminate(link);
+            }
+        });
         events_.opened_(link);
     }
 
@@ -47,6 +71,7 @@
         const LinkId link = found->second;
         ids_.erase(found);
         links_.erase(link);
+        silent_.erase(link);
         if (!stopping_) {
             events_.closed_(link);
         }
@@ -56,16 +81,37 @@
     {
         const auto found = ids_.find(handle);
         if (found != ids_.end()) {
+            silent_.erase(found->second);
             events_.received_(found->second, message->get_payload());
         }
     }
 
+    void terminate(LinkId link)
+    {
+        const auto found = links_.find(link);
+        if (found != links_.end()) {
+            websocketpp::lib::error_code ignored;
+            server_.close(found->second, websocketpp::close::status::policy_violation, "silent", ignored);
+        }
+    }
+
+    void refuse(const std::string &reason) const
+    {
+        if (events_.refused_) {
+            events_.refused_(reason);
+        }
+    }
+
     LinkLimits limits_;
     LinkEvents events_;
     Server server_;
     /// Open links both ways; the two maps hold the same pairs.
     std::unordered_map<LinkId, Handle> links_;
     std::map<Handle, LinkId, std::owner_less<Handle>> ids_;
+    /// Connections that are not links yet.
+    std::set<Handle, std::owner_less<Handle>> connecting_;
+    /// Links that have not sent a frame; all are in links_.
+    std::unordered_set<LinkId> silent_;
     LinkId nextLink_ = 1;
     bool stopping_ = false;
 };
@@ -73,12 +119,15 @@
 LinkServer::LinkServer(boost::asio::io_context &io, LinkLimits limits, LinkEvents events)
     : state_(std::make_unique<State>(limits, std::move(events)))
 {
-    prepareEndpoint(state_->server_, io, limits.maxFrame_);
-    state_->server_.set_reuse_addr(true);
-    state_->server_.set_open_handler([this](const Handle &handle) { state_->open(handle); });
-    state_->server_.set_close_handler([this](const Handle &handle) { state_->closed(handle); });
-    state_->server_.set_message_handler(
-        [this](const Handle &handle, const Server::message_ptr &message) { state_->receive(handle, message); });
+    Server &server = state_->server_;
+    prepareEndpoint(server, io, limits.maxFrame_);
+    server.set_reuse_addr(true);
+    server.set_open_handshake_timeout(limits.firstFrame_.count_);
+    server.set_tcp_pre_init_handler([this](const Handle &handle) { state_->connected(handle); });
+    server.set_fail_handler([this](const Handle &handle) { state_->failed(handle); });
+    server.set_open_handler([this](const Handle &handle) { state_->open(handle); });
+    server.set_close_handler([this](const Handle &handle) { state_->closed(handle); });
+    server.set_message_handler([this](const Handle &handle, const Server::message_ptr &message) { state_->receive(handle, message); });
 }
 
 LinkServer::~LinkServer() = default;
--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -13,6 +13,10 @@
 constexpr std::int64_t maxSlots = 4096;
 constexpr std::int64_t maxDelay = 600000;
 constexpr std::int64_t maxBytes = 1 << 30;
+constexpr std::int64_t minHeader = 256;
+constexpr std::int64_t maxHeader = 1 << 20;
+constexpr std::int64_t minFrame = 1024;
+constexpr std::int64_t maxConnections = 65536;
 constexpr std::int64_t maxCount = 10000000;
 
 std::string readLogLevel(Checker &in)
@@ -56,17 +60,23 @@
     return credentials;
 }
 
+void readSize(Checker &in, const char *key, std::int64_t least, std::int64_t most, std::size_t &value)
+{
+    value = static_cast<std::size_t>(in.number(key, least, most, static_cast<std::int64_t>(value)));
+}
+
 void readLimits(Checker &in, EntrySettings &settings)
 {
-    DispatchLimits &limits = settings.limits_;
-    settings.maxBody_ = static_cast<std::size_t>(in.number("max_body_bytes", 1, maxBytes, static_cast<std::int64_t>(settings.maxBody_)));
-    settings.maxConnections_
-        = static_cast<std::size_t>(in.number("max_connections", 1, maxCount, static_cast<std::int64_t>(settings.maxConnections_)));
-    limits.maxTasksPerJob_
-        = static_cast<std::size_t>(in.number("max_tasks_per_job", 1, maxCount, static_cast<std::int64_t>(limits.maxTasksPerJob_)));
-    limits.maxQueuedTasks_
-        = static_cast<std::size_t>(in.number("max_queued_tasks", 1, maxCount, static_cast<std::int64_t>(limits.maxQueuedTasks_)));
-    limits.maxJobs_ = static_cast<std::size_t>(in.number("max_jobs", 1, maxCount, static_cast<std::int64_t>(limits.maxJobs_)));
+    readSize(in, "max_body_bytes", 1, maxBytes, settings.maxBody_);
+    readSize(in, "max_header_bytes", minHeader, maxHeader, settings.maxHeader_);
+    readSize(in, "max_connections", 1, maxConnections, settings.maxConnections_);
+    readSize(in, "max_links", 1, maxConnections, settings.maxLinks_);
+    readSize(in, "max_frame_bytes", minFrame, maxBytes, settings.maxFrame_);
+    settings.idle_ = {in.number("idle_ms", 1, maxDelay, settings.idle_.count_)};
+    settings.hello_ = {in.number("hello_ms", 1, maxDelay, settings.hello_.count_)};
+    readSize(in, "max_tasks_per_job", 1, maxCount, settings.limits_.maxTasksPerJob_);
+    readSize(in, "max_queued_tasks", 1, maxCount, settings.limits_.maxQueuedTasks_);
+    readSize(in, "max_jobs", 1, maxCount, settings.limits_.maxJobs_);
 }
 
 EntrySettings readEntry(Checker &in)
