Answer every malformed HTTP request by number

Cause: truncated requests were dropped without a word, headers past the limit were answered as a bad request, refusals were lost to a reset when the peer was still sending, and the accept loop span when the process had no descriptor left. Before: the system test badinput failed for truncated header and body, oversized header and path, wrong method for health and metrics (entry and agent). After: all cases pass. A refused connection is read on for at most 2 s so that the reply arrives; connections without a request can be closed apart from those in progress.

--- a/include/ibiswall/net/httpserver.hpp
+++ b/include/ibiswall/net/httpserver.hpp
@@ -67,10 +67,13 @@
     /// @return the port
     Result<std::uint16_t> listen(const Address &address);
 
+    /// Closes connections without a request, and every other one after the reply in progress.
+    void closeIdle();
+
     /// Stops to accept connections; requests in flight are still answered.
     void stopAccepting();
 
-    /// Requests passed to the handler whose reply has not been written yet.
+    /// Requests that have begun to arrive and whose reply has not been written yet.
     std::size_t pending() const;
 
 private:
--- a/src/ibiswall/agent/agent.cpp
+++ b/src/ibiswall/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <ibiswall/codec.hpp>
 #include <ibiswall/log.hpp>
 #include <thread>
 
@@ -19,7 +20,6 @@
 // Lets the last reports leave before the links close.
 constexpr std::chrono::milliseconds reportLinger(200);
 constexpr int httpOk = 200;
-constexpr int httpNotFound = 404;
 constexpr int exitAbandoned = 1;
 
 // The duties of one agent. The gate's duty runs on the thread that calls run().
@@ -58,6 +58,11 @@
 private:
     void handle(const HttpRequest &request, const Respond &respond)
     {
+        const bool known = request.path_ == "/healthz" || request.path_ == "/metrics";
+        if (known && request.method_ != "GET" && request.method_ != "HEAD") {
+            respond(jsonReply(httpStatus(Code::WrongMethod), formatError({Code::WrongMethod, request.method_ + ' ' + request.path_})));
+            return;
+        }
         if (request.path_ == "/healthz") {
             respond(jsonReply(httpOk, leaving_ ? R"({"leaving":true})" : R"({"leaving":false})"));
             return;
@@ -69,7 +74,7 @@
             respond(std::move(reply));
             return;
         }
-        respond(jsonReply(httpNotFound, R"({"state":"failed","code":111,"reason":"unknown path"})"));
+        respond(jsonReply(httpStatus(Code::UnknownPath), formatError({Code::UnknownPath, request.path_})));
     }
 
     void awaitSignal()
--- a/src/ibiswall/net/httpserver.cpp
+++ b/src/ibiswall/net/httpserver.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <set>
 
 namespace ibiswall {
 
@@ -14,26 +16,52 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+namespace {
+
+// A connection as the server sees it.
+class Connection
+{
+public:
+    virtual ~Connection() = default;
+
+    /// Whether a request has begun to arrive whose reply has not been written.
+    virtual bool isBusy() const = 0;
+
+    /// Closes the connection unless it is busy.
+    virtual void closeIdle() = 0;
+};
+
+} // namespace
+
 struct HttpServer::State
 {
     State(asio::io_context &io, HttpLimits limits, HttpHandler handler)
         : limits_(limits)
         , handler_(std::move(handler))
         , acceptor_(io)
+        , acceptPause_(io)
     {
     }
 
     HttpLimits limits_;
     HttpHandler handler_;
     tcp::acceptor acceptor_;
-    std::size_t connections_ = 0;
-    std::size_t pending_ = 0;
+    /// Runs while no connection can be accepted.
+    asio::steady_timer acceptPause_;
+    /// Every open connection; each adds and removes itself.
+    std::set<Connection *> connections_;
     /// Once set, connections close after the reply in progress.
     bool stopping_ = false;
 };
 
 namespace {
 
+// How long a connection is read after a refusal, so that the peer sees the reply before the reset.
+constexpr std::chrono::milliseconds maxLinger(2000);
+constexpr std::chrono::milliseconds acceptPause(50);
+// Connections past the limit that may wait for their refusal to be read, as a share of the limit.
+constexpr std::size_t refusalShare = 2;
+
 std::chrono::milliseconds toChrono(Millis time)
 {
     return std::chrono::milliseconds(time.count_);
@@ -68,19 +96,19 @@
 
 // One connection; lives as long as an operation on it.
 template<typename State>
-class Session : public std::enable_shared_from_this<Session<State>>
+class Session : public Connection, public std::enable_shared_from_this<Session<State>>
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<State> state)
         : stream_(std::move(socket))
         , state_(std::move(state))
     {
-        ++state_->connections_;
+        state_->connections_.insert(this);
     }
 
-    ~Session()
+    ~Session() override
     {
-        --state_->connections_;
+        state_->connections_.erase(this);
     }
 
     Session(const Session &) = delete;
@@ -88,22 +116,41 @@
 
     void start()
     {
-        if (state_->connections_ > state_->limits_.maxConnections_) {
-            keepAlive_ = false;
-            send(jsonReply(httpUnavailable, errorBody(Code::TooManyConnections)));
+        if (state_->connections_.size() > state_->limits_.maxConnections_) {
+            refuse(http::status::service_unavailable, Code::TooManyConnections);
             return;
         }
         read();
     }
 
+    bool isBusy() const override
+    {
+        return phase_ == Phase::Handling || (phase_ == Phase::Reading && (parser_->got_some() || buffer_.size() > 0));
+    }
+
+    void closeIdle() override
+    {
+        if (phase_ == Phase::Reading && !isBusy()) {
+            stream_.cancel();
+        }
+    }
+
 private:
-    static constexpr int httpUnavailable = 503;
-    static constexpr int httpBadRequest = 400;
-    static constexpr int httpTooLarge = 413;
+    enum class Phase {
+        /// Waits for a request or reads one.
+        Reading,
+        /// Waits for the handler, or writes the reply.
+        Handling,
+        /// Answered for the last time.
+        Closing,
+    };
+
     static constexpr unsigned httpVersion11 = 11;
+    static constexpr std::size_t discardSize = 16384;
 
     void read()
     {
+        phase_ = Phase::Reading;
         parser_.emplace();
         parser_->body_limit(state_->limits_.maxBody_);
         parser_->header_limit(static_cast<std::uint32_t>(state_->limits_.maxHeader_));
@@ -114,36 +161,42 @@
 
     void onRead(beast::error_code error)
     {
-        if (error == http::error::body_limit) {
-            refuse(httpTooLarge, Code::TooLarge);
-            return;
-        }
-        if (error && error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
-            && error != http::error::partial_message) {
-            refuse(httpBadRequest, Code::BadRequest);
-            return;
-        }
         if (error) {
-            close();
+            onBadRead(error);
             return;
         }
         stream_.expires_never();
+        phase_ = Phase::Handling;
         keepAlive_ = parser_->get().keep_alive();
         version_ = parser_->get().version();
-        ++state_->pending_;
-        inHand_ = true;
         state_->handler_(toRequest(parser_->release()),
                          [self = this->shared_from_this()](HttpReply reply) { self->send(std::move(reply)); });
     }
 
-    void refuse(int status, Code code)
+    void onBadRead(beast::error_code error)
+    {
+        if (error == http::error::body_limit) {
+            refuse(http::status::payload_too_large, Code::TooLarge);
+        } else if (error == http::error::header_limit) {
+            refuse(http::status::request_header_fields_too_large, Code::TooLarge);
+        } else if (error != http::error::end_of_stream && error.category() == make_error_code(http::error::bad_method).category()) {
+            refuse(http::status::bad_request, Code::BadRequest);
+        } else {
+            close();
+        }
+    }
+
+    // Answers what was never passed to the handler, and closes.
+    void refuse(http::status status, Code code)
     {
         keepAlive_ = false;
-        send(jsonReply(status, errorBody(code)));
+        refused_ = true;
+        send(jsonReply(static_cast<int>(status), errorBody(code)));
     }
 
     void send(HttpReply reply)
     {
+        phase_ = Phase::Handling;
         reply_ = {static_cast<http::status>(reply.status_), version_};
         reply_.set(http::field::content_type, reply.contentType_);
         if (reply.retryAfter_ > Millis{0}) {
@@ -161,8 +214,6 @@
 
     void onWritten(beast::error_code error)
     {
-        state_->pending_ -= inHand_ ? 1 : 0;
-        inHand_ = false;
         if (error || !keepAlive_) {
             close();
             return;
@@ -172,21 +223,55 @@
 
     void close()
     {
+        phase_ = Phase::Closing;
         beast::error_code ignored;
         stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (refused_ && state_->connections_.size() <= state_->limits_.maxConnections_ * refusalShare) {
+            stream_.expires_after(maxLinger);
+            discard();
+        }
+    }
+
+    // Reads on without looking, until the peer closes or the linger ends.
+    void discard()
+    {
+        buffer_.clear();
+        stream_.async_read_some(buffer_.prepare(discardSize),
+                                [self = this->shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+                                    if (!error) {
+                                        self->discard();
+                                    }
+                                });
     }
 
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    /// Has a value from the first read on.
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> reply_;
     std::shared_ptr<State> state_;
+    Phase phase_ = Phase::Handling;
     bool keepAlive_ = true;
-    /// Whether the handler has a request whose reply has not been written.
-    bool inHand_ = false;
+    /// Whether the reply is the server's own refusal.
+    bool refused_ = false;
     unsigned version_ = httpVersion11;
 };
 
+template<typename State>
+void accept(const std::shared_ptr<State> &state);
+
+// Accepts again after a while: the process has no descriptor left.
+template<typename State>
+void acceptLater(const std::shared_ptr<State> &state)
+{
+    state->acceptPause_.expires_after(acceptPause);
+    state->acceptPause_.async_wait([state](beast::error_code error) {
+        if (!error && state->acceptor_.is_open()) {
+            accept(state);
+        }
+    });
+}
+
 template<typename State>
 void accept(const std::shared_ptr<State> &state)
 {
@@ -194,11 +279,13 @@
         if (!state->acceptor_.is_open()) {
             return;
         }
-        if (!error) {
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session<State>>(std::move(socket), state)->start();
+        if (error) {
+            acceptLater(state);
+            return;
         }
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        std::make_shared<Session<State>>(std::move(socket), state)->start();
         accept(state);
     });
 }
@@ -247,16 +334,28 @@
     return acceptor.local_endpoint().port();
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::closeIdle()
 {
     state_->stopping_ = true;
+    const std::set<Connection *> connections = state_->connections_;
+    for (Connection *connection : connections) {
+        connection->closeIdle();
+    }
+}
+
+void HttpServer::stopAccepting()
+{
+    closeIdle();
     beast::error_code ignored;
     state_->acceptor_.close(ignored);
+    state_->acceptPause_.cancel();
 }
 
 std::size_t HttpServer::pending() const
 {
-    return state_->pending_;
+    const auto &connections = state_->connections_;
+    return static_cast<std::size_t>(
+        std::count_if(connections.begin(), connections.end(), [](const Connection *each) { return each->isBusy(); }));
 }
 
 } // namespace ibiswall
--- /dev/null
+++ b/tests/system/badinput_test.cpp
@@ -0,0 +1,296 @@
+// Bad input at every socket: each case gets a numbered answer or a closed connection, and the process goes on.
+
+#include "cluster.hpp"
+#include "rawpeer.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ibiswall/codec.hpp>
+
+namespace ibiswall::system {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t maxConnections = 40;
+constexpr std::size_t maxLinks = 20;
+const std::string member = "studio-token";
+const std::string ops = "ops-token";
+
+ClusterShape tightShape()
+{
+    ClusterShape shape;
+    shape.entries_ = 1;
+    shape.targets_ = 1;
+    shape.domains_ = 1;
+    shape.entrySettings_ = {{"max_body_bytes", 400000}, {"max_header_bytes", 2048}, {"max_connections", maxConnections},
+                            {"idle_ms", 1500},          {"max_links", maxLinks},    {"max_frame_bytes", 1000000},
+                            {"hello_ms", 1500},         {"max_tasks_per_job", 5}};
+    return shape;
+}
+
+std::string request(const std::string &line, const std::string &token, const std::string &body = {})
+{
+    return line + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer " + token
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string repeat(const std::string &text, std::size_t count)
+{
+    std::string out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out += text;
+    }
+    return out;
+}
+
+struct HttpCase
+{
+    std::string name_;
+    std::string bytes_;
+    int status_;
+    int code_;
+    RawEnd end_ = RawEnd::Listen;
+};
+
+std::string confirmation(const std::string &baseVersion)
+{
+    return R"({"intent":{"op":"domain-out","name":"fd-1"},"base_version":)" + baseVersion + R"(,"digest":"1","who":"","why":"x"})";
+}
+
+std::string kindIntent(const std::string &value, const std::string &deadline)
+{
+    return R"({"op":"set-kind","name":"note","repeatable":false,"value":)" + value + R"(,"deadline_ms":)" + deadline + "}";
+}
+
+std::string memberIntent(const std::string &weight, const std::string &quota)
+{
+    return R"({"op":"set-member","name":"studio","weight":)" + weight + R"(,"quota":)" + quota + "}";
+}
+
+std::vector<HttpCase> malformedHttp()
+{
+    const std::string head = "POST /v1/ids HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + member + "\r\n";
+    return {
+        {"garbage", std::string("\x00\xff\x16\x03\x01 \r\n\r\n", 10), 400, 100},
+        {"unknown HTTP version", "GET /healthz HTTP/9.9\r\n\r\n", 400, 100},
+        {"negative length", head + "Content-Length: -5\r\n\r\n", 400, 100},
+        {"two lengths", head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", 400, 100},
+        {"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, 100},
+        {"truncated header", "GET /heal", 400, 100, RawEnd::HalfClose},
+        {"truncated body", head + "Content-Length: 50\r\n\r\nhello", 400, 100, RawEnd::HalfClose},
+        {"oversized header", head + "X-Filler: " + std::string(5000, 'x') + "\r\n\r\n", 431, 101},
+        {"oversized path", "GET /" + std::string(5000, 'x') + " HTTP/1.1\r\n\r\n", 431, 101},
+        {"declared body too large", head + "Content-Length: 99999999\r\n\r\n", 413, 101},
+        {"sent body too large", request("POST /v1/plan", ops, std::string(3000000, ' ')), 413, 101},
+        {"chunked body too large", head + "Transfer-Encoding: chunked\r\n\r\n" + repeat("10000\r\n" + std::string(65536, 'x') + "\r\n", 20),
+         413, 101},
+    };
+}
+
+std::vector<HttpCase> wrongCalls(const std::string &id)
+{
+    return {
+        {"no token", "POST /v1/ids HTTP/1.1\r\nConnection: close\r\n\r\n", 401, 103},
+        {"wrong token", request("POST /v1/ids", "nobody"), 401, 103},
+        {"member on an operator's path", request("GET /v1/status", member), 404, 111},
+        {"operator on a member's path", request("POST /v1/ids", ops), 404, 111},
+        {"unknown path", request("GET /v1/nothing", member), 404, 111},
+        {"unknown method", request("FROB /v1/ids", member), 405, 108},
+        {"wrong method for ids", request("GET /v1/ids", member), 405, 108},
+        {"wrong method for a job", request("PATCH /v1/jobs/" + id, member), 405, 108},
+        {"wrong method for a plan", request("GET /v1/plan", ops), 405, 108},
+        {"wrong method for health", request("POST /healthz", ops), 405, 108},
+        {"wrong method for metrics", request("DELETE /metrics", ops), 405, 108},
+        {"bad id", request("GET /v1/jobs/..%2f", member), 404, 105},
+        {"long id", request("GET /v1/jobs/" + std::string(1000, 'a'), member), 404, 105},
+        {"overflowing id", request("GET /v1/jobs/entry-1.ffffffffffffffffff.1.1.1", member), 404, 105},
+        {"id from the far future", request("PUT /v1/jobs/entry-1.1.ffffffffffffffff.1.1", member, R"({"kind":"n","tasks":["a"]})"), 200,
+         301},
+        {"absurd count", request("POST /v1/ids?count=99999999999999999999", member), 400, 100},
+        {"negative count", request("POST /v1/ids?count=-1", member), 400, 100},
+        {"too many ids", request("POST /v1/ids?count=10001", member), 400, 100},
+        {"count twice", request("POST /v1/ids?count=1&count=2", member), 400, 100},
+        {"unknown query", request("GET /v1/audit?%00=%ff", ops), 400, 100},
+    };
+}
+
+std::vector<HttpCase> wrongBodies(const std::string &id)
+{
+    const std::string put = "PUT /v1/jobs/" + id;
+    return {
+        {"empty body", request(put, member), 400, 100},
+        {"not JSON", request(put, member, "{\"kind\":"), 400, 100},
+        {"nested arrays", request(put, member, std::string(350000, '[')), 400, 100},
+        {"nested and closed", request(put, member, std::string(150000, '[') + std::string(150000, ']')), 400, 100},
+        {"nested inside tasks",
+         request(put, member, R"({"kind":"n","tasks":[)" + std::string(100000, '[') + std::string(100000, ']') + "]}"), 400, 100},
+        {"nested objects", request("POST /v1/plan", ops, repeat("{\"a\":", 60000)), 400, 506},
+        {"nested intent", request("POST /v1/confirm", ops, R"({"intent":)" + repeat("{\"a\":", 50000) + "1" + std::string(50001, '}')), 400,
+         506},
+        {"payload not UTF-8", request(put, member, "{\"kind\":\"n\",\"tasks\":[\"\xff\xfe\"]}"), 400, 100},
+        {"unknown key not UTF-8", request(put, member, "{\"\xc3\x28\":1}"), 400, 100},
+        {"task is a number", request(put, member, R"({"kind":"n","tasks":[1]})"), 400, 100},
+        {"no tasks", request(put, member, R"({"kind":"n","tasks":[]})"), 400, 100},
+        {"too many tasks", request(put, member, R"({"kind":"n","tasks":["1","2","3","4","5","6"]})"), 413, 102},
+        {"huge kind", request(put, member, R"({"kind":")" + std::string(300000, 'k') + R"(","tasks":["a"]})"), 400, 104},
+        {"negative version", request("POST /v1/confirm", ops, confirmation("-1")), 400, 506},
+        {"huge version", request("POST /v1/confirm", ops, confirmation("18446744073709551615")), 400, 506},
+        {"overflowing version", request("POST /v1/confirm", ops, confirmation("1e400")), 400, 506},
+        {"huge deadline", request("POST /v1/plan", ops, kindIntent("1", "18446744073709551615")), 400, 506},
+        {"negative deadline", request("POST /v1/plan", ops, kindIntent("1", "-1")), 400, 506},
+        {"huge value", request("POST /v1/plan", ops, kindIntent("18446744073709551615", "1000")), 400, 506},
+        {"fractional value", request("POST /v1/plan", ops, kindIntent("1.5", "1000")), 400, 506},
+        {"zero weight", request("POST /v1/plan", ops, memberIntent("0", "0")), 400, 506},
+        {"negative quota", request("POST /v1/plan", ops, memberIntent("1", "-1")), 400, 506},
+        {"intent name not a name", request("POST /v1/plan", ops, R"({"op":"domain-out","name":"../\u0000"})"), 400, 506},
+        {"endless reason",
+         request("POST /v1/confirm", ops,
+                 R"({"intent":{"op":"domain-out","name":"fd-1"},"base_version":0,"digest":"1","who":"","why":")" + std::string(300000, 'y')
+                     + "\"}"),
+         400, 506},
+    };
+}
+
+// Checks the status and the code of a reply.
+void checkReply(const HttpCase &each, const std::string &reply)
+{
+    const std::string start = "HTTP/1.1 " + std::to_string(each.status_) + ' ';
+    BOOST_TEST(reply.substr(0, start.size()) == start, each.name_ << ": " << reply.substr(0, 300));
+    const auto body = reply.find("\r\n\r\n");
+    const Json json = Json::parse(body == std::string::npos ? std::string() : reply.substr(body), nullptr, false);
+    BOOST_TEST((json.is_object() && json.value("code", 0) == each.code_), each.name_ << ": " << reply.substr(0, 500));
+}
+
+void checkAlive(const Cluster &cluster, const std::string &after)
+{
+    const auto health = cluster.callAsMember(0, "GET", "/healthz");
+    BOOST_REQUIRE_MESSAGE(health.has_value() && health.value().status_ == 200, "the entry is not healthy after: " << after);
+}
+
+void runCases(const Cluster &cluster, const std::vector<HttpCase> &cases)
+{
+    for (const HttpCase &each : cases) {
+        checkReply(each, exchangeRaw(cluster.entries_[0].callersPort_, each.bytes_, each.end_));
+        checkAlive(cluster, each.name_);
+    }
+}
+
+struct FrameCase
+{
+    std::string name_;
+    std::string frame_;
+};
+
+std::vector<FrameCase> badFrames()
+{
+    const std::string hello = encode(AgentHello{protocolVersion, {{"a", 5}, {"t", "w", "fd-1"}, 8, 16}});
+    return {
+        {"nothing", ""},
+        {"garbage", "\xff\xff\xff\xff"},
+        {"truncated hello", hello.substr(0, hello.size() - 3)},
+        {"deep arrays", std::string(900000, '\x81')},
+        {"deep objects", repeat("\xa1\x60", 400000)},
+        {"array that claims too many items", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"},
+        {"text that claims too many bytes", "\x7b\x7f\xff\xff\xff\xff\xff\xff\xff"},
+        {"unknown message", "\x82\x18\x63\x80"},
+        {"oversized frame", std::string(1500000, '\x80')},
+        {"agent of another version", encode(AgentHello{99, {{"a", 5}, {"t", "w", "fd-1"}, 8, 16}})},
+        {"entry of another version", encode(PeerHello{99, {"entry-9", 1}})},
+        {"agent without slots", encode(AgentHello{protocolVersion, {{"a", 5}, {"t", "w", "fd-1"}, 0, 16}})},
+        {"reports before hello", encode(Reports{})},
+        {"renewal before hello", encode(Renewal{1, 0})},
+        {"relay before hello", encode(RelayRequest{1, RelayOp::Fetch, "x", "studio", ""})},
+        {"leaving before hello", encode(Leaving{})},
+        {"grant sent to an entry", encode(Grant{1, 2, true, {300}})},
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(badinput)
+
+BOOST_AUTO_TEST_CASE(bad_requests_are_answered_by_number)
+{
+    const Cluster cluster(tightShape());
+    const std::string id = cluster.takeId(0);
+    runCases(cluster, malformedHttp());
+    runCases(cluster, wrongCalls(id));
+    runCases(cluster, wrongBodies(id));
+}
+
+BOOST_AUTO_TEST_CASE(bad_frames_close_the_link)
+{
+    const Cluster cluster(tightShape());
+    for (const FrameCase &each : badFrames()) {
+        BOOST_CHECK_NO_THROW(sendFrame(cluster.entries_[0].linksPort_, each.frame_));
+        checkAlive(cluster, each.name_);
+    }
+    cluster.awaitAgents(1);
+}
+
+BOOST_AUTO_TEST_CASE(silent_and_slow_peers_are_dropped)
+{
+    const Cluster cluster(tightShape());
+    const std::string partialRequest = "POST /v1/ids HTTP/1.1\r\nAuth";
+    for (const std::string &bytes : {std::string(), partialRequest}) {
+        BOOST_TEST(exchangeRaw(cluster.entries_[0].callersPort_, bytes).empty());
+        BOOST_TEST(exchangeRaw(cluster.entries_[0].linksPort_, bytes).empty());
+    }
+    BOOST_CHECK_NO_THROW(exchangeRaw(cluster.entries_[0].linksPort_, "not a websocket\r\n\r\n"));
+    checkAlive(cluster, "silent peers");
+}
+
+BOOST_AUTO_TEST_CASE(connections_past_the_limit_are_refused_by_number)
+{
+    const Cluster cluster(tightShape());
+    boost::asio::io_context io;
+    std::vector<tcp::socket> held;
+    for (std::size_t i = 0; i < maxConnections; ++i) {
+        held.emplace_back(io).connect({boost::asio::ip::address_v4::loopback(), cluster.entries_[0].callersPort_});
+    }
+    const HttpCase refused{"past the limit", request("GET /healthz", member), 503, 112};
+    checkReply(refused, exchangeRaw(cluster.entries_[0].callersPort_, refused.bytes_));
+    held.clear();
+    await("callers are served again", [&] {
+        const auto health = cluster.callAsMember(0, "GET", "/healthz");
+        return health.has_value() && health.value().status_ == 200;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(links_past_the_limit_are_closed)
+{
+    const Cluster cluster(tightShape());
+    boost::asio::io_context io;
+    std::vector<tcp::socket> held;
+    for (std::size_t i = 0; i < 3 * maxLinks; ++i) {
+        held.emplace_back(io).connect({boost::asio::ip::address_v4::loopback(), cluster.entries_[0].linksPort_});
+    }
+    BOOST_CHECK_NO_THROW(sendFrame(cluster.entries_[0].linksPort_, encode(PeerHello{protocolVersion, {"entry-9", 1}})));
+    checkAlive(cluster, "a flood of links");
+    held.clear();
+    cluster.awaitAgents(1);
+}
+
+BOOST_AUTO_TEST_CASE(agents_health_answers_by_number)
+{
+    Cluster cluster(tightShape());
+    const std::string line = cluster.places_[0].agent_->firstLine();
+    const auto port = static_cast<std::uint16_t>(std::stoi(line.substr(line.find(' '))));
+    const std::vector<HttpCase> cases = {
+        {"garbage", "\xff\xff \r\n\r\n", 400, 100},
+        {"unknown path", "GET /nothing HTTP/1.1\r\nConnection: close\r\n\r\n", 404, 111},
+        {"wrong method", "POST /healthz HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 405, 108},
+        {"body too large", "POST /healthz HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 413, 101},
+    };
+    for (const HttpCase &each : cases) {
+        checkReply(each, exchangeRaw(port, each.bytes_, each.end_));
+    }
+    BOOST_TEST(exchangeRaw(port, "GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").substr(0, 12) == "HTTP/1.1 200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ibiswall::system
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -97,6 +97,7 @@
             json["peers"].push_back({{"name", other.name_}, {"links_address", loopback(other.linksPort_)}});
         }
     }
+    json.update(shape_.entrySettings_);
     write(entry.settings_, json);
 }
 
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -43,6 +43,8 @@
     int targets_ = 6;
     int slots_ = 8;
     std::int64_t runMillis_ = 5;
+    /// Added to the settings of each entry.
+    Json entrySettings_ = Json::object();
 };
 
 /// Starts everything, and ends everything when destroyed.
