Send one frame to each agent for one decision

Cause: orders of one decision were put into one frame only when they followed one another, and the placement draws agents at random.

With the load full each report frees one slot, so a decision rarely makes two orders.

--- a/src/ibiswall/entry/dispatchduty.cpp
+++ b/src/ibiswall/entry/dispatchduty.cpp
@@ -370,10 +370,16 @@
     links_.close(link);
 }
 
-void DispatchDuty::act(const DispatchActions &actions)
+void DispatchDuty::act(DispatchActions &actions)
 {
-    for (const SendOrders &send : actions.orders_) {
-        links_.send(send.agent_, encode(Orders{send.orders_}));
+    // Orders that one decision made for the same agent share a frame.
+    std::unordered_map<AgentRef, Orders> frames;
+    for (SendOrders &send : actions.orders_) {
+        std::vector<Order> &orders = frames[send.agent_].orders_;
+        std::move(send.orders_.begin(), send.orders_.end(), std::back_inserter(orders));
+    }
+    for (auto &[agent, orders] : frames) {
+        links_.send(agent, encode(std::move(orders)));
     }
     for (const AnswerCaller &each : actions.answers_) {
         answer(each.caller_, each.answer_);
--- a/src/ibiswall/entry/dispatchduty.hpp
+++ b/src/ibiswall/entry/dispatchduty.hpp
@@ -60,7 +60,7 @@
     template<typename T>
     void onFrame(LinkId link, const T &unexpected);
 
-    void act(const DispatchActions &actions);
+    void act(DispatchActions &actions);
     void answer(CallerRef caller, const std::shared_ptr<const JobAnswer> &answer);
     void reply(CallerRef caller, HttpReply reply);
     void replyError(CallerRef caller, const Error &error);
