Report calls that ended together in one frame

Cause: an agent wrote one frame for each call that ended, also when several ends waited in the ring from the calls' thread.

A channel can now tell its receiver that the values which waited together have all been handled; the gate's duty collects its actions until then. Nothing waits: a single end is reported at once.

--- a/include/ibiswall/net/channel.hpp
+++ b/include/ibiswall/net/channel.hpp
@@ -18,10 +18,12 @@
     /// @param receiver event loop of the receiving thread
     /// @param capacity most values that wait at a time
     /// @param handle called on the receiving thread for each value
-    Channel(boost::asio::io_context &receiver, std::size_t capacity, std::function<void(T &&)> handle)
+    /// @param handled called after the values that were waiting together, unless empty
+    Channel(boost::asio::io_context &receiver, std::size_t capacity, std::function<void(T &&)> handle, std::function<void()> handled = {})
         : receiver_(receiver)
         , ring_(capacity)
         , handle_(std::move(handle))
+        , handled_(std::move(handled))
     {
     }
 
@@ -43,11 +45,15 @@
     {
         scheduled_.store(false);
         ring_.consume_all([this](T &value) { handle_(std::move(value)); });
+        if (handled_) {
+            handled_();
+        }
     }
 
     boost::asio::io_context &receiver_;
     boost::lockfree::spsc_queue<T> ring_;
     std::function<void(T &&)> handle_;
+    std::function<void()> handled_;
     /// True while a drain is posted that has not begun.
     std::atomic<bool> scheduled_{false};
 };
--- a/src/ibiswall/agent/agent.cpp
+++ b/src/ibiswall/agent/agent.cpp
@@ -31,7 +31,11 @@
         , calls_(callsLoop_, settings, [this](CallEnd end) { toGate_.push(std::move(end)); })
         // At most one call for each slot is in progress, so neither ring can fill.
         , toCalls_(callsLoop_, static_cast<std::size_t>(settings.slots_) + 1, [this](StartCall &&call) { calls_.start(std::move(call)); })
-        , toGate_(gateLoop_, static_cast<std::size_t>(settings.slots_) + 1, [this](CallEnd &&end) { gate_.take(std::move(end)); })
+        , toGate_(
+              gateLoop_,
+              static_cast<std::size_t>(settings.slots_) + 1,
+              [this](CallEnd &&end) { gate_.take(std::move(end)); },
+              [this] { gate_.flush(); })
         , health_(gateLoop_, HttpLimits{}, [this](const HttpRequest &request, const Respond &respond) { handle(request, respond); })
         , signals_(gateLoop_, SIGTERM, SIGINT)
         , timer_(gateLoop_)
--- a/src/ibiswall/agent/gateduty.cpp
+++ b/src/ibiswall/agent/gateduty.cpp
@@ -165,9 +165,14 @@
 }
 
 void GateDuty::take(CallEnd &&end)
+{
+    finishCall(gate_, bootClock(), end.call_, end.outcome_, ended_);
+}
+
+void GateDuty::flush()
 {
     GateActions actions;
-    finishCall(gate_, bootClock(), end.call_, end.outcome_, actions);
+    std::swap(actions, ended_);
     act(actions);
 }
 
--- a/src/ibiswall/agent/gateduty.hpp
+++ b/src/ibiswall/agent/gateduty.hpp
@@ -25,9 +25,12 @@
     /// Closes every link.
     void stop();
 
-    /// Takes the end of a call in.
+    /// Takes the end of a call in. What follows from it is carried out by flush().
     void take(CallEnd &&end);
 
+    /// Carries out what the ends taken in ask for; reports for one entry share a frame.
+    void flush();
+
     /// Announces that the target leaves; no further task starts.
     void leave();
 
@@ -56,6 +59,8 @@
     void act(GateActions &actions);
 
     Gate gate_;
+    /// What the ends taken in since the last flush() ask for.
+    GateActions ended_;
     AgentInfo info_;
     std::function<void(StartCall)> start_;
     boost::asio::steady_timer timer_;
