Let a refused order be sent again to the same agent

The gate remembered an order before it judged it, so a task that was refused and placed again on the same agent was dropped without a word: its job never ended and its slot at the entry stayed taken. The gate now forgets what it refuses. Two tests were seen failing before. Ruled out: reporting a repeat as not run, which would be untrue of one that runs.

--- a/include/ibiswall/core/seen.hpp
+++ b/include/ibiswall/core/seen.hpp
@@ -30,7 +30,7 @@
     /// How long a task is remembered. At least the life of a job id.
     Millis life_{600000};
     std::unordered_set<TaskKey, TaskKeyHash> keys_;
-    /// Every key of keys_ once, oldest first.
+    /// Every key of keys_, and forgotten ones, oldest first.
     std::deque<std::pair<Millis, TaskKey>> order_;
 };
 
@@ -38,6 +38,9 @@
 /// @return false when the task had been recorded before
 bool insert(SeenTable &table, Millis now, const TaskKey &key);
 
+/// Forgets a task that has not started.
+void forget(SeenTable &table, const TaskKey &key);
+
 /// Forgets tasks older than the table's life.
 void expire(SeenTable &table, Millis now);
 
--- a/src/ibiswall/core/gate.cpp
+++ b/src/ibiswall/core/gate.cpp
@@ -8,15 +8,17 @@
 
 namespace {
 
-void refuse(const PendingOrder &pending, Code code, GateActions &actions)
+// Reports that an order will not start, and forgets it: the entry may send it again.
+void refuse(Gate &gate, const PendingOrder &pending, Code code, GateActions &actions)
 {
+    forget(gate.seen_, pending.order_.key_);
     actions.reports_.push_back({pending.link_, {pending.order_.key_, {TaskState::NotRun, code, {}}}});
 }
 
 void refuseAll(Gate &gate, Code code, GateActions &actions)
 {
     for (const PendingOrder &pending : gate.waiting_) {
-        refuse(pending, code, actions);
+        refuse(gate, pending, code, actions);
     }
     gate.waiting_.clear();
 }
@@ -49,7 +51,7 @@
         PendingOrder pending = std::move(gate.waiting_.front());
         gate.waiting_.pop_front();
         if (pending.startBy_ < now) {
-            refuse(pending, Code::DeadlinePassed, actions);
+            refuse(gate, pending, Code::DeadlinePassed, actions);
             continue;
         }
         start(gate, std::move(pending), actions);
@@ -63,7 +65,7 @@
     };
     for (const PendingOrder &pending : gate.waiting_) {
         if (late(pending)) {
-            refuse(pending, Code::DeadlinePassed, actions);
+            refuse(gate, pending, Code::DeadlinePassed, actions);
         }
     }
     gate.waiting_.erase(std::remove_if(gate.waiting_.begin(), gate.waiting_.end(), late), gate.waiting_.end());
@@ -105,11 +107,11 @@
         PendingOrder pending{link, order, now + order.startWithin_};
         const Code refusal = startRefusal(gate, now);
         if (refusal != Code::Ok) {
-            refuse(pending, refusal, actions);
+            refuse(gate, pending, refusal, actions);
         } else if (hasFreeSlot(gate) && gate.waiting_.empty()) {
             start(gate, std::move(pending), actions);
         } else if (gate.waiting_.size() >= gate.maxWaiting_) {
-            refuse(pending, Code::Overloaded, actions);
+            refuse(gate, pending, Code::Overloaded, actions);
         } else {
             gate.waiting_.push_back(std::move(pending));
         }
--- a/src/ibiswall/core/gate_test.cpp
+++ b/src/ibiswall/core/gate_test.cpp
@@ -46,6 +46,35 @@
     BOOST_TEST((actions.reports_.front().report_.outcome_.code_ == Code::NoGrant));
 }
 
+BOOST_AUTO_TEST_CASE(refused_order_may_be_sent_again)
+{
+    Gate gate = makeGate({0});
+    GateActions actions;
+    const std::vector<Order> orders = {makeOrder(0)};
+    takeOrders(gate, {5}, 1, orders, actions);
+    BOOST_REQUIRE(actions.reports_.size() == 1U);
+    gate.grantUntil_ = {1000};
+    takeOrders(gate, {6}, 1, orders, actions);
+    BOOST_TEST(actions.calls_.size() == 1U);
+    takeOrders(gate, {7}, 1, orders, actions);
+    BOOST_TEST(actions.calls_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(waiting_order_that_was_refused_may_be_sent_again)
+{
+    Gate gate = makeGate({1000});
+    GateActions actions;
+    const std::vector<Order> orders = {makeOrder(0), makeOrder(1)};
+    takeOrders(gate, {0}, 1, orders, actions);
+    tick(gate, {1000}, actions);
+    BOOST_REQUIRE(actions.reports_.size() == 1U);
+    gate.grantUntil_ = {2000};
+    finishCall(gate, {1001}, actions.calls_.front().call_, {}, actions);
+    takeOrders(gate, {1002}, 1, orders, actions);
+    BOOST_REQUIRE(actions.calls_.size() == 2U);
+    BOOST_TEST(actions.calls_.back().key_.task_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(grant_counts_from_the_renewal)
 {
     Gate gate = makeGate({0});
--- a/src/ibiswall/core/seen.cpp
+++ b/src/ibiswall/core/seen.cpp
@@ -25,6 +25,11 @@
     return true;
 }
 
+void forget(SeenTable &table, const TaskKey &key)
+{
+    table.keys_.erase(key);
+}
+
 void expire(SeenTable &table, Millis now)
 {
     while (!table.order_.empty() && table.order_.front().first + table.life_ < now) {
