Refuse the least valuable jobs at once when they would wait too long

Cause: nothing was refused before its deadline, so at 130 % every kind waited 3 s for a refusal and value decided nothing. The entry now estimates the wait of each member's last task by Little's law (orders outstanding over the smoothed time of each) and its share, and takes out that member's least valuable jobs that have sent no task once the wait passes 0.7 of the deadline, or 0.1 once the backlog has lasted; the refusal names a computed time. Ruled out: one limit for all members (a flood then costs the others their jobs) and a short limit at all times (a burst that would finish in time is refused).

The queue keeps the members that wait in order of pass, finds late tasks and removes tasks itself; dropping a caller, ending late tasks and forgetting answers no longer scan all jobs.

--- a/include/ibiswall/core.hpp
+++ b/include/ibiswall/core.hpp
@@ -11,6 +11,7 @@
 #include <ibiswall/core/intent.hpp> // IWYU pragma: export
 #include <ibiswall/core/job.hpp> // IWYU pragma: export
 #include <ibiswall/core/jobid.hpp> // IWYU pragma: export
+#include <ibiswall/core/overload.hpp> // IWYU pragma: export
 #include <ibiswall/core/plan.hpp> // IWYU pragma: export
 #include <ibiswall/core/queue.hpp> // IWYU pragma: export
 #include <ibiswall/core/random.hpp> // IWYU pragma: export
--- a/include/ibiswall/core/dispatcher.hpp
+++ b/include/ibiswall/core/dispatcher.hpp
@@ -4,7 +4,7 @@
 
 #include <ibiswall/core/fleet.hpp>
 #include <ibiswall/core/gate.hpp>
-#include <ibiswall/core/queue.hpp>
+#include <ibiswall/core/overload.hpp>
 #include <memory>
 
 namespace ibiswall {
@@ -39,6 +39,10 @@
 {
     TaskOutcome outcome_;
     int attempts_ = 0;
+    /// Place in the queue; valid while the task is queued.
+    Waiting waiting_;
+    /// When the task was last sent.
+    Millis sentAt_;
 };
 
 /// One job, running or answered.
@@ -105,11 +109,16 @@
     Configuration configuration_;
     Fleet fleet_;
     TaskQueue queue_;
+    Overload overload_;
     Random random_;
     /// Every kept job by its number.
     std::unordered_map<std::uint64_t, Job> jobs_;
     /// The number of every kept job by its id's text.
     std::unordered_map<std::string, std::uint64_t> numbers_;
+    /// The jobs that each waiting caller is attached to.
+    std::unordered_multimap<CallerRef, std::uint64_t> callers_;
+    /// Issue time of the id and number of every answered job.
+    std::set<std::pair<std::int64_t, std::uint64_t>> answered_;
     /// Open tasks of each member.
     std::map<std::string, std::size_t, std::less<>> openTasks_;
     /// Jobs without an answer.
--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -34,13 +34,47 @@
     return found == dispatcher.numbers_.end() ? nullptr : &dispatcher.jobs_.at(found->second);
 }
 
-void attach(Job &job, CallerRef caller, DispatchActions &actions)
+void attach(Dispatcher &dispatcher, Job &job, CallerRef caller, DispatchActions &actions)
 {
     if (job.answer_) {
         actions.answers_.push_back({caller, job.answer_});
         return;
     }
     job.callers_.push_back(caller);
+    dispatcher.callers_.emplace(caller, job.number_);
+}
+
+// Takes one attachment of a caller to a job off the caller's list.
+void detach(Dispatcher &dispatcher, CallerRef caller, std::uint64_t number)
+{
+    const auto [begin, end] = dispatcher.callers_.equal_range(caller);
+    const auto found = std::find_if(begin, end, [number](const auto &each) { return each.second == number; });
+    if (found != end) {
+        dispatcher.callers_.erase(found);
+    }
+}
+
+void answerCallers(Dispatcher &dispatcher, Job &job, const std::shared_ptr<const JobAnswer> &whole, DispatchActions &actions)
+{
+    for (const CallerRef caller : job.callers_) {
+        detach(dispatcher, caller, job.number_);
+        actions.answers_.push_back({caller, whole});
+    }
+    job.callers_.clear();
+}
+
+ShedCandidate candidateOf(const Job &job)
+{
+    return {job.kind_.value_, job.number_};
+}
+
+void closeTasks(Dispatcher &dispatcher, const std::string &member, std::size_t count)
+{
+    const auto open = dispatcher.openTasks_.find(member);
+    open->second -= count;
+    if (open->second == 0) {
+        dispatcher.openTasks_.erase(open);
+    }
 }
 
 // Tells why a new job cannot be taken in.
@@ -79,10 +113,13 @@
     return {};
 }
 
-void enqueue(Dispatcher &dispatcher, const Job &job, std::uint32_t task)
+void enqueue(Dispatcher &dispatcher, Now now, Job &job, std::uint32_t index)
 {
     const Member member = memberOf(dispatcher.configuration_, job.submission_.member_);
-    push(dispatcher.queue_, job.submission_.member_, member.weight_, job.startBy_, job.kind_.value_, {job.number_, task});
+    const QueueEntry entry{member.weight_, job.startBy_, job.kind_.deadline_, job.kind_.value_, {job.number_, index}};
+    Task &task = job.tasks_[index];
+    task.outcome_.state_ = TaskState::Queued;
+    task.waiting_ = push(dispatcher.queue_, now.boot_, job.submission_.member_, entry);
 }
 
 void answer(Dispatcher &dispatcher, Job &job, DispatchActions &actions)
@@ -101,10 +138,9 @@
     job.answer_ = std::move(whole);
     job.tasks_.clear();
     job.submission_.payloads_.clear();
-    for (const CallerRef caller : job.callers_) {
-        actions.answers_.push_back({caller, job.answer_});
-    }
-    job.callers_.clear();
+    dispatcher.answered_.emplace(job.submission_.id_.issued_.count_, job.number_);
+    removeCandidate(dispatcher.overload_, job.submission_.member_, job.kind_.deadline_, candidateOf(job));
+    answerCallers(dispatcher, job, job.answer_, actions);
 }
 
 void countOutcome(DispatchCounts &counts, TaskState state)
@@ -133,26 +169,25 @@
 {
     Task &task = job.tasks_[index];
     countOutcome(dispatcher.counts_, outcome.state_);
-    task.outcome_ = std::move(outcome);
-    auto open = dispatcher.openTasks_.find(job.submission_.member_);
-    if (--open->second == 0) {
-        dispatcher.openTasks_.erase(open);
+    if (task.outcome_.state_ == TaskState::Queued) {
+        remove(dispatcher.queue_, job.submission_.member_, task.waiting_);
     }
+    task.outcome_ = std::move(outcome);
+    closeTasks(dispatcher, job.submission_.member_, 1);
     if (--job.open_ == 0) {
         answer(dispatcher, job, actions);
     }
 }
 
 // Queues a task again that surely has not started, or gives it up after too many attempts.
-void placeAgain(Dispatcher &dispatcher, Job &job, std::uint32_t index, Code code, DispatchActions &actions)
+void placeAgain(Dispatcher &dispatcher, Now now, Job &job, std::uint32_t index, Code code, DispatchActions &actions)
 {
-    Task &task = job.tasks_[index];
+    const Task &task = job.tasks_[index];
     if (task.attempts_ >= dispatcher.limits_.maxAttempts_) {
         settle(dispatcher, job, index, {TaskState::NotRun, code, {}}, actions);
         return;
     }
-    task.outcome_.state_ = TaskState::Queued;
-    enqueue(dispatcher, job, index);
+    enqueue(dispatcher, now, job, index);
 }
 
 Job *openJob(Dispatcher &dispatcher, TaskRef ref)
@@ -177,6 +212,9 @@
     Task &task = job.tasks_[ref.task_];
     task.outcome_.state_ = TaskState::Placed;
     ++task.attempts_;
+    task.sentAt_ = now.boot_;
+    ++dispatcher.overload_.outstanding_;
+    removeCandidate(dispatcher.overload_, job.submission_.member_, job.kind_.deadline_, candidateOf(job));
     Agent &agent = *findAgent(dispatcher.fleet_, chosen);
     agent.placed_.push_back(ref);
     refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, agent);
@@ -202,6 +240,35 @@
     }
 }
 
+// Takes a job out that has sent no task, and tells its callers when to come back. Its id may be used again.
+void shed(Dispatcher &dispatcher, std::uint64_t number, Millis wait, DispatchActions &actions)
+{
+    Job &job = dispatcher.jobs_.at(number);
+    const std::string &member = job.submission_.member_;
+    for (const Task &task : job.tasks_) {
+        remove(dispatcher.queue_, member, task.waiting_);
+    }
+    closeTasks(dispatcher, member, job.open_);
+    removeCandidate(dispatcher.overload_, member, job.kind_.deadline_, candidateOf(job));
+    noteAdmission(dispatcher.overload_, true);
+    ++dispatcher.counts_.jobsRefused_;
+    --dispatcher.openJobs_;
+    const Millis after = comeBackAfter(dispatcher.overload_, wait, dispatcher.random_);
+    const auto refusal = makeRefusal(job.idText_, Code::Overloaded, "kind \"" + job.submission_.kind_ + "\" would wait too long", after);
+    answerCallers(dispatcher, job, refusal, actions);
+    dispatcher.numbers_.erase(job.idText_);
+    dispatcher.jobs_.erase(number);
+}
+
+// Refuses the least valuable jobs of a member while its tasks would wait too long.
+void shedOverload(Dispatcher &dispatcher, Now now, const std::string &member, Millis span, DispatchActions &actions)
+{
+    const Millis wait = expectedWait(dispatcher.overload_, dispatcher.queue_, member, span);
+    while (const auto victim = chooseShed(dispatcher.overload_, dispatcher.queue_, now.boot_, member, span)) {
+        shed(dispatcher, *victim, wait, actions);
+    }
+}
+
 void settleQueued(Dispatcher &dispatcher, Job &job, Code code, DispatchActions &actions)
 {
     const std::size_t count = job.tasks_.size();
@@ -224,19 +291,23 @@
     return true;
 }
 
-void takeReport(Dispatcher &dispatcher, Agent &agent, const TaskReport &report, DispatchActions &actions)
+void takeReport(Dispatcher &dispatcher, Now now, Agent &agent, const TaskReport &report, DispatchActions &actions)
 {
     Job *job = findJob(dispatcher, report.key_.job_);
     if (job == nullptr || !unplace(agent, {job->number_, report.key_.task_})) {
         return;
     }
+    --dispatcher.overload_.outstanding_;
+    if (report.outcome_.state_ == TaskState::Done) {
+        noteSojourn(dispatcher.overload_, now.boot_ - job->tasks_[report.key_.task_].sentAt_);
+    }
     if (report.outcome_.state_ == TaskState::NotRun) {
         ++dispatcher.counts_.ordersRefused_;
-        placeAgain(dispatcher, *job, report.key_.task_, report.outcome_.code_, actions);
+        placeAgain(dispatcher, now, *job, report.key_.task_, report.outcome_.code_, actions);
         return;
     }
     if (report.outcome_.state_ == TaskState::MayHaveRun && job->kind_.repeatable_) {
-        placeAgain(dispatcher, *job, report.key_.task_, report.outcome_.code_, actions);
+        placeAgain(dispatcher, now, *job, report.key_.task_, report.outcome_.code_, actions);
         return;
     }
     settle(dispatcher, *job, report.key_.task_, report.outcome_, actions);
@@ -255,6 +326,29 @@
     }
 }
 
+// Ends the waiting tasks of every job whose deadline passed.
+void settleLate(Dispatcher &dispatcher, Now now, DispatchActions &actions)
+{
+    while (const auto late = findLate(dispatcher.queue_, now.boot_)) {
+        settleQueued(dispatcher, dispatcher.jobs_.at(late->job_), Code::DeadlinePassed, actions);
+    }
+}
+
+// Forgets answered jobs whose id can no longer be submitted.
+void forgetExpired(Dispatcher &dispatcher, Now now)
+{
+    while (!dispatcher.answered_.empty()) {
+        const auto [issued, number] = *dispatcher.answered_.begin();
+        const auto found = dispatcher.jobs_.find(number);
+        if (!isExpired(found->second.submission_.id_, now.wall_, dispatcher.limits_.idLife_ + answerGrace)) {
+            return;
+        }
+        dispatcher.answered_.erase(dispatcher.answered_.begin());
+        dispatcher.numbers_.erase(found->second.idText_);
+        dispatcher.jobs_.erase(found);
+    }
+}
+
 } // namespace
 
 JobId issueId(Dispatcher &dispatcher, Now now)
@@ -271,7 +365,7 @@
         } else if (known->submission_.bodyHash_ != submission.bodyHash_) {
             refuse(dispatcher, submission, caller, Code::BodyDiffers, "id was used with another body", actions);
         } else {
-            attach(*known, caller, actions);
+            attach(dispatcher, *known, caller, actions);
         }
         return;
     }
@@ -287,17 +381,23 @@
     job.startBy_ = now.boot_ + job.kind_.deadline_;
     job.tasks_.resize(submission.payloads_.size());
     job.open_ = job.tasks_.size();
-    job.callers_.push_back(caller);
     dispatcher.openTasks_[submission.member_] += job.open_;
     job.submission_ = std::move(submission);
     ++dispatcher.counts_.jobsAccepted_;
     ++dispatcher.openJobs_;
     dispatcher.numbers_[job.idText_] = job.number_;
-    const Job &stored = dispatcher.jobs_.emplace(job.number_, std::move(job)).first->second;
+    const std::uint64_t number = job.number_;
+    Job &stored = dispatcher.jobs_.emplace(number, std::move(job)).first->second;
+    attach(dispatcher, stored, caller, actions);
+    const std::string member = stored.submission_.member_;
+    const Millis span = stored.kind_.deadline_;
+    addCandidate(dispatcher.overload_, member, span, candidateOf(stored));
+    noteAdmission(dispatcher.overload_, false);
     for (std::uint32_t i = 0; i < stored.tasks_.size(); ++i) {
-        enqueue(dispatcher, stored, i);
+        enqueue(dispatcher, now, stored, i);
     }
     dispatch(dispatcher, now, actions);
+    shedOverload(dispatcher, now, member, span, actions);
 }
 
 void fetch(Dispatcher &dispatcher, std::string_view id, std::string_view member, CallerRef caller, DispatchActions &actions)
@@ -307,7 +407,7 @@
         actions.answers_.push_back({caller, makeRefusal(std::string(id), Code::UnknownJob, "no such job of this caller", {0})});
         return;
     }
-    attach(*job, caller, actions);
+    attach(dispatcher, *job, caller, actions);
 }
 
 bool cancel(Dispatcher &dispatcher, std::string_view id, std::string_view member, DispatchActions &actions)
@@ -322,10 +422,12 @@
 
 void dropCaller(Dispatcher &dispatcher, CallerRef caller)
 {
-    for (auto &[number, job] : dispatcher.jobs_) {
-        auto &callers = job.callers_;
+    const auto [begin, end] = dispatcher.callers_.equal_range(caller);
+    for (auto it = begin; it != end; ++it) {
+        auto &callers = dispatcher.jobs_.at(it->second).callers_;
         callers.erase(std::remove(callers.begin(), callers.end(), caller), callers.end());
     }
+    dispatcher.callers_.erase(begin, end);
 }
 
 void joinAgent(Dispatcher &dispatcher, Now now, AgentRef ref, const AgentInfo &info, DispatchActions &actions)
@@ -364,13 +466,14 @@
     }
     const std::vector<TaskRef> placed = std::move(agent->placed_);
     removeAgent(dispatcher.fleet_, ref);
+    dispatcher.overload_.outstanding_ -= placed.size();
     for (const TaskRef lost : placed) {
         Job *job = openJob(dispatcher, lost);
         if (job == nullptr) {
             continue;
         }
         if (job->kind_.repeatable_) {
-            placeAgain(dispatcher, *job, lost.task_, Code::ConnectionLost, actions);
+            placeAgain(dispatcher, now, *job, lost.task_, Code::ConnectionLost, actions);
         } else {
             settle(dispatcher, *job, lost.task_, {TaskState::MayHaveRun, Code::ConnectionLost, {}}, actions);
         }
@@ -385,7 +488,7 @@
         return;
     }
     for (const TaskReport &report : reports) {
-        takeReport(dispatcher, *agent, report, actions);
+        takeReport(dispatcher, now, *agent, report, actions);
     }
     refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, *agent);
     dispatch(dispatcher, now, actions);
@@ -405,19 +508,8 @@
 {
     loseSilentAgents(dispatcher, now, actions);
     refreshAll(dispatcher.fleet_, dispatcher.configuration_, now.boot_);
-    std::vector<std::uint64_t> forgotten;
-    for (auto &[number, job] : dispatcher.jobs_) {
-        if (!job.answer_ && job.startBy_ <= now.boot_) {
-            settleQueued(dispatcher, job, Code::DeadlinePassed, actions);
-        }
-        if (job.answer_ && isExpired(job.submission_.id_, now.wall_, dispatcher.limits_.idLife_ + answerGrace)) {
-            forgotten.push_back(number);
-        }
-    }
-    for (const std::uint64_t number : forgotten) {
-        dispatcher.numbers_.erase(dispatcher.jobs_.at(number).idText_);
-        dispatcher.jobs_.erase(number);
-    }
+    settleLate(dispatcher, now, actions);
+    forgetExpired(dispatcher, now);
     dispatch(dispatcher, now, actions);
 }
 
