Document the exit codes of processes, and close idle connections when a stop begins

Cause: a process that could not listen ended with its result code modulo 256 (90), which no table named; a drain request was lost when the ring to the dispatch duty was full; connections without a request were kept open during a stop. After: one list of exit codes; 5 means cannot listen. SIGTERM and SIGINT answer a request that has begun to arrive, a second signal ends the process with 1.

--- a/include/ibiswall/agent.hpp
+++ b/include/ibiswall/agent.hpp
@@ -9,7 +9,7 @@
 
 /// Runs an agent until it is told to stop.
 /// @param started called with the health port once the agent listens
-/// @return the exit code of the process: 0 after a graceful stop
-int runAgent(const AgentSettings &settings, const std::function<void(std::uint16_t)> &started);
+/// @return Ok after a graceful stop, Failed when requests in flight were abandoned
+Exit runAgent(const AgentSettings &settings, const std::function<void(std::uint16_t)> &started);
 
 } // namespace ibiswall
--- a/include/ibiswall/entry.hpp
+++ b/include/ibiswall/entry.hpp
@@ -16,7 +16,7 @@
 
 /// Runs an entry until it is told to stop.
 /// @param started called once the entry listens
-/// @return the exit code of the process: 0 after a graceful stop
-int runEntry(const EntrySettings &settings, const std::function<void(EntryPorts)> &started);
+/// @return Ok after a graceful stop, Failed when requests in flight were abandoned
+Exit runEntry(const EntrySettings &settings, const std::function<void(EntryPorts)> &started);
 
 } // namespace ibiswall
--- a/src/ibiswall/agent/agent.cpp
+++ b/src/ibiswall/agent/agent.cpp
@@ -20,7 +20,6 @@
 // Lets the last reports leave before the links close.
 constexpr std::chrono::milliseconds reportLinger(200);
 constexpr int httpOk = 200;
-constexpr int exitAbandoned = 1;
 
 // The duties of one agent. The gate's duty runs on the thread that calls run().
 class AgentProcess
@@ -47,7 +46,7 @@
         return health_.listen(address);
     }
 
-    int run()
+    Exit run()
     {
         gate_.start();
         awaitSignal();
@@ -89,7 +88,7 @@
             }
             if (leaving_) {
                 log(LogLevel::Warning, part, "second signal: abandoned " + std::to_string(gate_.running()) + " calls in progress");
-                exitCode_ = exitAbandoned;
+                exitCode_ = Exit::Failed;
                 gateLoop_.stop();
                 return;
             }
@@ -129,18 +128,18 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     bool leaving_ = false;
-    int exitCode_ = 0;
+    Exit exitCode_ = Exit::Ok;
 };
 
 } // namespace
 
-int runAgent(const AgentSettings &settings, const std::function<void(std::uint16_t)> &started)
+Exit runAgent(const AgentSettings &settings, const std::function<void(std::uint16_t)> &started)
 {
     AgentProcess agent(settings);
     const auto port = agent.listen(settings.health_);
     if (port.has_error()) {
         log(LogLevel::Error, part, port.error().text_);
-        return static_cast<int>(port.error().code_) % 256;
+        return Exit::CannotListen;
     }
     started(port.value());
     return agent.run();
--- a/src/ibiswall/cli/cli.cpp
+++ b/src/ibiswall/cli/cli.cpp
@@ -35,7 +35,7 @@
         out << "  " << command.name_ << std::string(16 - std::string(command.name_).size(), ' ') << command.summary_ << '\n';
     }
     out << "\nibiswall COMMAND --help lists the options of a command.\n"
-           "exit codes: 0 ok, 1 failed, 2 bad command line, 3 bad settings, 4 entry cannot be reached\n";
+           "exit codes: 0 ok, 1 failed, 2 bad command line, 3 bad settings, 4 entry cannot be reached, 5 cannot listen\n";
 }
 
 } // namespace
--- a/src/ibiswall/cli/processes.cpp
+++ b/src/ibiswall/cli/processes.cpp
@@ -63,8 +63,7 @@
         return wrongRole(line);
     }
     startLog(parseLevel(entry->logLevel_));
-    return static_cast<Exit>(
-        runEntry(*entry, [](EntryPorts ports) { std::cout << "callers " << ports.callers_ << " links " << ports.links_ << std::endl; }));
+    return runEntry(*entry, [](EntryPorts ports) { std::cout << "callers " << ports.callers_ << " links " << ports.links_ << std::endl; });
 }
 
 Exit runAgentCommand(const CommandLine &line)
@@ -79,7 +78,7 @@
         return wrongRole(line);
     }
     startLog(parseLevel(agent->logLevel_));
-    return static_cast<Exit>(runAgent(*agent, [](std::uint16_t port) { std::cout << "health " << port << std::endl; }));
+    return runAgent(*agent, [](std::uint16_t port) { std::cout << "health " << port << std::endl; });
 }
 
 Exit runCheckSettings(const CommandLine &line)
--- a/src/ibiswall/entry/callersduty.cpp
+++ b/src/ibiswall/entry/callersduty.cpp
@@ -88,6 +88,11 @@
     healthy_ = false;
 }
 
+void CallersDuty::closeIdle()
+{
+    server_.closeIdle();
+}
+
 void CallersDuty::stopAccepting()
 {
     server_.stopAccepting();
--- a/src/ibiswall/entry/callersduty.hpp
+++ b/src/ibiswall/entry/callersduty.hpp
@@ -25,6 +25,9 @@
     /// Makes the health check fail, so that the balancer sends no more callers.
     void turnUnhealthy();
 
+    /// Closes connections without a request, and every other one after the reply in progress.
+    void closeIdle();
+
     /// Stops to accept connections.
     void stopAccepting();
 
--- a/src/ibiswall/entry/entry.cpp
+++ b/src/ibiswall/entry/entry.cpp
@@ -19,7 +19,6 @@
 constexpr std::string_view part = "entry";
 constexpr std::size_t smallRing = 256;
 constexpr std::chrono::milliseconds pendingCheck(20);
-constexpr int exitAbandoned = 1;
 
 using Work = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
@@ -83,7 +82,7 @@
         return ports;
     }
 
-    int run()
+    Exit run()
     {
         boost::asio::post(platformLoop_.io_, [this] { platform_.start(); });
         dispatchLoop_.start();
@@ -124,7 +123,7 @@
     void abandon()
     {
         log(LogLevel::Warning, part, "second signal: abandoned " + std::to_string(callers_.pending()) + " requests in flight");
-        exitCode_ = exitAbandoned;
+        exitCode_ = Exit::Failed;
         callersLoop_.stop();
     }
 
@@ -136,7 +135,22 @@
         timer_.expires_after(std::chrono::milliseconds(settings_.drainDelay_.count_));
         timer_.async_wait([this](boost::system::error_code error) {
             if (!error) {
-                toDispatch_.push(DrainRequest{});
+                drain();
+            }
+        });
+    }
+
+    // Refuses new jobs. Tries again while the ring is full.
+    void drain()
+    {
+        callers_.closeIdle();
+        if (toDispatch_.push(DrainRequest{})) {
+            return;
+        }
+        timer_.expires_after(pendingCheck);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                drain();
             }
         });
     }
@@ -184,18 +198,18 @@
     bool draining_ = false;
     /// Set when the loops stop, so that no sender waits for a full ring.
     std::atomic<bool> stopping_{false};
-    int exitCode_ = 0;
+    Exit exitCode_ = Exit::Ok;
 };
 
 } // namespace
 
-int runEntry(const EntrySettings &settings, const std::function<void(EntryPorts)> &started)
+Exit runEntry(const EntrySettings &settings, const std::function<void(EntryPorts)> &started)
 {
     Entry entry(settings);
     const auto ports = entry.listen();
     if (ports.has_error()) {
         log(LogLevel::Error, part, ports.error().text_);
-        return static_cast<int>(ports.error().code_) % 256;
+        return Exit::CannotListen;
     }
     started(ports.value());
     return entry.run();
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+std::string programPath()
+{
+    return IBISWALL_BINARY;
+}
+
 void await(const std::string &what, const std::function<bool()> &condition)
 {
     const auto until = std::chrono::steady_clock::now() + awaitLimit;
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -107,6 +107,9 @@
     std::filesystem::path folder_;
 };
 
+/// Path of the program under test.
+std::string programPath();
+
 /// Waits until a condition holds; throws after a generous time.
 void await(const std::string &what, const std::function<bool()> &condition);
 
