Leave failing targets alone and try them again gently

Each target now carries blame: failures weighed by how rarely the kind fails elsewhere, so that a kind that can never run blames nobody; refusals of an agent count less. A target that operators bring back starts gently too. Ruled out: counting failures alone (a kind that fails everywhere would pause every target).

--- a/include/ibiswall/core.hpp
+++ b/include/ibiswall/core.hpp
@@ -8,6 +8,7 @@
 #include <ibiswall/core/fleet.hpp> // IWYU pragma: export
 #include <ibiswall/core/freshness.hpp> // IWYU pragma: export
 #include <ibiswall/core/gate.hpp> // IWYU pragma: export
+#include <ibiswall/core/health.hpp> // IWYU pragma: export
 #include <ibiswall/core/intent.hpp> // IWYU pragma: export
 #include <ibiswall/core/job.hpp> // IWYU pragma: export
 #include <ibiswall/core/jobid.hpp> // IWYU pragma: export
--- a/include/ibiswall/core/fleet.hpp
+++ b/include/ibiswall/core/fleet.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <ibiswall/core/configuration.hpp>
-#include <ibiswall/core/job.hpp>
+#include <ibiswall/core/health.hpp>
 #include <ibiswall/core/plan.hpp>
 #include <ibiswall/core/random.hpp>
 #include <optional>
@@ -45,6 +45,9 @@
     Millis heard_;
     /// Configuration version that the agent last confirmed.
     std::uint64_t version_ = 0;
+    Health health_;
+    /// Whether operators had taken its failure domain or target out when last looked at.
+    bool out_ = false;
     /// Position in Fleet::ready_, or notReady.
     std::size_t readyIndex_ = 0;
 };
@@ -57,6 +60,7 @@
     std::unordered_map<AgentRef, Agent> agents_;
     /// Exactly the agents that may be sent a task now.
     std::vector<AgentRef> ready_;
+    KindFailures kindFailures_;
 };
 
 /// Adds an agent.
--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -298,6 +298,9 @@
         return;
     }
     --dispatcher.overload_.outstanding_;
+    if (report.outcome_.code_ != Code::DeadlinePassed) {
+        noteOutcome(agent.health_, dispatcher.fleet_.kindFailures_, now.boot_, job->submission_.kind_, report.outcome_);
+    }
     if (report.outcome_.state_ == TaskState::Done) {
         noteSojourn(dispatcher.overload_, now.boot_ - job->tasks_[report.key_.task_].sentAt_);
     }
--- a/src/ibiswall/core/fleet.cpp
+++ b/src/ibiswall/core/fleet.cpp
@@ -2,14 +2,26 @@
 
 #include <ibiswall/core/fleet.hpp>
 
+#include <algorithm>
+
 namespace ibiswall {
 
 namespace {
 
-bool mayReceive(const Configuration &configuration, Millis now, const Agent &agent)
+bool mayReceive(Millis now, const Agent &agent)
 {
-    return !agent.leaving_ && now < agent.heard_ + agentSilence && agent.placed_.size() < static_cast<std::size_t>(agent.info_.credits_)
-        && !isOut(configuration, agent.info_.place_.domain_, agent.info_.place_.target_);
+    const int limit = std::min(agent.info_.credits_, agent.health_.limit_);
+    return !agent.leaving_ && !agent.out_ && now < agent.heard_ + agentSilence && now >= agent.health_.pausedUntil_
+        && agent.placed_.size() < static_cast<std::size_t>(std::max(limit, 0));
+}
+
+void refreshOut(const Configuration &configuration, Agent &agent)
+{
+    const bool out = isOut(configuration, agent.info_.place_.domain_, agent.info_.place_.target_);
+    if (agent.out_ && !out) {
+        startGently(agent.health_);
+    }
+    agent.out_ = out;
 }
 
 void dropReady(Fleet &fleet, Agent &agent)
@@ -60,7 +72,8 @@
 
 void refreshReady(Fleet &fleet, const Configuration &configuration, Millis now, Agent &agent)
 {
-    if (!mayReceive(configuration, now, agent)) {
+    refreshOut(configuration, agent);
+    if (!mayReceive(now, agent)) {
         dropReady(fleet, agent);
         return;
     }
