--- a/src/ibiswall/settings/checker.cpp
+++ b/src/ibiswall/settings/checker.cpp
@@ -3,6 +3,7 @@
 #include "checker.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace ibiswall {
 
@@ -104,7 +105,9 @@
     if (value == nullptr) {
         return fallback;
     }
-    if (!value->is_number_integer() || value->get<std::int64_t>() < least || value->get<std::int64_t>() > most) {
+    constexpr std::uint64_t largest = std::numeric_limits<std::int64_t>::max();
+    const bool overflows = value->is_number_unsigned() && value->get<std::uint64_t>() > largest;
+    if (!value->is_number_integer() || overflows || value->get<std::int64_t>() < least || value->get<std::int64_t>() > most) {
         problem(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most) + " is required");
         return fallback;
     }
--- a/src/ibiswall/settings/checker.hpp
+++ b/src/ibiswall/settings/checker.hpp
@@ -43,12 +43,12 @@
             return out;
         }
         for (std::size_t i = 0; i < array->size(); ++i) {
-            const std::string inner = place_ + key + '[' + std::to_string(i) + "].";
+            const std::string inner = place_ + key + '[' + std::to_string(i) + ']';
             if (!(*array)[i].is_object()) {
                 problems_.push_back(inner + ": an object is required");
                 continue;
             }
-            Checker item((*array)[i], inner, problems_);
+            Checker item((*array)[i], inner + '.', problems_);
             out.push_back(read(item));
             item.refuseUnknown();
         }
--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/settings.hpp>
 
 #include "checker.hpp"
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -13,6 +14,10 @@
 constexpr std::int64_t maxSlots = 4096;
 constexpr std::int64_t maxDelay = 600000;
 constexpr std::int64_t maxBytes = 1 << 30;
+constexpr std::size_t minToken = 8;
+constexpr std::size_t maxToken = 256;
+// Bytes of a relayed request besides the caller's body.
+constexpr std::size_t relayOverhead = 1024;
 constexpr std::int64_t minHeader = 256;
 constexpr std::int64_t maxHeader = 1 << 20;
 constexpr std::int64_t minFrame = 1024;
@@ -24,6 +29,28 @@
     return in.word("log_level", {"debug", "info", "warning", "error"}, "info");
 }
 
+// Reports a port that others have to know and that is left open.
+void requirePort(Checker &in, const std::string &key, const Address &place)
+{
+    if (!place.host_.empty() && place.port_ == 0) {
+        in.problem(key, format(place) + ": port 0 is not allowed, others connect to it");
+    }
+}
+
+void requirePorts(Checker &in, const std::string &key, const std::vector<Address> &places)
+{
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        requirePort(in, key + '[' + std::to_string(i) + ']', places[i]);
+    }
+}
+
+void addPlaces(std::vector<std::pair<std::string, Address>> &all, const std::string &key, const std::vector<Address> &places)
+{
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        all.emplace_back(key + '[' + std::to_string(i) + ']', places[i]);
+    }
+}
+
 // Reports an address that stands for two things. Port 0 asks for any free port.
 void refuseDuplicates(Checker &in, const std::vector<std::pair<std::string, Address>> &places)
 {
@@ -53,13 +80,57 @@
     }
 }
 
+// Tokens travel in a header, so they are visible ASCII.
+std::string readToken(Checker &in)
+{
+    const std::string token = in.text("token");
+    const bool visible = std::all_of(token.begin(), token.end(), [](char c) { return c > ' ' && c <= '~'; });
+    if (!token.empty() && (token.size() < minToken || token.size() > maxToken || !visible)) {
+        in.problem("token", std::to_string(minToken) + " to " + std::to_string(maxToken) + " visible ASCII characters are required");
+    }
+    return token;
+}
+
 std::vector<Credential> readCredentials(Checker &in, const char *key)
 {
-    auto credentials = in.objects<Credential>(key, true, [](Checker &item) { return Credential{item.name("name"), item.text("token")}; });
+    auto credentials = in.objects<Credential>(key, true, [](Checker &item) { return Credential{item.name("name"), readToken(item)}; });
     refuseRepeatedNames(in, key, credentials);
     return credentials;
 }
 
+// Reports a member and an operator that cannot be told apart.
+void refuseSharedTokens(Checker &in, const EntrySettings &settings)
+{
+    for (const Credential &op : settings.operators_) {
+        const auto same = [&op](const Credential &member) {
+            return !op.token_.empty() && member.token_ == op.token_;
+        };
+        if (std::any_of(settings.members_.begin(), settings.members_.end(), same)) {
+            in.problem("operators", "\"" + op.name_ + "\" has the token of a member");
+        }
+    }
+}
+
+void checkPeers(Checker &in, const EntrySettings &settings)
+{
+    std::set<std::string> names = {settings.name_};
+    for (std::size_t i = 0; i < settings.peers_.size(); ++i) {
+        const PeerPlace &peer = settings.peers_[i];
+        const std::string key = "peers[" + std::to_string(i) + "].";
+        if (!peer.name_.empty() && !names.insert(peer.name_).second) {
+            in.problem(key + "name", '"' + peer.name_ + (peer.name_ == settings.name_ ? "\" is this entry" : "\" is given twice"));
+        }
+        requirePort(in, key + "links_address", peer.links_);
+    }
+    if (!settings.peers_.empty()) {
+        requirePort(in, "links_address", settings.links_);
+    }
+    if (settings.maxFrame_ < settings.maxBody_ + relayOverhead) {
+        in.problem("max_frame_bytes",
+                   "must exceed max_body_bytes by " + std::to_string(relayOverhead) + ", since entries relay bodies in one frame");
+    }
+}
+
 void readSize(Checker &in, const char *key, std::int64_t least, std::int64_t most, std::size_t &value)
 {
     value = static_cast<std::size_t>(in.number(key, least, most, static_cast<std::int64_t>(value)));
@@ -95,10 +166,14 @@
     settings.logLevel_ = readLogLevel(in);
     settings.drainDelay_ = {in.number("drain_delay_ms", 0, maxDelay, settings.drainDelay_.count_)};
     readLimits(in, settings);
+    refuseSharedTokens(in, settings);
+    checkPeers(in, settings);
+    requirePorts(in, "platform_addresses", settings.platform_);
     std::vector<std::pair<std::string, Address>> places = {{"callers_address", settings.callers_}, {"links_address", settings.links_}};
-    for (const PeerPlace &peer : settings.peers_) {
-        places.emplace_back("peers", peer.links_);
+    for (std::size_t i = 0; i < settings.peers_.size(); ++i) {
+        places.emplace_back("peers[" + std::to_string(i) + "].links_address", settings.peers_[i].links_);
     }
+    addPlaces(places, "platform_addresses", settings.platform_);
     refuseDuplicates(in, places);
     return settings;
 }
@@ -116,9 +191,9 @@
     settings.logLevel_ = readLogLevel(in);
     settings.callTimeout_ = {in.number("call_timeout_ms", 1, maxDelay, settings.callTimeout_.count_)};
     std::vector<std::pair<std::string, Address>> places = {{"target_address", settings.targetPlace_}, {"health_address", settings.health_}};
-    for (const Address &entry : settings.entries_) {
-        places.emplace_back("entry_addresses", entry);
-    }
+    requirePort(in, "target_address", settings.targetPlace_);
+    requirePorts(in, "entry_addresses", settings.entries_);
+    addPlaces(places, "entry_addresses", settings.entries_);
     refuseDuplicates(in, places);
     return settings;
 }
