Submit jobs from files, and print when to ask again

A refused request for ids ends with 1 where it ended with 4 before, and an answer that is not an entry's ends with 1 where an exception ended the command.

--- a/include/ibiswall/net/httpcall.hpp
+++ b/include/ibiswall/net/httpcall.hpp
@@ -23,6 +23,8 @@
 {
     int status_ = 0;
     std::string body_;
+    /// Time after which to ask again, zero when the reply names none.
+    Millis retryAfter_;
 };
 
 /// Sends a request and waits for the whole reply.
--- a/src/ibiswall/cli/cli.cpp
+++ b/src/ibiswall/cli/cli.cpp
@@ -52,7 +52,7 @@
     }
     for (const Command &command : commands) {
         if (arguments[0] == command.name_) {
-            return static_cast<int>(command.run_({command.name_, {arguments.begin() + 1, arguments.end()}}));
+            return static_cast<int>(command.run_({command.name_, command.summary_, {arguments.begin() + 1, arguments.end()}}));
         }
     }
     std::cerr << "ibiswall: unknown command \"" << arguments[0] << "\"; see ibiswall --help\n";
--- a/src/ibiswall/cli/client.cpp
+++ b/src/ibiswall/cli/client.cpp
@@ -3,10 +3,13 @@
 #include "commands.hpp"
 #include "options.hpp"
 
+#include <fstream>
 #include <ibiswall/codec.hpp>
 #include <ibiswall/net.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
 
 namespace ibiswall {
 
@@ -37,11 +40,15 @@
 
 Result<Client> makeClient(const po::variables_map &values)
 {
-    BOOST_OUTCOME_TRY(auto entry, parseAddress(values["entry"].as<std::string>()));
-    return Client{std::move(entry),
-                  "Bearer " + values["token"].as<std::string>(),
-                  {values["timeout-ms"].as<std::int64_t>()},
-                  values.count("json") != 0};
+    auto entry = parseAddress(values["entry"].as<std::string>());
+    if (entry.has_error()) {
+        return Error{Code::BadUsage, "--entry: " + entry.error().text_};
+    }
+    const Millis timeout{values["timeout-ms"].as<std::int64_t>()};
+    if (timeout < Millis{1}) {
+        return Error{Code::BadUsage, "--timeout-ms: must be at least 1"};
+    }
+    return Client{std::move(entry).value(), "Bearer " + values["token"].as<std::string>(), timeout, values.count("json") != 0};
 }
 
 Result<HttpAnswer> call(const Client &client, const std::string &method, const std::string &target, const std::string &body)
@@ -49,53 +56,89 @@
     return callHttp(client.entry_, {method, target, body, client.token_, client.timeout_});
 }
 
+Exit badUsage(const Error &error)
+{
+    std::cerr << "ibiswall: " << error.text_ << '\n';
+    return Exit::Usage;
+}
+
 Exit unreachable(const Error &error)
 {
     std::cerr << "ibiswall: " << describe(error.code_) << ": " << error.text_ << '\n';
     return Exit::Unreachable;
 }
 
-// Prints a failure with its number.
-Exit failure(const HttpAnswer &answer)
+void printAnswer(const Json &answer);
+
+// Prints a failure with its number, and when to ask again.
+Exit failure(const Client &client, const HttpAnswer &answer)
 {
     const Json json = Json::parse(answer.body_, nullptr, false);
+    if (client.json_ && json.is_object()) {
+        std::cout << answer.body_ << '\n';
+        return Exit::Failed;
+    }
     if (json.is_object() && json.contains("code")) {
         std::cerr << "ibiswall: code " << json["code"] << ": " << json.value("reason", "") << '\n';
     } else {
         std::cerr << "ibiswall: status " << answer.status_ << ": " << answer.body_ << '\n';
     }
+    if (answer.retryAfter_ > Millis{0}) {
+        std::cerr << "ibiswall: ask again after " << answer.retryAfter_.count_ << " ms\n";
+    }
+    return Exit::Failed;
+}
+
+Exit unreadable(const Client &client)
+{
+    std::cerr << "ibiswall: " << format(client.entry_) << ": the answer is not one of an entry\n";
     return Exit::Failed;
 }
 
 // Calls an entry and hands a good answer to a printer.
 template<typename Print>
-Exit callAndPrint(
-    const po::variables_map &values, const std::string &method, const std::string &target, const std::string &body, Print print)
+Exit callAndPrint(const Client &client, const std::string &method, const std::string &target, const std::string &body, Print print)
 {
-    const auto client = makeClient(values);
-    if (client.has_error()) {
-        std::cerr << "ibiswall: entry: " << client.error().text_ << '\n';
-        return Exit::Usage;
-    }
-    const auto answer = call(client.value(), method, target, body);
+    const auto answer = call(client, method, target, body);
     if (answer.has_error()) {
         return unreachable(answer.error());
     }
     if (answer.value().status_ >= httpFirstError) {
-        return failure(answer.value());
+        return failure(client, answer.value());
     }
-    if (client.value().json_) {
-        std::cout << answer.value().body_ << '\n';
-    } else {
+    try {
         print(Json::parse(answer.value().body_));
+    } catch (const Json::exception &) {
+        return unreadable(client);
     }
     return Exit::Ok;
 }
 
+// As above, with --json in place of the printer.
+template<typename Print>
+Exit callAndPrint(
+    const po::variables_map &values, const std::string &method, const std::string &target, const std::string &body, Print print)
+{
+    const auto client = makeClient(values);
+    if (client.has_error()) {
+        return badUsage(client.error());
+    }
+    return callAndPrint(client.value(), method, target, body, [&](const Json &answer) {
+        if (client.value().json_) {
+            std::cout << answer.dump() << '\n';
+        } else {
+            print(answer);
+        }
+    });
+}
+
 void printAnswer(const Json &answer)
 {
     std::cout << "job " << answer.value("id", "") << ": " << answer.value("state", "") << " (code " << answer.value("code", 0) << ")\n";
-    for (const Json &task : answer["tasks"]) {
+    if (answer.contains("retry_after_ms")) {
+        std::cout << "  ask again after " << answer["retry_after_ms"] << " ms\n";
+    }
+    for (const Json &task : answer.at("tasks")) {
         std::cout << "  task " << task["task"] << ": " << task.value("outcome", "") << ", "
                   << task.value("answer", task.value("reason", "")) << '\n';
     }
@@ -103,31 +146,33 @@
 
 void printPlan(const Json &plan)
 {
-    std::cout << "plan on version " << plan["base_version"] << ": " << plan["intent"]["op"].get<std::string>() << ' '
-              << plan["intent"]["name"].get<std::string>() << "\n  before: " << plan["before"].get<std::string>()
-              << "\n  after:  " << plan["after"].get<std::string>() << "\n  targets affected: " << plan["targets"].size() << '\n';
-    for (const Json &target : plan["targets"]) {
-        std::cout << "    " << target["target"].get<std::string>() << " on " << target["worker"].get<std::string>() << '\n';
+    std::cout << "plan on version " << plan.at("base_version") << ": " << plan.at("intent").at("op").get<std::string>() << ' '
+              << plan.at("intent").at("name").get<std::string>() << "\n  before: " << plan.at("before").get<std::string>()
+              << "\n  after:  " << plan.at("after").get<std::string>() << "\n  targets affected: " << plan.at("targets").size() << '\n';
+    for (const Json &target : plan.at("targets")) {
+        std::cout << "    " << target.at("target").get<std::string>() << " on " << target.at("worker").get<std::string>() << '\n';
     }
-    std::cout << "confirm with --base-version " << plan["base_version"] << " --digest " << plan["digest"].get<std::string>() << '\n';
+    std::cout << "confirm with --base-version " << plan.at("base_version") << " --digest " << plan.at("digest").get<std::string>() << '\n';
 }
 
 void printChange(const Json &change)
 {
-    std::cout << "version " << change["version"] << ": " << change["intent"]["op"].get<std::string>() << ' '
-              << change["intent"]["name"].get<std::string>() << " by " << change["who"].get<std::string>() << " at " << change["when_ms"]
-              << " ms: " << change["why"].get<std::string>() << "\n  before: " << change["before"].get<std::string>()
-              << "\n  after:  " << change["after"].get<std::string>() << '\n';
+    std::cout << "version " << change.at("version") << ": " << change.at("intent").at("op").get<std::string>() << ' '
+              << change.at("intent").at("name").get<std::string>() << " by " << change.at("who").get<std::string>() << " at "
+              << change.at("when_ms") << " ms: " << change.at("why").get<std::string>()
+              << "\n  before: " << change.at("before").get<std::string>() << "\n  after:  " << change.at("after").get<std::string>()
+              << '\n';
 }
 
 void printStatus(const Json &status)
 {
-    std::cout << "entry " << status["entry"].get<std::string>() << ", version " << status["version"]
-              << " in force\n  failure domains out: " << status["domains_out"].dump() << "\n  targets out: " << status["targets_out"].dump()
-              << "\n  agents that have not confirmed it: " << status["unconfirmed"].dump() << '\n';
-    for (const Json &agent : status["agents"]) {
-        std::cout << "  target " << agent["target"].get<std::string>() << " in " << agent["failure_domain"].get<std::string>()
-                  << ": version " << agent["version"] << ", " << agent["in_flight"] << " of " << agent["slots"] << " slots\n";
+    std::cout << "entry " << status.at("entry").get<std::string>() << ", version " << status.at("version")
+              << " in force\n  failure domains out: " << status.at("domains_out").dump()
+              << "\n  targets out: " << status.at("targets_out").dump()
+              << "\n  agents that have not confirmed it: " << status.at("unconfirmed").dump() << '\n';
+    for (const Json &agent : status.at("agents")) {
+        std::cout << "  target " << agent.at("target").get<std::string>() << " in " << agent.at("failure_domain").get<std::string>()
+                  << ": version " << agent.at("version") << ", " << agent.at("in_flight") << " of " << agent.at("slots") << " slots\n";
     }
 }
 
@@ -153,21 +198,44 @@
     return intent;
 }
 
-Exit badIntent(const Error &error)
+// Takes one fresh id from an entry, or prints why there is none.
+std::optional<std::string> takeId(const Client &client, Exit &ended)
 {
-    std::cerr << "ibiswall: " << error.text_ << '\n';
-    return Exit::Usage;
+    std::string id;
+    ended = callAndPrint(client, "POST", "/v1/ids", "", [&id](const Json &answer) { id = answer.at("ids").at(0).get<std::string>(); });
+    return ended == Exit::Ok ? std::optional<std::string>(id) : std::nullopt;
 }
 
-// Takes one fresh id from an entry.
-Result<std::string> takeId(const Client &client)
+Result<std::string> readJobFile(const std::string &name)
 {
-    BOOST_OUTCOME_TRY(const auto answer, call(client, "POST", "/v1/ids", ""));
-    const Json json = Json::parse(answer.body_, nullptr, false);
-    if (answer.status_ >= httpFirstError || !json.is_object() || !json.contains("ids")) {
-        return Error{Code::BadRequest, answer.body_};
+    std::ifstream file;
+    if (name != "-") {
+        file.open(name);
+    }
+    std::istream &in = name == "-" ? std::cin : file;
+    if (!in) {
+        return Error{Code::BadUsage, "--file: " + name + " cannot be read"};
     }
-    return json["ids"][0].get<std::string>();
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+// The body of a submission: a file, or the kind and the tasks from the command line.
+Result<std::string> submissionBody(const po::variables_map &values)
+{
+    const bool parts = values.count("kind") != 0 && values.count("task") != 0;
+    if (values.count("file") != 0) {
+        if (values.count("kind") != 0 || values.count("task") != 0) {
+            return Error{Code::BadUsage, "--file takes the place of --kind and --task"};
+        }
+        return readJobFile(values["file"].as<std::string>());
+    }
+    if (!parts) {
+        return Error{Code::BadUsage, "--file, or --kind and --task, are required"};
+    }
+    const Json body = {{"kind", values["kind"].as<std::string>()}, {"tasks", values["task"].as<std::vector<std::string>>()}};
+    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace
@@ -175,32 +243,36 @@
 Exit runSubmit(const CommandLine &line)
 {
     po::options_description options = clientOptions();
-    options.add_options()("kind", po::value<std::string>()->required(), "kind of the request");
-    options.add_options()("task", po::value<std::vector<std::string>>()->required(), "payload of a task; repeat for more");
+    options.add_options()("file", po::value<std::string>(), "job as JSON with kind and tasks; - reads standard input");
+    options.add_options()("kind", po::value<std::string>(), "kind of the request");
+    options.add_options()("task", po::value<std::vector<std::string>>(), "payload of a task; repeat for more");
     options.add_options()("id", po::value<std::string>()->default_value(""), "job id to submit again; a fresh one is taken otherwise");
     const ParsedOptions parsed = parseOptions(line, options, {}, "");
     if (parsed.ended_) {
         return parsed.exit_;
     }
     const auto client = makeClient(parsed.values_);
-    if (client.has_error()) {
-        std::cerr << "ibiswall: entry: " << client.error().text_ << '\n';
-        return Exit::Usage;
+    const auto body = submissionBody(parsed.values_);
+    if (client.has_error() || body.has_error()) {
+        return badUsage(client.has_error() ? client.error() : body.error());
     }
     std::string id = parsed.values_["id"].as<std::string>();
     if (id.empty()) {
-        auto taken = takeId(client.value());
-        if (taken.has_error()) {
-            return unreachable(taken.error());
+        Exit ended = Exit::Ok;
+        const auto taken = takeId(client.value(), ended);
+        if (!taken) {
+            return ended;
         }
-        id = std::move(taken).value();
+        id = *taken;
     }
-    const Json body
-        = {{"kind", parsed.values_["kind"].as<std::string>()}, {"tasks", parsed.values_["task"].as<std::vector<std::string>>()}};
     Exit exit = Exit::Ok;
-    const Exit called = callAndPrint(parsed.values_, "PUT", "/v1/jobs/" + id, body.dump(), [&exit](const Json &answer) {
-        printAnswer(answer);
+    const Exit called = callAndPrint(client.value(), "PUT", "/v1/jobs/" + id, body.value(), [&](const Json &answer) {
         exit = answer.value("state", "") == "complete" ? Exit::Ok : Exit::Failed;
+        if (client.value().json_) {
+            std::cout << answer.dump() << '\n';
+        } else {
+            printAnswer(answer);
+        }
     });
     return called == Exit::Ok ? exit : called;
 }
@@ -226,7 +298,7 @@
     }
     const auto intent = intentFrom(parsed.values_);
     if (intent.has_error()) {
-        return badIntent(intent.error());
+        return badUsage(intent.error());
     }
     return callAndPrint(parsed.values_, "POST", "/v1/plan", formatIntent(intent.value()), printPlan);
 }
@@ -244,7 +316,7 @@
     }
     const auto intent = intentFrom(parsed.values_);
     if (intent.has_error()) {
-        return badIntent(intent.error());
+        return badUsage(intent.error());
     }
     const auto &values = parsed.values_;
     const Confirmation confirmation{intent.value(), values["base-version"].as<std::uint64_t>(), values["digest"].as<std::string>(), "",
@@ -271,7 +343,7 @@
     }
     const std::string target = "/v1/audit?after=" + std::to_string(parsed.values_["after"].as<std::uint64_t>());
     return callAndPrint(parsed.values_, "GET", target, "", [](const Json &trail) {
-        for (const Json &change : trail["changes"]) {
+        for (const Json &change : trail.at("changes")) {
             printChange(change);
         }
     });
--- a/src/ibiswall/cli/commands.hpp
+++ b/src/ibiswall/cli/commands.hpp
@@ -10,6 +10,8 @@
 struct CommandLine
 {
     std::string command_;
+    /// What the command does, for its help.
+    std::string summary_;
     std::vector<std::string> arguments_;
 };
 
--- a/src/ibiswall/cli/options.cpp
+++ b/src/ibiswall/cli/options.cpp
@@ -16,7 +16,7 @@
     try {
         po::store(po::command_line_parser(line.arguments_).options(options).positional(positions).run(), parsed.values_);
         if (parsed.values_.count("help") != 0) {
-            std::cout << "usage: ibiswall " << line.command_ << " [OPTIONS] " << operands << '\n' << options;
+            std::cout << "usage: ibiswall " << line.command_ << " [OPTIONS] " << operands << '\n' << line.summary_ << "\n\n" << options;
             parsed.ended_ = true;
             return parsed;
         }
--- a/src/ibiswall/cli/processes.cpp
+++ b/src/ibiswall/cli/processes.cpp
@@ -7,6 +7,8 @@
 #include <ibiswall/entry.hpp>
 #include <ibiswall/log.hpp>
 #include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace ibiswall {
 
@@ -23,14 +25,35 @@
     return word == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
-// Reads the settings file that the command line names.
-Result<Settings> loadNamed(const CommandLine &line, Exit &ended)
+po::options_description settingsOptions()
 {
     po::options_description options("options");
     options.add_options()("settings", po::value<std::string>()->required(), "settings file, JSON with comments");
+    return options;
+}
+
+po::positional_options_description settingsPosition()
+{
     po::positional_options_description positions;
     positions.add("settings", 1);
-    const ParsedOptions parsed = parseOptions(line, options, positions, "FILE");
+    return positions;
+}
+
+// Prints the outcome of a check for scripts.
+void printVerdict(const std::string &problems)
+{
+    nlohmann::json verdict = {{"ok", problems.empty()}, {"problems", nlohmann::json::array()}};
+    std::istringstream lines(problems);
+    for (std::string line; std::getline(lines, line);) {
+        verdict["problems"].push_back(line);
+    }
+    std::cout << verdict.dump() << '\n';
+}
+
+// Reads the settings file that the command line names.
+Result<Settings> loadNamed(const CommandLine &line, Exit &ended)
+{
+    const ParsedOptions parsed = parseOptions(line, settingsOptions(), settingsPosition(), "FILE");
     if (parsed.ended_) {
         ended = parsed.exit_;
         return Error{Code::BadUsage, {}};
@@ -83,13 +106,22 @@
 
 Exit runCheckSettings(const CommandLine &line)
 {
-    Exit ended = Exit::Ok;
-    const auto settings = loadNamed(line, ended);
-    if (settings.has_error()) {
-        return ended;
+    po::options_description options = settingsOptions();
+    options.add_options()("json", "print the verdict as JSON: ok, and the problems");
+    const ParsedOptions parsed = parseOptions(line, options, settingsPosition(), "FILE");
+    if (parsed.ended_) {
+        return parsed.exit_;
+    }
+    const auto settings = loadSettings(parsed.values_["settings"].as<std::string>());
+    const std::string problems = settings.has_error() ? settings.error().text_ : std::string();
+    if (parsed.values_.count("json") != 0) {
+        printVerdict(problems);
+    } else if (settings.has_error()) {
+        std::cerr << problems << '\n';
+    } else {
+        std::cout << "settings are good\n";
     }
-    std::cout << "settings are good\n";
-    return Exit::Ok;
+    return settings.has_error() ? Exit::Settings : Exit::Ok;
 }
 
 } // namespace ibiswall
--- a/src/ibiswall/net/httpcall.cpp
+++ b/src/ibiswall/net/httpcall.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <optional>
 
 namespace ibiswall {
@@ -34,6 +35,15 @@
     return request;
 }
 
+// Reads the seconds of a Retry-After header; the form with a date is not used here.
+Millis readRetryAfter(beast::string_view text)
+{
+    constexpr std::int64_t millisPerSecond = 1000;
+    std::int32_t seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return {seconds * millisPerSecond};
+}
+
 } // namespace
 
 Result<HttpAnswer> callHttp(const Address &address, const HttpCall &call)
@@ -74,7 +84,8 @@
     if (error) {
         return *error;
     }
-    return HttpAnswer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
+    const Millis retryAfter = readRetryAfter(parser.get()[http::field::retry_after]);
+    return HttpAnswer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body()), retryAfter};
 }
 
 } // namespace ibiswall
