--- a/src/ibiswall/entry/callersduty.cpp
+++ b/src/ibiswall/entry/callersduty.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::string_view part = "entry.callers";
 constexpr std::size_t maxIdsPerCall = 10000;
 constexpr std::string_view jobsPath = "/v1/jobs/";
 constexpr int httpOk = 200;
@@ -65,6 +66,14 @@
     return {Code::WrongMethod, request.method_ + ' ' + request.path_ + ": use " + std::string(allowed)};
 }
 
+// One line for each intent that was confirmed, accepted or not.
+void logConfirmation(const std::string &intent, const HttpReply &reply)
+{
+    const bool accepted = reply.status_ == httpOk;
+    log(accepted ? LogLevel::Info : LogLevel::Warning, part,
+        "intent " + std::string(accepted ? "accepted" : "refused") + ": " + intent + (accepted ? std::string() : ", " + reply.body_));
+}
+
 } // namespace
 
 CallersDuty::CallersDuty(boost::asio::io_context &io, const EntrySettings &settings, std::function<bool(DispatchMessage)> forward)
@@ -111,6 +120,11 @@
     }
     const Respond respond = std::move(found->second);
     waiting_.erase(found);
+    const auto intent = confirming_.find(reply.caller_);
+    if (intent != confirming_.end()) {
+        logConfirmation(intent->second, reply.reply_);
+        confirming_.erase(intent);
+    }
     respond(reply.answer_ ? answerReply(*reply.answer_) : std::move(reply.reply_));
 }
 
@@ -120,6 +134,7 @@
     waiting_[caller] = respond;
     if (!forward_(make(caller))) {
         waiting_.erase(caller);
+        confirming_.erase(caller);
         respond(errorReply({Code::Overloaded, "entry \"" + self_ + "\" is overloaded"}));
     }
 }
@@ -231,7 +246,10 @@
             return;
         }
         confirmation.value().who_ = name;
-        forward(respond, [&](CallerRef caller) { return ConfirmRequest{caller, std::move(confirmation).value()}; });
+        forward(respond, [&](CallerRef caller) {
+            confirming_[caller] = describe(confirmation.value().intent_) + ", by " + name;
+            return ConfirmRequest{caller, std::move(confirmation).value()};
+        });
     }
 }
 
--- a/src/ibiswall/entry/callersduty.hpp
+++ b/src/ibiswall/entry/callersduty.hpp
@@ -48,6 +48,8 @@
     HttpServer server_;
     /// Requests passed on and not yet answered.
     std::unordered_map<CallerRef, Respond> waiting_;
+    /// What the confirmations among waiting_ ask for, for the log.
+    std::unordered_map<CallerRef, std::string> confirming_;
     CallerRef nextCaller_ = 1;
     bool healthy_ = true;
 };
