--- /dev/null
+++ b/examples/domain-out.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Takes a failure domain out of service, submits a job meanwhile, and brings the failure domain back.
+set -euo pipefail
+cd "$(dirname "$0")"
+. ./lib.sh
+change "storm warning" --op domain-out --name fd-2
+operator status
+member submit --file care-notes.job.json
+change "storm has passed" --op domain-in --name fd-2
