Measure the cost of idle links, and of the platform's reads

Cause: nothing told what an entry pays for each linked agent, or an agent for each entry, while no task runs.

bench_links opens many agents' links in one process to one real entry, many entries' links to one real agent, and counts the reads of the stand-in platform. Processor time is now read from the scheduler's nanoseconds of each thread, as ticks of 10 ms are too coarse for an idle process. Bytes are also given with 66 B of headers for each segment.

--- /dev/null
+++ b/bench/load/links.cpp
@@ -0,0 +1,320 @@
+// Measures what links cost while no task runs: an entry with many agents, an agent with many entries, and the
+// time in which a change reaches every agent.
+
+#include "usage.hpp"
+
+#include "../../tests/system/cluster.hpp"
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <ibiswall/codec.hpp>
+#include <iomanip>
+#include <iostream>
+#include <thread>
+
+namespace ibiswall::bench {
+
+namespace {
+
+using system::Cluster;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds renewInterval(500);
+constexpr std::chrono::seconds settleTime(2);
+constexpr double mebi = 1U << 20U;
+
+// The network side of an agent without a target: announces itself and renews its grant.
+class IdleAgent
+{
+public:
+    IdleAgent(boost::asio::io_context &io, std::uint16_t port, int number, std::atomic<std::uint64_t> &newest)
+        : timer_(io)
+        , newest_(newest)
+        , link_(io, {"127.0.0.1", port}, LinkLimits{}, events(number))
+    {
+        link_.start();
+    }
+
+private:
+    LinkEvents events(int number)
+    {
+        LinkEvents events;
+        events.opened_ = [this, number](LinkId /*link*/) {
+            const std::string name = "idle-" + std::to_string(number);
+            AgentHello hello;
+            hello.info_ = {{name, 1}, {name, name, "fd-1"}, 1, 1};
+            link_.send(encode(hello));
+            renew();
+        };
+        events.closed_ = [](LinkId /*link*/) {
+        };
+        events.received_ = [this](LinkId /*link*/, std::string_view frame) {
+            const auto message = decode(frame);
+            const auto *grant = message.has_value() ? std::get_if<Grant>(&message.value()) : nullptr;
+            if (grant != nullptr && grant->version_ > version_) {
+                version_ = grant->version_;
+                newest_ += 1;
+            }
+        };
+        return events;
+    }
+
+    void renew()
+    {
+        link_.send(encode(Renewal{++renewal_, version_}));
+        timer_.expires_after(renewInterval);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                renew();
+            }
+        });
+    }
+
+    boost::asio::steady_timer timer_;
+    /// Counts, over all agents, the versions that arrived.
+    std::atomic<std::uint64_t> &newest_;
+    std::uint64_t version_ = 0;
+    std::uint64_t renewal_ = 0;
+    LinkClient link_;
+};
+
+// The link side of an entry that only grants.
+class IdleEntry
+{
+public:
+    explicit IdleEntry(boost::asio::io_context &io)
+        : server_(io, LinkLimits{}, events())
+        , port_(server_.listen({"127.0.0.1", 0}).value())
+    {
+    }
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+private:
+    LinkEvents events()
+    {
+        LinkEvents events;
+        events.opened_ = [](LinkId /*link*/) {
+        };
+        events.closed_ = [](LinkId /*link*/) {
+        };
+        events.received_ = [this](LinkId link, std::string_view frame) {
+            receive(link, frame);
+        };
+        return events;
+    }
+
+    void receive(LinkId link, std::string_view frame)
+    {
+        constexpr Millis grantLength{1500};
+        const auto message = decode(frame);
+        if (const auto *renewal = std::get_if<Renewal>(&message.value())) {
+            server_.send(link, encode(Grant{renewal->number_, 1, false, grantLength}));
+        }
+    }
+
+    LinkServer server_;
+    std::uint16_t port_;
+};
+
+// Runs an event loop on a thread of its own.
+class Background
+{
+public:
+    ~Background()
+    {
+        stop();
+    }
+
+    // Must come before the end of whatever the loop serves.
+    void stop()
+    {
+        io_.stop();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    boost::asio::io_context io_{1};
+
+private:
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{boost::asio::make_work_guard(io_)};
+    std::thread thread_{[this] {
+        io_.run();
+    }};
+};
+
+struct Cost
+{
+    Usage usage_;
+    LinkBytes bytes_;
+    Clock::time_point at_;
+};
+
+void print(const std::string &what, int count, const Cost &before, const Cost &after, const std::string &more)
+{
+    const double seconds = std::chrono::duration<double>(after.at_ - before.at_).count();
+    const auto bytes = static_cast<double>(after.bytes_.received_ - before.bytes_.received_ + after.bytes_.sent_ - before.bytes_.sent_);
+    const auto segments = static_cast<double>(after.bytes_.segments_ - before.bytes_.segments_);
+    constexpr double segmentHeader = 66; // Ethernet, IP, and TCP with timestamps
+    constexpr double percent = 100;
+    std::cout << what << ' ' << std::setw(4) << count << std::fixed << "  resident " << std::setprecision(2)
+              << static_cast<double>(after.usage_.residentBytes_) / mebi << " MiB  processor " << std::setprecision(3)
+              << (after.usage_.cpuSeconds_ - before.usage_.cpuSeconds_) / seconds * percent << " %  links " << std::setprecision(0)
+              << bytes / seconds << " B/s, " << (bytes + segments * segmentHeader) / seconds << " B/s with headers" << more << std::endl;
+}
+
+Cost measure(pid_t pid, const std::vector<std::uint16_t> &ports)
+{
+    Cost cost{readUsage(pid), {}, Clock::now()};
+    for (const std::uint16_t port : ports) {
+        const LinkBytes bytes = readLinkBytes(port);
+        cost.bytes_.received_ += bytes.received_;
+        cost.bytes_.sent_ += bytes.sent_;
+        cost.bytes_.segments_ += bytes.segments_;
+    }
+    return cost;
+}
+
+// Time from the confirmation until every agent has the new version.
+double changeMillis(const Cluster &cluster, int agents, const std::atomic<std::uint64_t> &newest)
+{
+    const std::uint64_t before = newest;
+    const auto began = Clock::now();
+    cluster.change(0, {{"op", "set-kind"}, {"name", "fan-out"}, {"value", 1}, {"deadline_ms", 1000}, {"repeatable", false}});
+    while (newest < before + static_cast<std::uint64_t>(agents)) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return std::chrono::duration<double, std::milli>(Clock::now() - began).count();
+}
+
+void measureEntry(int agents, std::chrono::seconds length)
+{
+    system::ClusterShape shape;
+    shape.entries_ = 1;
+    shape.targets_ = 0;
+    const Cluster cluster(shape);
+    std::atomic<std::uint64_t> newest{0};
+    Background background;
+    std::vector<std::unique_ptr<IdleAgent>> idle;
+    boost::asio::post(background.io_, [&] {
+        for (int i = 0; i < agents; ++i) {
+            idle.push_back(std::make_unique<IdleAgent>(background.io_, cluster.entries_[0].linksPort_, i, newest));
+        }
+    });
+    cluster.awaitAgents(static_cast<std::size_t>(agents));
+    std::this_thread::sleep_for(settleTime);
+    const pid_t pid = cluster.entries_[0].process_->pid();
+    const std::vector<std::uint16_t> ports = {cluster.entries_[0].linksPort_};
+    const Cost before = measure(pid, ports);
+    std::this_thread::sleep_for(length);
+    const Cost after = measure(pid, ports);
+    const double change = changeMillis(cluster, agents, newest);
+    background.stop();
+    print("entry, agents", agents, before, after, "  change at all agents after " + std::to_string(std::lround(change)) + " ms");
+}
+
+void measureAgent(int entries, std::chrono::seconds length)
+{
+    Background background;
+    std::vector<std::unique_ptr<IdleEntry>> idle;
+    std::vector<std::uint16_t> ports;
+    system::Json addresses = system::Json::array();
+    for (int i = 0; i < entries; ++i) {
+        idle.push_back(std::make_unique<IdleEntry>(background.io_));
+        ports.push_back(idle.back()->port());
+        addresses.push_back("127.0.0.1:" + std::to_string(ports.back()));
+    }
+    const auto file = std::filesystem::temp_directory_path() / ("ibiswall-bench-" + std::to_string(getpid()) + ".json");
+    std::ofstream(file) << system::Json({{"role", "agent"},
+                                         {"target", "t"},
+                                         {"worker", "w"},
+                                         {"failure_domain", "fd-1"},
+                                         {"slots", 8},
+                                         {"target_address", "127.0.0.1:1"},
+                                         {"health_address", "127.0.0.1:0"},
+                                         {"log_level", "warning"},
+                                         {"entry_addresses", addresses}})
+                               .dump();
+    const system::Process agent({IBISWALL_BINARY, "agent", file.string()});
+    std::this_thread::sleep_for(settleTime);
+    const Cost before = measure(agent.pid(), ports);
+    std::this_thread::sleep_for(length);
+    const Cost after = measure(agent.pid(), ports);
+    background.stop();
+    print("agent, entries", entries, before, after, "");
+    std::filesystem::remove(file);
+}
+
+// Reads of the platform by entries that do nothing else.
+void measurePlatform(int entries, std::chrono::seconds length)
+{
+    system::ClusterShape shape;
+    shape.entries_ = entries;
+    shape.targets_ = 0;
+    const Cluster cluster(shape);
+    std::this_thread::sleep_for(settleTime);
+    const auto stats = [&] {
+        return system::Json::parse(callHttp({"127.0.0.1", cluster.platformPort_}, {"GET", "/standin/stats", {}, {}}).value().body_);
+    };
+    const system::Json before = stats();
+    std::this_thread::sleep_for(length);
+    const system::Json after = stats();
+    const auto rate = [&](const char *key) {
+        return (after[key].get<double>() - before[key].get<double>()) / static_cast<double>(length.count());
+    };
+    std::cout << "platform, entries " << std::setw(4) << entries << std::fixed << std::setprecision(1) << "  reads " << rate("reads")
+              << " /s  writes " << rate("writes") << " /s" << std::endl;
+}
+
+int runMain(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    std::vector<int> agents;
+    std::vector<int> entries;
+    std::vector<int> platform;
+    int seconds = 0;
+    po::options_description known("Options");
+    auto add = known.add_options();
+    add("help", "print this");
+    add("agents", po::value(&agents)->multitoken(), "measure an entry with so many idle agents");
+    add("entries", po::value(&entries)->multitoken(), "measure an idle agent with so many entries");
+    add("platform", po::value(&platform)->multitoken(), "count the platform's calls by so many idle entries");
+    add("seconds", po::value(&seconds)->default_value(5), "length of each measurement, in s");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, known), values);
+    po::notify(values);
+    if (values.count("help") > 0) {
+        std::cout << "Usage: bench_links [OPTION]...\n\n" << known;
+        return 0;
+    }
+    for (const int count : agents) {
+        measureEntry(count, std::chrono::seconds(seconds));
+    }
+    for (const int count : entries) {
+        measureAgent(count, std::chrono::seconds(seconds));
+    }
+    for (const int count : platform) {
+        measurePlatform(count, std::chrono::seconds(seconds));
+    }
+    return 0;
+}
+
+} // namespace
+
+} // namespace ibiswall::bench
+
+int main(int argc, char **argv)
+{
+    try {
+        return ibiswall::bench::runMain(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "bench_links: " << error.what() << '\n';
+        return 1;
+    }
+}
--- a/bench/load/usage.cpp
+++ b/bench/load/usage.cpp
@@ -4,9 +4,9 @@
 
 #include <array>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <unistd.h>
 
@@ -14,9 +14,14 @@
 
 namespace {
 
-// Fields of /proc/PID/stat that follow the command's closing bracket.
-constexpr int fieldsBeforeUserTime = 11;
-constexpr int fieldsBetweenSystemTimeAndResident = 8;
+// Nanoseconds that a thread has run, from its schedstat file.
+double threadSeconds(const std::filesystem::path &thread)
+{
+    constexpr double nanosPerSecond = 1e9;
+    double nanos = 0;
+    std::ifstream(thread / "schedstat") >> nanos;
+    return nanos / nanosPerSecond;
+}
 
 std::uint64_t numberAfter(const std::string &text, const std::string &label)
 {
@@ -28,23 +33,16 @@
 
 Usage readUsage(pid_t pid)
 {
-    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-    std::istringstream in(text.substr(text.rfind(')') + 1));
-    std::string skipped;
-    for (int i = 0; i < fieldsBeforeUserTime; ++i) {
-        in >> skipped;
-    }
-    std::uint64_t user = 0;
-    std::uint64_t system = 0;
-    in >> user >> system;
-    for (int i = 0; i < fieldsBetweenSystemTimeAndResident; ++i) {
-        in >> skipped;
+    const std::filesystem::path process = "/proc/" + std::to_string(pid);
+    Usage usage;
+    for (const auto &thread : std::filesystem::directory_iterator(process / "task")) {
+        usage.cpuSeconds_ += threadSeconds(thread.path());
     }
+    std::uint64_t total = 0;
     std::uint64_t pages = 0;
-    in >> pages;
-    return {static_cast<double>(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)),
-            pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE))};
+    std::ifstream(process / "statm") >> total >> pages;
+    usage.residentBytes_ = pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    return usage;
 }
 
 LinkBytes readLinkBytes(std::uint16_t port)
@@ -57,6 +55,7 @@
         const std::string text(line.data());
         sum.received_ += numberAfter(text, "bytes_received:");
         sum.sent_ += numberAfter(text, "bytes_sent:");
+        sum.segments_ += numberAfter(text, "segs_in:") + numberAfter(text, "segs_out:");
     }
     return sum;
 }
--- a/bench/load/usage.hpp
+++ b/bench/load/usage.hpp
@@ -22,6 +22,8 @@
 {
     std::uint64_t received_ = 0;
     std::uint64_t sent_ = 0;
+    /// TCP segments both ways, acknowledgements included.
+    std::uint64_t segments_ = 0;
 };
 
 /// Reads the byte counts of a listening port's connections with `ss`.
