Choose a stable subset of entries for an agent

Cause: with links from every agent to every entry, renewals grow with the product of both.

Tests, over 2,000 agents, 39 entries and 13 failure domains: the choices lie in as many failure domains as they can, each entry gets within a quarter of an even share, an entry that goes changes one link of the agents that chose it and none of the others, the order of the list does not matter.

Ruled out: a ring of hashes (uneven without many points for each entry), and a draw at random by each agent (changes at each restart).

No process uses it yet: the agent's settings name addresses, not failure domains.

--- a/include/ibiswall/core.hpp
+++ b/include/ibiswall/core.hpp
@@ -17,3 +17,4 @@
 #include <ibiswall/core/queue.hpp> // IWYU pragma: export
 #include <ibiswall/core/random.hpp> // IWYU pragma: export
 #include <ibiswall/core/seen.hpp> // IWYU pragma: export
+#include <ibiswall/core/subset.hpp> // IWYU pragma: export
--- /dev/null
+++ b/src/ibiswall/core/subset_test.cpp
@@ -0,0 +1,112 @@
+// Checks that the choice of entries is spread, even and stable.
+
+#include <boost/test/unit_test.hpp>
+#include <ibiswall/core/subset.hpp>
+#include <map>
+#include <set>
+
+namespace ibiswall {
+
+namespace {
+
+constexpr int entryCount = 39;
+constexpr int domainCount = 13;
+constexpr int agentCount = 2000;
+
+std::vector<EntryPoint> makeEntries()
+{
+    std::vector<EntryPoint> entries;
+    entries.reserve(entryCount);
+    for (int i = 0; i < entryCount; ++i) {
+        entries.push_back({"entry-" + std::to_string(i), "fd-" + std::to_string(i % domainCount)});
+    }
+    return entries;
+}
+
+std::string agentName(int number)
+{
+    return "target-" + std::to_string(number);
+}
+
+std::set<std::string> chosenNames(int agent, Span<const EntryPoint> entries, std::size_t count)
+{
+    std::set<std::string> names;
+    for (const std::size_t index : chooseEntries(agentName(agent), entries, count)) {
+        names.insert(entries[index].name_);
+    }
+    return names;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(subset)
+
+BOOST_AUTO_TEST_CASE(choices_lie_in_as_many_failure_domains_as_they_can)
+{
+    const auto entries = makeEntries();
+    for (const std::size_t count : {1U, 6U, 13U, 20U}) {
+        for (int agent = 0; agent < agentCount; ++agent) {
+            std::set<std::string> domains;
+            for (const std::size_t index : chooseEntries(agentName(agent), entries, count)) {
+                domains.insert(entries[index].domain_);
+            }
+            BOOST_REQUIRE(domains.size() == std::min<std::size_t>(count, domainCount));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(every_entry_gets_an_even_share_in_every_failure_domain)
+{
+    const auto entries = makeEntries();
+    constexpr std::size_t count = 6;
+    std::map<std::string, int> agents;
+    for (int agent = 0; agent < agentCount; ++agent) {
+        for (const std::string &name : chosenNames(agent, entries, count)) {
+            ++agents[name];
+        }
+    }
+    constexpr double even = agentCount * static_cast<double>(count) / entryCount;
+    BOOST_TEST(agents.size() == static_cast<std::size_t>(entryCount));
+    for (const auto &[name, share] : agents) {
+        BOOST_TEST_INFO(name << " serves " << share);
+        BOOST_TEST(share > even * 0.75);
+        BOOST_TEST(share < even * 1.25);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_goes_changes_one_link_of_the_agents_that_chose_it)
+{
+    const auto entries = makeEntries();
+    constexpr std::size_t count = 6;
+    for (int gone = 0; gone < entryCount; ++gone) {
+        auto fewer = entries;
+        fewer.erase(fewer.begin() + gone);
+        for (int agent = 0; agent < agentCount / 10; ++agent) {
+            auto before = chosenNames(agent, entries, count);
+            const auto after = chosenNames(agent, fewer, count);
+            const bool affected = before.erase(entries[static_cast<std::size_t>(gone)].name_) > 0;
+            BOOST_REQUIRE(std::includes(after.begin(), after.end(), before.begin(), before.end()));
+            BOOST_REQUIRE(affected || after == before);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_order_of_the_list_does_not_matter)
+{
+    const auto entries = makeEntries();
+    const std::vector<EntryPoint> reversed(entries.rbegin(), entries.rend());
+    for (int agent = 0; agent < agentCount; ++agent) {
+        BOOST_REQUIRE(chosenNames(agent, entries, 6) == chosenNames(agent, reversed, 6));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(small_lists_are_chosen_whole)
+{
+    const auto entries = makeEntries();
+    BOOST_TEST(chosenNames(1, entries, entryCount + 1).size() == static_cast<std::size_t>(entryCount));
+    BOOST_TEST(chooseEntries("target", {}, 3).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ibiswall
