--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -83,7 +83,7 @@
 // Tokens travel in a header, so they are visible ASCII.
 std::string readToken(Checker &in)
 {
-    const std::string token = in.text("token");
+    std::string token = in.text("token");
     const bool visible = std::all_of(token.begin(), token.end(), [](char c) { return c > ' ' && c <= '~'; });
     if (!token.empty() && (token.size() < minToken || token.size() > maxToken || !visible)) {
         in.problem("token", std::to_string(minToken) + " to " + std::to_string(maxToken) + " visible ASCII characters are required");
