Answer HEAD without a body

Cause: the reply to a HEAD request carried a body, which a caller on a kept connection reads as the start of the next reply. The system test badinput was seen failing first: the next reply began with the body of the health check. After: it passes.

--- a/src/ibiswall/net/httpserver.cpp
+++ b/src/ibiswall/net/httpserver.cpp
@@ -169,6 +169,7 @@
         phase_ = Phase::Handling;
         keepAlive_ = parser_->get().keep_alive();
         version_ = parser_->get().version();
+        withoutBody_ = parser_->get().method() == http::verb::head;
         state_->handler_(toRequest(parser_->release()),
                          [self = this->shared_from_this()](HttpReply reply) { self->send(std::move(reply)); });
     }
@@ -205,7 +206,9 @@
         }
         keepAlive_ = keepAlive_ && !state_->stopping_;
         reply_.keep_alive(keepAlive_);
-        reply_.body() = std::move(reply.body_);
+        if (!withoutBody_) {
+            reply_.body() = std::move(reply.body_);
+        }
         reply_.prepare_payload();
         stream_.expires_after(toChrono(state_->limits_.idle_));
         http::async_write(stream_, reply_,
@@ -254,6 +257,8 @@
     bool keepAlive_ = true;
     /// Whether the reply is the server's own refusal.
     bool refused_ = false;
+    /// Whether the request was a HEAD, whose reply has no body.
+    bool withoutBody_ = false;
     unsigned version_ = httpVersion11;
 };
 
--- a/tests/system/badinput_test.cpp
+++ b/tests/system/badinput_test.cpp
@@ -221,6 +221,16 @@
     runCases(cluster, wrongBodies(id));
 }
 
+BOOST_AUTO_TEST_CASE(a_reply_to_head_has_no_body)
+{
+    const Cluster cluster(tightShape());
+    const std::string reply
+        = exchangeRaw(cluster.entries_[0].callersPort_, "HEAD /healthz HTTP/1.1\r\n\r\n" + request("GET /healthz", member));
+    const auto second = reply.find("\r\n\r\n");
+    BOOST_REQUIRE(second != std::string::npos);
+    BOOST_TEST(reply.substr(second + 4, 12) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(bad_frames_close_the_link)
 {
     const Cluster cluster(tightShape());
