--- a/src/ibiswall/entry/dispatchduty.cpp
+++ b/src/ibiswall/entry/dispatchduty.cpp
@@ -48,8 +48,8 @@
                             act(actions);
                         },
                         [this](LinkId link, std::string_view frame) { receive(link, frame); },
-                        [](std::string_view reason) {
-                            log(LogLevel::Warning, part, "link refused: " + std::string(reason));
+                        [this](std::string_view reason) {
+                            noteRefusedLink(reason);
                         }})
     , peers_(io, makeSelf(settings), settings.peers_, [this](CallerRef caller, HttpReply answer) { reply(caller, std::move(answer)); })
     , timer_(io)
@@ -75,6 +75,19 @@
     links_.stop();
 }
 
+// Logs at most one line a second, so that a flood of peers does not become a flood of lines.
+void DispatchDuty::noteRefusedLink(std::string_view reason)
+{
+    constexpr Millis pause{1000};
+    ++refusedLinks_;
+    const Millis now = bootClock();
+    if (now - refusalLogged_ < pause) {
+        return;
+    }
+    refusalLogged_ = now;
+    log(LogLevel::Warning, part, "link refused: " + std::string(reason) + ", " + std::to_string(refusedLinks_) + " refused so far");
+}
+
 void DispatchDuty::scheduleTick()
 {
     timer_.expires_after(tickInterval);
--- a/src/ibiswall/entry/dispatchduty.hpp
+++ b/src/ibiswall/entry/dispatchduty.hpp
@@ -68,6 +68,7 @@
     void notifyAgents();
     Grant makeGrant(const Agent &agent, std::uint64_t renewal, Millis length) const;
     std::vector<TargetPlace> announced() const;
+    void noteRefusedLink(std::string_view reason);
     void scheduleTick();
     void reportDrained();
 
@@ -85,6 +86,9 @@
     std::unordered_map<CallerRef, std::pair<LinkId, std::uint64_t>> relayed_;
     CallerRef nextRelayed_;
     bool drainReported_ = false;
+    std::uint64_t refusedLinks_ = 0;
+    /// When the last refused link was logged.
+    Millis refusalLogged_;
 };
 
 } // namespace ibiswall
