Count and time the requests of callers

Replies by route and status, and a histogram of the time from request to reply by route. Unknown paths count as one route, so that callers cannot make time series.

--- a/src/ibiswall/entry/callersduty.cpp
+++ b/src/ibiswall/entry/callersduty.cpp
@@ -83,7 +83,7 @@
     , self_(settings.name_)
     , server_(io,
               HttpLimits{settings.maxBody_, settings.maxHeader_, settings.maxConnections_, settings.idle_},
-              [this](const HttpRequest &request, const Respond &respond) { handle(request, respond); })
+              [this](const HttpRequest &request, const Respond &respond) { measure(request, respond); })
 {
 }
 
@@ -139,6 +139,17 @@
     }
 }
 
+void CallersDuty::measure(const HttpRequest &request, const Respond &respond)
+{
+    handle(request, [this, began = bootClock(), path = request.path_, respond](HttpReply reply) {
+        metrics_.observe(path, reply.status_, bootClock() - began);
+        if (path == "/metrics" && reply.status_ == httpOk) {
+            reply.body_ += metrics_.text();
+        }
+        respond(std::move(reply));
+    });
+}
+
 void CallersDuty::handle(const HttpRequest &request, const Respond &respond)
 {
     const bool open = request.path_ == "/healthz" || request.path_ == "/metrics";
--- a/src/ibiswall/entry/callersduty.hpp
+++ b/src/ibiswall/entry/callersduty.hpp
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "httpmetrics.hpp"
 #include "messages.hpp"
 
 #include <ibiswall/settings.hpp>
@@ -35,6 +36,7 @@
     std::size_t pending() const;
 
 private:
+    void measure(const HttpRequest &request, const Respond &respond);
     void handle(const HttpRequest &request, const Respond &respond);
     void handleJob(const HttpRequest &request, const std::string &member, const Respond &respond);
     void handleOperator(const HttpRequest &request, const std::string &name, const Respond &respond);
@@ -45,6 +47,7 @@
     std::unordered_map<std::string, std::string> members_;
     std::unordered_map<std::string, std::string> operators_;
     std::string self_;
+    HttpMetrics metrics_;
     HttpServer server_;
     /// Requests passed on and not yet answered.
     std::unordered_map<CallerRef, Respond> waiting_;
