Never report a repeatable task as not run after it may have run

Cause: a repeatable task whose link was lost is placed again. When it then found no slot before its deadline, or ran out of attempts, it was settled as not run, although its first attempt may have run. Ruled out: ending the job at the first loss, which would make repeatable kinds no different from the others. Before: the new test fails, state not-run with code 300. After: it passes; the reason of the first loss is kept with the task and is its final word unless a later attempt answers. Conclusion: 'not run' is decided in one place, where a task is settled.

--- a/include/ibiswall/core/dispatcher.hpp
+++ b/include/ibiswall/core/dispatcher.hpp
@@ -39,6 +39,8 @@
 {
     TaskOutcome outcome_;
     int attempts_ = 0;
+    /// Why an earlier attempt may have run; Ok when none may have. Such a task is never reported as not run.
+    Code lost_ = Code::Ok;
     /// Place in the queue; valid while the task is queued.
     Waiting waiting_;
     /// When the task was last sent.
--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -168,6 +168,9 @@
 void settle(Dispatcher &dispatcher, Job &job, std::uint32_t index, TaskOutcome outcome, DispatchActions &actions)
 {
     Task &task = job.tasks_[index];
+    if (outcome.state_ == TaskState::NotRun && task.lost_ != Code::Ok) {
+        outcome = {TaskState::MayHaveRun, task.lost_, {}};
+    }
     countOutcome(dispatcher.counts_, outcome.state_);
     if (task.outcome_.state_ == TaskState::Queued) {
         remove(dispatcher.queue_, job.submission_.member_, task.waiting_);
@@ -190,6 +193,17 @@
     enqueue(dispatcher, now, job, index);
 }
 
+// Settles a task that may have run, or places it again where its kind allows that.
+void settleLost(Dispatcher &dispatcher, Now now, Job &job, std::uint32_t index, Code code, DispatchActions &actions)
+{
+    job.tasks_[index].lost_ = code;
+    if (job.kind_.repeatable_) {
+        placeAgain(dispatcher, now, job, index, code, actions);
+        return;
+    }
+    settle(dispatcher, job, index, {TaskState::MayHaveRun, code, {}}, actions);
+}
+
 Job *openJob(Dispatcher &dispatcher, TaskRef ref)
 {
     const auto found = dispatcher.jobs_.find(ref.job_);
@@ -309,8 +323,8 @@
         placeAgain(dispatcher, now, *job, report.key_.task_, report.outcome_.code_, actions);
         return;
     }
-    if (report.outcome_.state_ == TaskState::MayHaveRun && job->kind_.repeatable_) {
-        placeAgain(dispatcher, now, *job, report.key_.task_, report.outcome_.code_, actions);
+    if (report.outcome_.state_ == TaskState::MayHaveRun) {
+        settleLost(dispatcher, now, *job, report.key_.task_, report.outcome_.code_, actions);
         return;
     }
     settle(dispatcher, *job, report.key_.task_, report.outcome_, actions);
@@ -475,11 +489,7 @@
         if (job == nullptr) {
             continue;
         }
-        if (job->kind_.repeatable_) {
-            placeAgain(dispatcher, now, *job, lost.task_, Code::ConnectionLost, actions);
-        } else {
-            settle(dispatcher, *job, lost.task_, {TaskState::MayHaveRun, Code::ConnectionLost, {}}, actions);
-        }
+        settleLost(dispatcher, now, *job, lost.task_, Code::ConnectionLost, actions);
     }
     dispatch(dispatcher, now, actions);
 }
--- a/src/ibiswall/core/dispatcher_test.cpp
+++ b/src/ibiswall/core/dispatcher_test.cpp
@@ -125,6 +125,22 @@
     BOOST_TEST((actions.answers_.front().answer_->tasks_.front().code_ == Code::NoGrant));
 }
 
+BOOST_AUTO_TEST_CASE(repeatable_task_that_may_have_run_is_never_reported_as_not_run)
+{
+    Dispatcher entry = makeDispatcher();
+    entry.configuration_.kinds_["note"].repeatable_ = true;
+    DispatchActions actions;
+    joinAgent(entry, start, 1, makeAgent("a", "east", 4), actions);
+    submit(entry, start, makeJob(entry, 1), 1, actions);
+    loseAgent(entry, start, 1, actions);
+    BOOST_TEST(actions.answers_.empty());
+    tick(entry, {{2000}, {1001000}}, actions);
+    BOOST_REQUIRE(actions.answers_.size() == 1U);
+    const TaskOutcome &outcome = actions.answers_.front().answer_->tasks_.front();
+    BOOST_TEST((outcome.state_ == TaskState::MayHaveRun));
+    BOOST_TEST((outcome.code_ == Code::ConnectionLost));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_into_a_domain_that_is_out)
 {
     Dispatcher entry = makeDispatcher();
