--- a/include/ibiswall/core/fleet.hpp
+++ b/include/ibiswall/core/fleet.hpp
@@ -18,6 +18,9 @@
 /// An agent that has been silent for this long is given up, and its link closed.
 constexpr Millis agentLoss{10000};
 
+/// Agents drawn for each task.
+constexpr int placementDraws = 8;
+
 /// Names an agent to the core: the link it came by. Never used again after the link closes.
 using AgentRef = std::uint64_t;
 
@@ -78,7 +81,7 @@
 /// Brings ready_ up to date with the configuration and the time.
 void refreshAll(Fleet &fleet, const Configuration &configuration, Millis now);
 
-/// Chooses the less loaded of two agents drawn at random from those that may be sent a task.
+/// Chooses the least loaded of a few agents drawn at random from those that may be sent a task.
 std::optional<AgentRef> chooseAgent(Fleet &fleet, Random &random);
 
 } // namespace ibiswall
--- a/src/ibiswall/core/fleet.cpp
+++ b/src/ibiswall/core/fleet.cpp
@@ -95,9 +95,12 @@
     if (fleet.ready_.empty()) {
         return std::nullopt;
     }
-    const AgentRef first = fleet.ready_[drawIndex(random, fleet.ready_.size())];
-    const AgentRef second = fleet.ready_[drawIndex(random, fleet.ready_.size())];
-    return load(fleet.agents_.at(second)) < load(fleet.agents_.at(first)) ? second : first;
+    AgentRef chosen = fleet.ready_[drawIndex(random, fleet.ready_.size())];
+    for (int i = 1; i < placementDraws; ++i) {
+        const AgentRef other = fleet.ready_[drawIndex(random, fleet.ready_.size())];
+        chosen = load(fleet.agents_.at(other)) < load(fleet.agents_.at(chosen)) ? other : chosen;
+    }
+    return chosen;
 }
 
 } // namespace ibiswall
