Free the place of a ring's value before handling it

Cause: consume_all frees its places only after the last value was handled. An agent whose target refuses connections answers calls while their ends are still being handled, so up to twice the slots wait in a ring of slots plus one; the push failed, its result was ignored, the slot was lost and the job never answered. Ruled out: a larger ring, which would need the same proof for every sender. Seen to fail: channel/handling_a_value_has_freed_its_place with the former drain; with real processes kills/target_killed_and_replaced_at_the_same_address had 1 submission without an answer after 60 s. Conclusion: a ring as large as the calls in progress cannot fill.

--- a/include/ibiswall/net/channel.hpp
+++ b/include/ibiswall/net/channel.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/lockfree/spsc_queue.hpp>
 #include <functional>
+#include <optional>
 
 namespace ibiswall {
 
@@ -41,10 +42,15 @@
     }
 
 private:
+    // Frees the place of each value before handling it, for handling may make the sender send more.
     void drain()
     {
         scheduled_.store(false);
-        ring_.consume_all([this](T &value) { handle_(std::move(value)); });
+        for (std::size_t left = ring_.read_available(); left > 0; --left) {
+            std::optional<T> value;
+            ring_.consume_one([&value](T &taken) { value.emplace(std::move(taken)); });
+            handle_(std::move(*value));
+        }
         if (handled_) {
             handled_();
         }
--- a/src/ibiswall/net/channel_test.cpp
+++ b/src/ibiswall/net/channel_test.cpp
@@ -50,6 +50,25 @@
     BOOST_TEST(receiver.seen_ == "abcd.");
 }
 
+BOOST_AUTO_TEST_CASE(handling_a_value_has_freed_its_place)
+{
+    boost::asio::io_context io;
+    Channel<int> *sender = nullptr;
+    std::vector<int> received;
+    Channel<int> channel(io, 2, [&](int &&value) {
+        received.push_back(value);
+        // Stands for a sender that answers each value at once.
+        if (value <= 2) {
+            BOOST_TEST(sender->push(value + 2));
+        }
+    });
+    sender = &channel;
+    channel.push(1);
+    channel.push(2);
+    io.run();
+    BOOST_TEST(received == (std::vector<int>{1, 2, 3, 4}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall
