Number the attempts of a task, so that refused and repeated orders are told apart

Cause: the agent dropped every order of a task that it had seen, also one that it had refused before, without a word; the entry waited for ever. Forgetting a refused task lets a repeated frame start it after the report of not run, and the older record then forgets the newer attempt too early. Each order and report carries the attempt. The agent starts a later attempt only after it refused the earlier one, and tells an entry that asks again for a started task that it may have run. The entry ignores reports on earlier attempts. The table of seen tasks holds digests and is bounded by count; a full table refuses and forgets nothing. The protocol's version is 2. Not covered: a frame repeated after a full table refused it.

--- a/bench/policy/naive.cpp
+++ b/bench/policy/naive.cpp
@@ -91,7 +91,8 @@
     ++task.attempts_;
     ++entry.agents_.at(ref).placed_;
     ++entry.counts_.ordersSent_;
-    const Order order{key, job.submission_.kind_, job.submission_.payloads_[key.task_], job.startBy_ - now.boot_};
+    const Order order{key, job.submission_.kind_, job.submission_.payloads_[key.task_], job.startBy_ - now.boot_,
+                      static_cast<std::uint32_t>(task.attempts_)};
     actions.orders_.push_back({ref, {order}});
 }
 
--- a/include/ibiswall/codec/wire.hpp
+++ b/include/ibiswall/codec/wire.hpp
@@ -8,7 +8,7 @@
 namespace ibiswall {
 
 /// Version of the protocol between the system's own processes.
-constexpr std::uint64_t protocolVersion = 1;
+constexpr std::uint64_t protocolVersion = 2;
 
 /// Agent to entry, first frame: announces the agent and its target.
 struct AgentHello
--- a/include/ibiswall/core/gate.hpp
+++ b/include/ibiswall/core/gate.hpp
@@ -20,6 +20,8 @@
     std::string payload_;
     /// Time left, at sending, in which the task may start.
     Millis startWithin_;
+    /// Counts the times that the entry placed the task, from 1.
+    std::uint32_t attempt_ = 1;
 };
 
 /// The final word of an agent on one task.
@@ -27,6 +29,8 @@
 {
     TaskKey key_;
     TaskOutcome outcome_;
+    /// Repeats the number of the order.
+    std::uint32_t attempt_ = 1;
 };
 
 /// What an entry tells an agent about its right to start.
@@ -81,6 +85,7 @@
 {
     LinkRef link_ = 0;
     TaskKey key_;
+    std::uint32_t attempt_ = 1;
 };
 
 /// The state of the agent's decisions.
@@ -102,7 +107,7 @@
     std::deque<PendingOrder> waiting_;
     std::map<std::uint64_t, RunningCall> running_;
     std::uint64_t nextCall_ = 1;
-    /// Orders dropped because their task had been seen before.
+    /// Orders dropped because the same attempt had been seen before.
     std::uint64_t repeats_ = 0;
 };
 
--- a/src/ibiswall/agent/gateduty.cpp
+++ b/src/ibiswall/agent/gateduty.cpp
@@ -217,7 +217,7 @@
         .Help("Tasks remembered")
         .Register(registry)
         .Add({})
-        .Set(static_cast<double>(gate_.seen_.keys_.size()));
+        .Set(static_cast<double>(gate_.seen_.tasks_.size()));
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/ibiswall/codec/wire.cpp
+++ b/src/ibiswall/codec/wire.cpp
@@ -228,7 +228,7 @@
     for (const TaskReport &report : m.reports_) {
         const TaskOutcome &outcome = report.outcome_;
         out.push_back({report.key_.job_, report.key_.task_, static_cast<unsigned>(outcome.state_), static_cast<unsigned>(outcome.code_),
-                       outcome.answer_});
+                       outcome.answer_, report.attempt_});
     }
     return out;
 }
@@ -242,7 +242,7 @@
 {
     Json out = Json::array();
     for (const Order &order : m.orders_) {
-        out.push_back({order.key_.job_, order.key_.task_, order.kind_, order.payload_, positive(order.startWithin_)});
+        out.push_back({order.key_.job_, order.key_.task_, order.kind_, order.payload_, positive(order.startWithin_), order.attempt_});
     }
     return out;
 }
@@ -312,6 +312,7 @@
         report.outcome_.state_ = readFinalState(item);
         report.outcome_.code_ = static_cast<Code>(item.smallNumber());
         report.outcome_.answer_ = item.text();
+        report.attempt_ = static_cast<std::uint32_t>(item.smallNumber());
         item.finish();
         m.reports_.push_back(std::move(report));
     }
@@ -330,6 +331,7 @@
         order.kind_ = item.text();
         order.payload_ = item.text();
         order.startWithin_ = item.millis();
+        order.attempt_ = static_cast<std::uint32_t>(item.smallNumber());
         item.finish();
         m.orders_.push_back(std::move(order));
     }
--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -233,7 +233,11 @@
     agent.placed_.push_back(ref);
     refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, agent);
     ++dispatcher.counts_.ordersSent_;
-    const Order order{{job.idText_, ref.task_}, job.submission_.kind_, job.submission_.payloads_[ref.task_], job.startBy_ - now.boot_};
+    const Order order{{job.idText_, ref.task_},
+                      job.submission_.kind_,
+                      job.submission_.payloads_[ref.task_],
+                      job.startBy_ - now.boot_,
+                      static_cast<std::uint32_t>(task.attempts_)};
     addOrder(actions, chosen, Order(order));
 }
 
@@ -308,7 +312,12 @@
 void takeReport(Dispatcher &dispatcher, Now now, Agent &agent, const TaskReport &report, DispatchActions &actions)
 {
     Job *job = findJob(dispatcher, report.key_.job_);
-    if (job == nullptr || !unplace(agent, {job->number_, report.key_.task_})) {
+    if (job == nullptr || report.key_.task_ >= job->tasks_.size()) {
+        return;
+    }
+    // A report on an earlier attempt says nothing about the one in progress.
+    const auto attempt = static_cast<std::uint32_t>(job->tasks_[report.key_.task_].attempts_);
+    if (report.attempt_ != attempt || !unplace(agent, {job->number_, report.key_.task_})) {
         return;
     }
     --dispatcher.overload_.outstanding_;
--- a/src/ibiswall/core/dispatcher_test.cpp
+++ b/src/ibiswall/core/dispatcher_test.cpp
@@ -37,7 +37,7 @@
     std::vector<TaskReport> reports;
     for (const SendOrders &send : actions.orders_) {
         for (const Order &order : send.orders_) {
-            reports.push_back({order.key_, {state, code, "answer"}});
+            reports.push_back({order.key_, {state, code, "answer"}, order.attempt_});
         }
     }
     return reports;
@@ -116,9 +116,11 @@
     DispatchActions actions;
     joinAgent(entry, start, 1, makeAgent("a", "east", 4), actions);
     submit(entry, start, makeJob(entry, 1), 1, actions);
-    const auto reports = reportAll(actions, TaskState::NotRun, Code::NoGrant);
     for (int i = 0; i < entry.limits_.maxAttempts_; ++i) {
         BOOST_TEST(actions.answers_.empty());
+        const auto reports = reportAll(actions, TaskState::NotRun, Code::NoGrant);
+        BOOST_REQUIRE(reports.size() == 1U);
+        actions.orders_.clear();
         takeReports(entry, start, 1, reports, actions);
     }
     BOOST_REQUIRE(actions.answers_.size() == 1U);
@@ -141,6 +143,21 @@
     BOOST_TEST((outcome.code_ == Code::ConnectionLost));
 }
 
+BOOST_AUTO_TEST_CASE(repeated_report_of_an_earlier_attempt_is_ignored)
+{
+    Dispatcher entry = makeDispatcher();
+    DispatchActions actions;
+    joinAgent(entry, start, 1, makeAgent("a", "east", 4), actions);
+    submit(entry, start, makeJob(entry, 1), 1, actions);
+    const auto reports = reportAll(actions, TaskState::NotRun, Code::NoGrant);
+    actions.orders_.clear();
+    takeReports(entry, start, 1, reports, actions);
+    takeReports(entry, start, 1, reports, actions);
+    BOOST_REQUIRE(actions.orders_.size() == 1U);
+    BOOST_TEST(actions.orders_.back().orders_.size() == 1U);
+    BOOST_TEST(actions.orders_.back().orders_.back().attempt_ == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_into_a_domain_that_is_out)
 {
     Dispatcher entry = makeDispatcher();
--- a/src/ibiswall/core/gate.cpp
+++ b/src/ibiswall/core/gate.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-// Reports that an order will not start, and forgets it: the entry may send it again.
+// Reports that an order has not started and never will; only the next attempt may.
 void refuse(Gate &gate, const PendingOrder &pending, Code code, GateActions &actions)
 {
-    forget(gate.seen_, pending.order_.key_);
-    actions.reports_.push_back({pending.link_, {pending.order_.key_, {TaskState::NotRun, code, {}}}});
+    markRefused(gate.seen_, pending.order_.key_);
+    actions.reports_.push_back({pending.link_, {pending.order_.key_, {TaskState::NotRun, code, {}}, pending.order_.attempt_}});
 }
 
 void refuseAll(Gate &gate, Code code, GateActions &actions)
@@ -31,7 +31,7 @@
 void start(Gate &gate, PendingOrder &&pending, GateActions &actions)
 {
     const std::uint64_t call = gate.nextCall_++;
-    gate.running_[call] = {pending.link_, pending.order_.key_};
+    gate.running_[call] = {pending.link_, pending.order_.key_, pending.order_.attempt_};
     StartCall action;
     action.call_ = call;
     action.key_ = pending.order_.key_;
@@ -71,6 +71,18 @@
     gate.waiting_.erase(std::remove_if(gate.waiting_.begin(), gate.waiting_.end(), late), gate.waiting_.end());
 }
 
+// Answers an order that was not recorded. A repeated one has its report on the way already.
+void turnAway(Gate &gate, LinkRef link, const Order &order, Admission admission, GateActions &actions)
+{
+    if (admission == Admission::Full) {
+        actions.reports_.push_back({link, {order.key_, {TaskState::NotRun, Code::Overloaded, {}}, order.attempt_}});
+    } else if (admission == Admission::Started) {
+        actions.reports_.push_back({link, {order.key_, {TaskState::MayHaveRun, Code::AlreadySeen, {}}, order.attempt_}});
+    } else {
+        ++gate.repeats_;
+    }
+}
+
 } // namespace
 
 Code startRefusal(const Gate &gate, Millis now)
@@ -100,8 +112,9 @@
 void takeOrders(Gate &gate, Millis now, LinkRef link, Span<const Order> orders, GateActions &actions)
 {
     for (const Order &order : orders) {
-        if (!insert(gate.seen_, now, order.key_)) {
-            ++gate.repeats_;
+        const Admission admission = admit(gate.seen_, now, order.key_, order.attempt_);
+        if (admission != Admission::Fresh) {
+            turnAway(gate, link, order, admission, actions);
             continue;
         }
         PendingOrder pending{link, order, now + order.startWithin_};
@@ -124,7 +137,11 @@
     if (found == gate.running_.end()) {
         return;
     }
-    actions.reports_.push_back({found->second.link_, {found->second.key_, outcome}});
+    const RunningCall &ended = found->second;
+    if (outcome.state_ == TaskState::NotRun) {
+        markRefused(gate.seen_, ended.key_);
+    }
+    actions.reports_.push_back({ended.link_, {ended.key_, outcome, ended.attempt_}});
     gate.running_.erase(found);
     startWaiting(gate, now, actions);
 }
--- a/src/ibiswall/core/gate_test.cpp
+++ b/src/ibiswall/core/gate_test.cpp
@@ -7,9 +7,14 @@
 
 namespace {
 
-Order makeOrder(std::uint32_t task)
+Order makeOrder(std::uint32_t task, std::uint32_t attempt = 1)
 {
-    return Order{{"job", task}, "note", "payload", {1000}};
+    return Order{{"job", task}, "note", "payload", {1000}, attempt};
+}
+
+std::vector<Order> oneOrder(std::uint32_t task, std::uint32_t attempt)
+{
+    return {makeOrder(task, attempt)};
 }
 
 Gate makeGate(Millis grantUntil)
@@ -46,21 +51,22 @@
     BOOST_TEST((actions.reports_.front().report_.outcome_.code_ == Code::NoGrant));
 }
 
-BOOST_AUTO_TEST_CASE(refused_order_may_be_sent_again)
+BOOST_AUTO_TEST_CASE(refused_task_starts_at_its_next_attempt_only)
 {
     Gate gate = makeGate({0});
     GateActions actions;
-    const std::vector<Order> orders = {makeOrder(0)};
-    takeOrders(gate, {5}, 1, orders, actions);
+    takeOrders(gate, {5}, 1, oneOrder(0, 1), actions);
     BOOST_REQUIRE(actions.reports_.size() == 1U);
     gate.grantUntil_ = {1000};
-    takeOrders(gate, {6}, 1, orders, actions);
+    takeOrders(gate, {6}, 1, oneOrder(0, 1), actions);
+    BOOST_TEST(actions.calls_.empty());
+    takeOrders(gate, {7}, 1, oneOrder(0, 2), actions);
     BOOST_TEST(actions.calls_.size() == 1U);
-    takeOrders(gate, {7}, 1, orders, actions);
+    takeOrders(gate, {8}, 1, oneOrder(0, 2), actions);
     BOOST_TEST(actions.calls_.size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(waiting_order_that_was_refused_may_be_sent_again)
+BOOST_AUTO_TEST_CASE(waiting_task_that_was_refused_starts_at_its_next_attempt)
 {
     Gate gate = makeGate({1000});
     GateActions actions;
@@ -71,10 +77,66 @@
     gate.grantUntil_ = {2000};
     finishCall(gate, {1001}, actions.calls_.front().call_, {}, actions);
     takeOrders(gate, {1002}, 1, orders, actions);
+    BOOST_TEST(actions.calls_.size() == 1U);
+    takeOrders(gate, {1003}, 1, oneOrder(1, 2), actions);
     BOOST_REQUIRE(actions.calls_.size() == 2U);
     BOOST_TEST(actions.calls_.back().key_.task_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(task_whose_call_was_not_sent_starts_at_its_next_attempt)
+{
+    Gate gate = makeGate({1000});
+    GateActions actions;
+    takeOrders(gate, {0}, 1, oneOrder(0, 1), actions);
+    finishCall(gate, {1}, actions.calls_.front().call_, {TaskState::NotRun, Code::ConnectRefused, {}}, actions);
+    takeOrders(gate, {2}, 1, oneOrder(0, 2), actions);
+    BOOST_TEST(actions.calls_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(later_attempt_of_a_started_task_is_told_the_truth)
+{
+    Gate gate = makeGate({1000});
+    GateActions actions;
+    takeOrders(gate, {0}, 1, oneOrder(0, 1), actions);
+    takeOrders(gate, {1}, 2, oneOrder(0, 2), actions);
+    BOOST_TEST(actions.calls_.size() == 1U);
+    BOOST_REQUIRE(actions.reports_.size() == 1U);
+    BOOST_TEST(actions.reports_.front().link_ == 2U);
+    BOOST_TEST((actions.reports_.front().report_.outcome_.state_ == TaskState::MayHaveRun));
+    BOOST_TEST((actions.reports_.front().report_.outcome_.code_ == Code::AlreadySeen));
+}
+
+BOOST_AUTO_TEST_CASE(full_table_refuses_and_forgets_nothing)
+{
+    Gate gate = makeGate({1000});
+    gate.slots_ = 8;
+    gate.seen_.maxTasks_ = 2;
+    GateActions actions;
+    for (const std::uint32_t task : {0U, 1U, 2U, 0U, 1U}) {
+        takeOrders(gate, {0}, 1, oneOrder(task, 1), actions);
+    }
+    BOOST_TEST(actions.calls_.size() == 2U);
+    BOOST_REQUIRE(actions.reports_.size() == 1U);
+    BOOST_TEST((actions.reports_.front().report_.outcome_.code_ == Code::Overloaded));
+    BOOST_TEST(gate.repeats_ == 2U);
+    expire(gate.seen_, gate.seen_.life_);
+    BOOST_TEST(gate.seen_.tasks_.size() == 2U);
+    expire(gate.seen_, gate.seen_.life_ + Millis{1});
+    BOOST_TEST(gate.seen_.tasks_.empty());
+    BOOST_TEST(gate.seen_.order_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(later_attempt_is_remembered_for_the_whole_life)
+{
+    SeenTable table;
+    const TaskKey key{"job", 0};
+    BOOST_TEST((admit(table, {0}, key, 1) == Admission::Fresh));
+    markRefused(table, key);
+    BOOST_TEST((admit(table, {500}, key, 2) == Admission::Fresh));
+    expire(table, table.life_ + Millis{500});
+    BOOST_TEST((admit(table, table.life_ + Millis{500}, key, 2) == Admission::Repeated));
+}
+
 BOOST_AUTO_TEST_CASE(grant_counts_from_the_renewal)
 {
     Gate gate = makeGate({0});
--- a/src/ibiswall/core/seen.cpp
+++ b/src/ibiswall/core/seen.cpp
@@ -1,4 +1,4 @@
-// Remembers tasks by name for a bounded time.
+// Remembers tasks by digest for a bounded time.
 
 #include <ibiswall/core/seen.hpp>
 
@@ -6,34 +6,68 @@
 
 namespace ibiswall {
 
+namespace {
+
+TaskDigest digestOf(const TaskKey &key)
+{
+    const XXH128_hash_t hash = XXH3_128bits_withSeed(key.job_.data(), key.job_.size(), key.task_);
+    return {hash.low64, hash.high64};
+}
+
+} // namespace
+
 bool operator==(const TaskKey &a, const TaskKey &b)
 {
     return a.task_ == b.task_ && a.job_ == b.job_;
 }
 
-std::size_t TaskKeyHash::operator()(const TaskKey &key) const
+bool operator==(const TaskDigest &a, const TaskDigest &b)
 {
-    return XXH3_64bits_withSeed(key.job_.data(), key.job_.size(), key.task_);
+    return a.low_ == b.low_ && a.high_ == b.high_;
 }
 
-bool insert(SeenTable &table, Millis now, const TaskKey &key)
+std::size_t TaskDigestHash::operator()(const TaskDigest &digest) const noexcept
 {
-    if (!table.keys_.insert(key).second) {
-        return false;
+    return digest.low_;
+}
+
+Admission admit(SeenTable &table, Millis now, const TaskKey &key, std::uint32_t attempt)
+{
+    const TaskDigest digest = digestOf(key);
+    const auto found = table.tasks_.find(digest);
+    if (found != table.tasks_.end()) {
+        SeenTask &task = found->second;
+        if (attempt <= task.attempt_) {
+            return Admission::Repeated;
+        }
+        if (!task.refused_) {
+            return Admission::Started;
+        }
     }
-    table.order_.emplace_back(now, key);
-    return true;
+    // Every attempt takes a place in order_, so that is what is bounded.
+    if (table.order_.size() >= table.maxTasks_) {
+        return Admission::Full;
+    }
+    table.tasks_[digest] = {now, attempt, false};
+    table.order_.emplace_back(now, digest);
+    return Admission::Fresh;
 }
 
-void forget(SeenTable &table, const TaskKey &key)
+void markRefused(SeenTable &table, const TaskKey &key)
 {
-    table.keys_.erase(key);
+    const auto found = table.tasks_.find(digestOf(key));
+    if (found != table.tasks_.end()) {
+        found->second.refused_ = true;
+    }
 }
 
 void expire(SeenTable &table, Millis now)
 {
     while (!table.order_.empty() && table.order_.front().first + table.life_ < now) {
-        table.keys_.erase(table.order_.front().second);
+        const auto found = table.tasks_.find(table.order_.front().second);
+        if (found != table.tasks_.end() && found->second.at_ + table.life_ < now) {
+            table.tasks_.erase(found);
+        }
         table.order_.pop_front();
     }
 }
