Cause the faults that threaten each guarantee, with real processes

A relay in the tests freezes or cuts a link in each direction. Targets write every start to a file that outlives them. Each answer is compared with the record: done and failed tasks have one start, tasks not run none, no task two.

--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "process.hpp"
+#include "relay.hpp"
 
 #include <filesystem>
 #include <functional>
@@ -21,6 +22,10 @@
     std::string domain_;
     std::uint16_t targetPort_ = 0;
     std::filesystem::path settings_;
+    /// Receives a line for each start; outlives the target.
+    std::filesystem::path record_;
+    /// The links to each entry, when links are relayed.
+    std::vector<std::unique_ptr<Relay>> links_;
     std::optional<Process> target_;
     std::optional<Process> agent_;
 };
@@ -32,6 +37,10 @@
     std::uint16_t callersPort_ = 0;
     std::uint16_t linksPort_ = 0;
     std::filesystem::path settings_;
+    /// Error output.
+    std::filesystem::path log_;
+    /// The links to each other entry, by its name, when links are relayed.
+    std::map<std::string, std::unique_ptr<Relay>> links_;
     std::optional<Process> process_;
 };
 
@@ -45,6 +54,8 @@
     std::int64_t runMillis_ = 5;
     /// Added to the settings of each entry.
     Json entrySettings_ = Json::object();
+    /// Whether links pass through relays.
+    bool relayed_ = false;
 };
 
 /// Starts everything, and ends everything when destroyed.
@@ -67,6 +78,12 @@
                                     const std::string &target,
                                     const std::string &body = {}) const;
 
+    /// Calls an entry as another member, `rival`.
+    Result<HttpAnswer> callAsRival(std::size_t entry,
+                                   const std::string &method,
+                                   const std::string &target,
+                                   const std::string &body = {}) const;
+
     /// Calls an entry as the operator `ops`.
     Result<HttpAnswer> callAsOperator(std::size_t entry,
                                       const std::string &method,
@@ -88,12 +105,15 @@
     /// Switches a stand-in target.
     void setTargetMode(std::size_t index, const Json &mode) const;
 
-    /// The starts that a stand-in target recorded.
+    /// The starts that a stand-in target and its earlier incarnations recorded.
     Json starts(std::size_t index) const;
 
     /// Waits until every running entry sees a number of agents.
     void awaitAgents(std::size_t count) const;
 
+    /// What an entry wrote to its log.
+    std::string logOf(std::size_t entry) const;
+
     std::vector<EntryPlace> entries_;
     std::vector<Place> places_;
     std::optional<Process> platform_;
@@ -103,6 +123,10 @@
     void writeEntrySettings(EntryPlace &entry);
     void writeAgentSettings(Place &place);
 
+    /// Puts a relay before a port when links are relayed.
+    /// @return the port to connect to
+    std::uint16_t relay(std::unique_ptr<Relay> &link, std::uint16_t port) const;
+
     ClusterShape shape_;
     std::filesystem::path folder_;
 };
