Go on without descriptors

Cause: a call to the platform needs a descriptor or two for its event loop; when callers held all of them, the exception from the library ended the entry. Before: the system test badinput (an_entry_without_descriptors_goes_on, limit of 50 descriptors) was seen failing: the entry was gone.

--- a/src/ibiswall/net/httpcall.cpp
+++ b/src/ibiswall/net/httpcall.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <memory>
 #include <optional>
 
 namespace ibiswall {
@@ -44,6 +45,23 @@
     return {seconds * millisPerSecond};
 }
 
+// What one call needs of the operating system.
+struct Transport
+{
+    asio::io_context io_;
+    beast::tcp_stream stream_{io_};
+};
+
+// Opens descriptors, and fails where the process has none left.
+Result<std::unique_ptr<Transport>> makeTransport(const Address &address)
+{
+    try {
+        return std::make_unique<Transport>();
+    } catch (const boost::system::system_error &error) {
+        return Error{Code::CannotConnect, format(address) + ": " + error.what()};
+    }
+}
+
 } // namespace
 
 Result<HttpAnswer> callHttp(const Address &address, const HttpCall &call)
@@ -53,8 +71,8 @@
     if (bad) {
         return Error{Code::CannotConnect, format(address) + ": " + bad.message()};
     }
-    asio::io_context io;
-    beast::tcp_stream stream(io);
+    BOOST_OUTCOME_TRY(const auto transport, makeTransport(address));
+    beast::tcp_stream &stream = transport->stream_;
     beast::flat_buffer buffer;
     http::request<http::string_body> request = makeRequest(address, call);
     http::response_parser<http::string_body> parser;
@@ -80,7 +98,7 @@
             });
         });
     });
-    io.run();
+    transport->io_.run();
     if (error) {
         return *error;
     }
--- a/tests/system/badinput_test.cpp
+++ b/tests/system/badinput_test.cpp
@@ -6,7 +6,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
 #include <ibiswall/codec.hpp>
+#include <thread>
 
 namespace ibiswall::system {
 
@@ -284,6 +287,37 @@
     cluster.awaitAgents(1);
 }
 
+// Opens connections until a process has no descriptor left, and closes them.
+void useUpDescriptors(std::uint16_t port)
+{
+    constexpr std::size_t count = 150;
+    boost::asio::io_context io;
+    std::vector<tcp::socket> held;
+    for (std::size_t i = 0; i < count; ++i) {
+        held.emplace_back(io).connect({boost::asio::ip::address_v4::loopback(), port});
+    }
+    // Long enough for the platform to be polled meanwhile.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_descriptors_goes_on)
+{
+    Cluster cluster(tightShape());
+    EntryPlace &entry = cluster.entries_[0];
+    entry.process_.reset();
+    entry.process_.emplace(
+        std::vector<std::string>{"/bin/sh", "-c", "ulimit -n 50; exec \"$0\" entry \"$1\"", programPath(), entry.settings_.string()});
+    for (const std::uint16_t port : {entry.callersPort_, entry.linksPort_}) {
+        useUpDescriptors(port);
+        await("callers are served again", [&] {
+            const auto health = cluster.callAsMember(0, "GET", "/healthz");
+            return health.has_value() && health.value().status_ == 200;
+        });
+    }
+    entry.process_->signal(SIGTERM);
+    BOOST_TEST(entry.process_->wait() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(agents_health_answers_by_number)
 {
     Cluster cluster(tightShape());
