Raise the limit on descriptors to what the limits on peers need

Cause: with the usual soft limit of 1024 the default of 1024 connections and 4096 links could use up every descriptor, and then the library for links spins. After: an entry started under a soft limit of 64 with default settings has 6400; it logs a warning where the hard limit is lower.

--- a/src/ibiswall/entry/entry.cpp
+++ b/src/ibiswall/entry/entry.cpp
@@ -5,11 +5,13 @@
 #include "callersduty.hpp"
 #include "dispatchduty.hpp"
 #include "platformduty.hpp"
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <ibiswall/log.hpp>
+#include <sys/resource.h>
 #include <thread>
 
 namespace ibiswall {
@@ -50,6 +52,25 @@
     return store;
 }
 
+// Raises the limit on descriptors, as far as the system allows, to what the limits on peers need.
+void raiseDescriptorLimit(const EntrySettings &settings)
+{
+    constexpr rlim_t spare = 256;
+    // Connections past the limit are held while their refusal is read.
+    constexpr rlim_t connectionShare = 2;
+    const rlim_t needed = settings.maxConnections_ * connectionShare + settings.maxLinks_ + settings.peers_.size() + spare;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= needed) {
+        return;
+    }
+    limit.rlim_cur = std::min(needed, limit.rlim_max);
+    if (setrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur < needed) {
+        log(LogLevel::Warning, part,
+            "the limit on descriptors is " + std::to_string(limit.rlim_cur) + ", max_connections and max_links need "
+                + std::to_string(needed));
+    }
+}
+
 // The duties of one entry. The callers' duty runs on the thread that calls run().
 class Entry
 {
@@ -205,6 +226,7 @@
 
 Exit runEntry(const EntrySettings &settings, const std::function<void(EntryPorts)> &started)
 {
+    raiseDescriptorLimit(settings);
     Entry entry(settings);
     const auto ports = entry.listen();
     if (ports.has_error()) {
