Bound the memory of answers, and remember the jobs behind them

Cause: an entry kept every answer for the life of its id, 2.9 GB at the size that the project is designed for, and refused new jobs once 200,000 were kept. Ruled out: dropping by age, since memory would still follow the rate; dropping whole jobs, since a resubmission would then run again. After: answers stay within max_answer_bytes; a dropped one leaves 95 B, by which the job is refused with 304 and never runs again. The four tests need code that was not there before; with remember() taken out the first two fail.

--- a/include/ibiswall/base/code.hpp
+++ b/include/ibiswall/base/code.hpp
@@ -42,6 +42,7 @@
     HomeGone = 301,
     CallTimeout = 302,
     HomeUnreachable = 303,
+    AnswerDropped = 304,
 
     TargetFailed = 400,
     TaskFailed = 401,
--- a/include/ibiswall/core/dispatcher.hpp
+++ b/include/ibiswall/core/dispatcher.hpp
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <deque>
+#include <ibiswall/core/ended.hpp>
 #include <ibiswall/core/fleet.hpp>
 #include <ibiswall/core/gate.hpp>
 #include <ibiswall/core/overload.hpp>
@@ -24,8 +26,12 @@
 {
     std::size_t maxTasksPerJob_ = 1024;
     std::size_t maxQueuedTasks_ = 100000;
-    /// Jobs kept, running ones and answers together.
+    /// Jobs kept, running ones and answers together. The oldest answers make room for new jobs.
     std::size_t maxJobs_ = 200000;
+    /// Bytes of answers kept; the oldest are dropped first.
+    std::size_t maxAnswerBytes_ = 128U << 20U;
+    /// Jobs remembered after their answers were dropped.
+    std::size_t maxEndedJobs_ = 1000000;
     /// Times that a task may be placed before it is reported as not run.
     int maxAttempts_ = 4;
     /// How long after its issue an id may be used to submit.
@@ -121,6 +127,12 @@
     std::unordered_multimap<CallerRef, std::uint64_t> callers_;
     /// Issue time of the id and number of every answered job.
     std::set<std::pair<std::int64_t, std::uint64_t>> answered_;
+    /// Numbers of answered jobs in the order of their answers; forgotten jobs may still be named.
+    std::deque<std::uint64_t> answerOrder_;
+    /// Bytes of the answers of all jobs in jobs_.
+    std::size_t answerBytes_ = 0;
+    /// Jobs whose answers were dropped. None of them is in jobs_.
+    EndedJobs ended_;
     /// Open tasks of each member.
     std::map<std::string, std::size_t, std::less<>> openTasks_;
     /// Jobs without an answer.
--- a/src/ibiswall/base/code.cpp
+++ b/src/ibiswall/base/code.cpp
@@ -67,6 +67,8 @@
         return "may have run: target did not answer in time";
     case Code::HomeUnreachable:
         return "unknown: home entry cannot be reached, ask again";
+    case Code::AnswerDropped:
+        return "ran before: its answer is no longer kept";
     case Code::TargetFailed:
         return "ran: target reported failure";
     case Code::TaskFailed:
--- a/src/ibiswall/codec/api.cpp
+++ b/src/ibiswall/codec/api.cpp
@@ -131,6 +131,7 @@
     case Code::UnknownPath:
         return 404;
     case Code::ExpiredId:
+    case Code::AnswerDropped:
         return 410;
     case Code::BodyDiffers:
     case Code::StalePlan:
--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -100,9 +100,12 @@
     if (dispatcher.configuration_.kinds_.count(submission.kind_) == 0) {
         return {Code::UnknownKind, "kind \"" + submission.kind_ + "\" is not configured"};
     }
-    if (dispatcher.queue_.size_ + count > limits.maxQueuedTasks_ || dispatcher.jobs_.size() >= limits.maxJobs_) {
+    if (dispatcher.queue_.size_ + count > limits.maxQueuedTasks_ || dispatcher.openJobs_ >= limits.maxJobs_) {
         return {Code::Overloaded, "queue is full"};
     }
+    if (dispatcher.ended_.size() >= limits.maxEndedJobs_) {
+        return {Code::Overloaded, "memory of ended jobs is full"};
+    }
     const int quota = memberOf(dispatcher.configuration_, submission.member_).quota_;
     const auto open = dispatcher.openTasks_.find(submission.member_);
     const std::size_t already = open == dispatcher.openTasks_.end() ? 0 : open->second;
@@ -122,6 +125,48 @@
     task.waiting_ = push(dispatcher.queue_, now.boot_, job.submission_.member_, entry);
 }
 
+std::size_t sizeOf(const JobAnswer &answer)
+{
+    std::size_t size = sizeof(JobAnswer) + answer.id_.size() + answer.tasks_.capacity() * sizeof(TaskOutcome);
+    for (const TaskOutcome &outcome : answer.tasks_) {
+        size += outcome.answer_.capacity();
+    }
+    return size;
+}
+
+void forget(Dispatcher &dispatcher, std::uint64_t number)
+{
+    const auto found = dispatcher.jobs_.find(number);
+    const Job &job = found->second;
+    dispatcher.answerBytes_ -= sizeOf(*job.answer_);
+    dispatcher.answered_.erase({job.submission_.id_.issued_.count_, number});
+    dispatcher.numbers_.erase(job.idText_);
+    dispatcher.jobs_.erase(found);
+}
+
+bool keepsTooMuch(const Dispatcher &dispatcher)
+{
+    return dispatcher.answerBytes_ > dispatcher.limits_.maxAnswerBytes_ || dispatcher.jobs_.size() > dispatcher.limits_.maxJobs_;
+}
+
+// Drops the oldest answers while there are too many, and remembers their jobs.
+void dropAnswers(Dispatcher &dispatcher)
+{
+    while (!dispatcher.answerOrder_.empty()) {
+        const std::uint64_t oldest = dispatcher.answerOrder_.front();
+        const auto found = dispatcher.jobs_.find(oldest);
+        if (found != dispatcher.jobs_.end()) {
+            if (!keepsTooMuch(dispatcher)) {
+                return;
+            }
+            const Job &job = found->second;
+            remember(dispatcher.ended_, job.submission_, job.answer_->code_ == Code::Ok);
+            forget(dispatcher, oldest);
+        }
+        dispatcher.answerOrder_.pop_front();
+    }
+}
+
 void answer(Dispatcher &dispatcher, Job &job, DispatchActions &actions)
 {
     auto whole = std::make_shared<JobAnswer>();
@@ -139,6 +184,8 @@
     job.tasks_.clear();
     job.submission_.payloads_.clear();
     dispatcher.answered_.emplace(job.submission_.id_.issued_.count_, job.number_);
+    dispatcher.answerOrder_.push_back(job.number_);
+    dispatcher.answerBytes_ += sizeOf(*job.answer_);
     removeCandidate(dispatcher.overload_, job.submission_.member_, job.kind_.deadline_, candidateOf(job));
     answerCallers(dispatcher, job, job.answer_, actions);
 }
@@ -369,12 +416,16 @@
         if (!isExpired(found->second.submission_.id_, now.wall_, dispatcher.limits_.idLife_ + answerGrace)) {
             return;
         }
-        dispatcher.answered_.erase(dispatcher.answered_.begin());
-        dispatcher.numbers_.erase(found->second.idText_);
-        dispatcher.jobs_.erase(found);
+        forget(dispatcher, number);
     }
 }
 
+// What a member may learn about a job whose answer was dropped.
+std::optional<Error> droppedError(const Dispatcher &dispatcher, const JobId &id, std::string_view member)
+{
+    return id.home_ == dispatcher.self_ ? endedError(dispatcher.ended_, id, member) : std::nullopt;
+}
+
 } // namespace
 
 JobId issueId(Dispatcher &dispatcher, Now now)
@@ -395,7 +446,11 @@
         }
         return;
     }
-    Error error = admissionError(dispatcher, now, submission);
+    const auto dropped = droppedError(dispatcher, submission.id_, submission.member_);
+    Error error = dropped ? *dropped : admissionError(dispatcher, now, submission);
+    if (error.code_ == Code::AnswerDropped && bodyDiffers(dispatcher.ended_, submission)) {
+        error = {Code::BodyDiffers, "id was used with another body"};
+    }
     if (error.code_ != Code::Ok) {
         refuse(dispatcher, submission, caller, error.code_, std::move(error.text_), actions);
         return;
@@ -429,11 +484,14 @@
 void fetch(Dispatcher &dispatcher, std::string_view id, std::string_view member, CallerRef caller, DispatchActions &actions)
 {
     Job *job = findJob(dispatcher, id);
-    if (job == nullptr || job->submission_.member_ != member) {
-        actions.answers_.push_back({caller, makeRefusal(std::string(id), Code::UnknownJob, "no such job of this caller", {0})});
+    if (job != nullptr && job->submission_.member_ == member) {
+        attach(dispatcher, *job, caller, actions);
         return;
     }
-    attach(dispatcher, *job, caller, actions);
+    const auto parsed = parseJobId(id);
+    const auto dropped = job == nullptr && parsed.has_value() ? droppedError(dispatcher, parsed.value(), member) : std::nullopt;
+    Error error = dropped ? *dropped : Error{Code::UnknownJob, "no such job of this caller"};
+    actions.answers_.push_back({caller, makeRefusal(std::string(id), error.code_, std::move(error.text_), {0})});
 }
 
 bool cancel(Dispatcher &dispatcher, std::string_view id, std::string_view member, DispatchActions &actions)
@@ -512,6 +570,7 @@
     for (const TaskReport &report : reports) {
         takeReport(dispatcher, now, *agent, report, actions);
     }
+    dropAnswers(dispatcher);
     refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, *agent);
     dispatch(dispatcher, now, actions);
 }
@@ -532,6 +591,8 @@
     refreshAll(dispatcher.fleet_, dispatcher.configuration_, now.boot_);
     settleLate(dispatcher, now, actions);
     forgetExpired(dispatcher, now);
+    dropAnswers(dispatcher);
+    expire(dispatcher.ended_, now.wall_, dispatcher.limits_.idLife_ + answerGrace);
     dispatch(dispatcher, now, actions);
 }
 
--- /dev/null
+++ b/src/ibiswall/core/ended_test.cpp
@@ -0,0 +1,123 @@
+// Checks that a job whose answer is no longer kept neither runs again nor tells a stranger anything.
+
+#include <boost/test/unit_test.hpp>
+#include <ibiswall/core.hpp>
+
+namespace ibiswall {
+
+namespace {
+
+constexpr Now start{{1000}, {1000000}};
+constexpr std::size_t jobs = 50;
+
+// An entry with one agent and room for the answers of few jobs.
+Dispatcher makeSmallEntry(DispatchActions &actions)
+{
+    Dispatcher entry;
+    entry.self_ = {"entry-1", 7};
+    entry.configuration_.kinds_["note"] = Kind{1, false, {1000}};
+    entry.limits_.maxAnswerBytes_ = 2000;
+    joinAgent(entry, start, 1, AgentInfo{{"a", 1}, {"a", "w", "east"}, 8, 8}, actions);
+    return entry;
+}
+
+Submission makeJob(Dispatcher &entry)
+{
+    Submission submission;
+    submission.id_ = issueId(entry, start);
+    submission.member_ = "studio";
+    submission.kind_ = "note";
+    submission.bodyHash_ = 5;
+    submission.payloads_ = {"text"};
+    return submission;
+}
+
+// Runs one job to its end and returns what was submitted.
+Submission runJob(Dispatcher &entry)
+{
+    DispatchActions actions;
+    Submission job = makeJob(entry);
+    submit(entry, start, job, 1, actions);
+    TaskReport report;
+    report.key_ = actions.orders_.at(0).orders_.at(0).key_;
+    report.outcome_ = {TaskState::Done, Code::Ok, std::string(100, 'x')};
+    takeReports(entry, start, 1, Span<const TaskReport>(&report, 1), actions);
+    return job;
+}
+
+Code resubmit(Dispatcher &entry, const Submission &job)
+{
+    DispatchActions actions;
+    submit(entry, start, job, 2, actions);
+    BOOST_TEST(actions.orders_.empty());
+    return actions.answers_.at(0).answer_->code_;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ended)
+
+BOOST_AUTO_TEST_CASE(answers_are_dropped_oldest_first_and_never_run_again)
+{
+    DispatchActions actions;
+    Dispatcher entry = makeSmallEntry(actions);
+    std::vector<Submission> submitted;
+    for (std::size_t i = 0; i < jobs; ++i) {
+        submitted.push_back(runJob(entry));
+        BOOST_TEST(entry.answerBytes_ <= entry.limits_.maxAnswerBytes_);
+    }
+    BOOST_TEST(entry.jobs_.size() < jobs);
+    BOOST_TEST(entry.jobs_.size() + entry.ended_.size() == jobs);
+    BOOST_TEST((resubmit(entry, submitted.front()) == Code::AnswerDropped));
+    BOOST_TEST((resubmit(entry, submitted.back()) == Code::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(strangers_and_other_bodies_learn_nothing)
+{
+    DispatchActions actions;
+    Dispatcher entry = makeSmallEntry(actions);
+    Submission job = runJob(entry);
+    for (std::size_t i = 0; i < jobs; ++i) {
+        runJob(entry);
+    }
+    fetch(entry, format(job.id_), "rival", 3, actions);
+    BOOST_TEST((actions.answers_.back().answer_->code_ == Code::UnknownJob));
+    fetch(entry, format(job.id_), "studio", 3, actions);
+    BOOST_TEST((actions.answers_.back().answer_->code_ == Code::AnswerDropped));
+    job.bodyHash_ = 6;
+    BOOST_TEST((resubmit(entry, job) == Code::BodyDiffers));
+    job.id_.secret_ ^= 1U;
+    BOOST_TEST((resubmit(entry, job) == Code::UnknownJob));
+}
+
+BOOST_AUTO_TEST_CASE(ended_jobs_are_forgotten_after_their_id_expired)
+{
+    DispatchActions actions;
+    Dispatcher entry = makeSmallEntry(actions);
+    const Submission job = runJob(entry);
+    for (std::size_t i = 0; i < jobs; ++i) {
+        runJob(entry);
+    }
+    tick(entry, {{2000}, {1000000 + 660001}}, actions);
+    BOOST_TEST(entry.ended_.empty());
+    BOOST_TEST(entry.jobs_.empty());
+    BOOST_TEST(entry.answerBytes_ == 0U);
+    BOOST_TEST(entry.answerOrder_.empty());
+    submit(entry, {{2000}, {1000000 + 660001}}, job, 4, actions);
+    BOOST_TEST((actions.answers_.back().answer_->code_ == Code::ExpiredId));
+}
+
+BOOST_AUTO_TEST_CASE(full_memory_of_ended_jobs_refuses_new_ones)
+{
+    DispatchActions actions;
+    Dispatcher entry = makeSmallEntry(actions);
+    entry.limits_.maxEndedJobs_ = 10;
+    while (entry.ended_.size() < entry.limits_.maxEndedJobs_) {
+        runJob(entry);
+    }
+    BOOST_TEST((resubmit(entry, makeJob(entry)) == Code::Overloaded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ibiswall
--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -148,6 +148,8 @@
     readSize(in, "max_tasks_per_job", 1, maxCount, settings.limits_.maxTasksPerJob_);
     readSize(in, "max_queued_tasks", 1, maxCount, settings.limits_.maxQueuedTasks_);
     readSize(in, "max_jobs", 1, maxCount, settings.limits_.maxJobs_);
+    readSize(in, "max_answer_bytes", 0, maxBytes, settings.limits_.maxAnswerBytes_);
+    readSize(in, "max_ended_jobs", 1, maxCount, settings.limits_.maxEndedJobs_);
 }
 
 EntrySettings readEntry(Checker &in)
