Go on through an outage of the platform, and accept a change once others have it

Cause: grants rested on reads of the platform alone, and a confirm was answered as soon as its change was read back.

Entries now ask one another for their version every 400 ms over their links, hand changes on to those that are behind, and grant and accept by the electorate. A confirm reads before it writes, so that 502 means that nothing was sent; 503 means too few entries heard and nothing written; 504 means written, but not known at enough entries within 5 s. Status shows the version of every entry, with those that have not confirmed it.

--- a/include/ibiswall/codec/wire.hpp
+++ b/include/ibiswall/codec/wire.hpp
@@ -76,8 +76,45 @@
     std::string body_;
 };
 
+/// Entry to entry: asks which configuration version the other has applied.
+struct PeerQuestion
+{
+    /// Counts the asker's questions on all its links.
+    std::uint64_t number_ = 0;
+    /// Version that the asker has applied.
+    std::uint64_t version_ = 0;
+};
+
+/// Entry to entry: answers a question.
+struct PeerAnswer
+{
+    /// Repeats the number of the question.
+    std::uint64_t number_ = 0;
+    /// Version that the answerer has applied.
+    std::uint64_t version_ = 0;
+    /// Whether the answerer is settled.
+    bool settled_ = false;
+};
+
+/// Entry to entry: accepted changes that the other has not applied, in order.
+struct PeerChanges
+{
+    std::vector<Change> changes_;
+};
+
 /// Any message.
-using Message = std::variant<AgentHello, Renewal, Reports, Leaving, Orders, Grant, PeerHello, RelayRequest, RelayReply>;
+using Message = std::variant<AgentHello,
+                             Renewal,
+                             Reports,
+                             Leaving,
+                             Orders,
+                             Grant,
+                             PeerHello,
+                             RelayRequest,
+                             RelayReply,
+                             PeerQuestion,
+                             PeerAnswer,
+                             PeerChanges>;
 
 /// Writes a message as one frame.
 std::string encode(const Message &message);
--- a/include/ibiswall/core/freshness.hpp
+++ b/include/ibiswall/core/freshness.hpp
@@ -1,4 +1,4 @@
-// How long an entry may let agents start tasks without having read the configuration again.
+// When an entry last read the platform, and how long such knowledge counts.
 
 #pragma once
 
@@ -6,7 +6,7 @@
 
 namespace ibiswall {
 
-/// Time after a read of the platform began in which agents may still start tasks on its strength.
+/// Time after a read of the platform began, or a question to another entry was sent, in which the answer counts.
 constexpr Millis freshnessLife{2500};
 
 /// When an entry last knew the newest configuration.
@@ -22,8 +22,4 @@
 /// @param began when the read was sent
 void noteRead(Freshness &freshness, Millis began);
 
-/// How long an agent may start tasks, counted from the moment it asked.
-/// Zero means that no grant can be given.
-Millis grantLength(const Freshness &freshness, Millis now);
-
 } // namespace ibiswall
--- a/include/ibiswall/platform/changelog.hpp
+++ b/include/ibiswall/platform/changelog.hpp
@@ -23,6 +23,7 @@
 };
 
 /// Writes a change, and reads it back to learn which change has its number.
+/// A read goes first, so that nothing is sent while the platform does not answer.
 /// @param giveUp how long to go on asking after a lost answer
 WriteOutcome writeChange(const Store &store, const Change &change, Millis giveUp);
 
--- a/src/ibiswall/codec/wire.cpp
+++ b/src/ibiswall/codec/wire.cpp
@@ -2,6 +2,7 @@
 
 #include <ibiswall/codec/wire.hpp>
 
+#include <ibiswall/codec/changes.hpp>
 #include <nlohmann/json.hpp>
 
 namespace ibiswall {
@@ -267,6 +268,25 @@
     return {m.relay_, static_cast<unsigned>(m.status_), m.body_};
 }
 
+Json write(const PeerQuestion &m)
+{
+    return {m.number_, m.version_};
+}
+
+Json write(const PeerAnswer &m)
+{
+    return {m.number_, m.version_, m.settled_};
+}
+
+Json write(const PeerChanges &m)
+{
+    Json out = Json::array();
+    for (const Change &change : m.changes_) {
+        out.push_back(formatChange(change));
+    }
+    return out;
+}
+
 TaskState readFinalState(Reader &in)
 {
     const int number = in.smallNumber();
@@ -372,6 +392,30 @@
     m.body_ = in.text();
 }
 
+void read(Reader &in, PeerQuestion &m)
+{
+    m.number_ = in.number();
+    m.version_ = in.number();
+}
+
+void read(Reader &in, PeerAnswer &m)
+{
+    m.number_ = in.number();
+    m.version_ = in.number();
+    m.settled_ = in.flag();
+}
+
+void read(Reader &in, PeerChanges &m)
+{
+    while (!in.atEnd()) {
+        auto change = parseChange(in.text());
+        if (change.has_error()) {
+            throw std::invalid_argument(change.error().text_);
+        }
+        m.changes_.push_back(std::move(change).value());
+    }
+}
+
 template<typename T>
 Message readAs(Reader &in)
 {
--- a/src/ibiswall/codec/wire_test.cpp
+++ b/src/ibiswall/codec/wire_test.cpp
@@ -19,6 +19,9 @@
         PeerHello{protocolVersion, {"entry-1", 9}},
         RelayRequest{1, RelayOp::Cancel, "id", "member", "body"},
         RelayReply{1, 200, "body"},
+        PeerQuestion{7, 3},
+        PeerAnswer{7, 4, true},
+        PeerChanges{{{4, "id", "ops", "why", {5}, {IntentOp::DomainOut, "east", {}, {}}, "before", "after"}}},
     };
 }
 
--- a/src/ibiswall/core/freshness.cpp
+++ b/src/ibiswall/core/freshness.cpp
@@ -1,4 +1,4 @@
-// Computes grants from the age of what an entry knows.
+// Keeps the latest read of the platform.
 
 #include <ibiswall/core/freshness.hpp>
 
@@ -12,13 +12,4 @@
     }
 }
 
-Millis grantLength(const Freshness &freshness, Millis now)
-{
-    if (!freshness.known_) {
-        return {0};
-    }
-    const Millis left = freshness.asOf_ + freshnessLife - now;
-    return left > Millis{0} ? left : Millis{0};
-}
-
 } // namespace ibiswall
--- a/src/ibiswall/entry/dispatchduty.cpp
+++ b/src/ibiswall/entry/dispatchduty.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::string_view part = "entry.dispatch";
 constexpr std::chrono::milliseconds tickInterval(50);
-constexpr std::size_t maxAudit = 10000;
 constexpr CallerRef relayedBit = CallerRef{1} << 63U;
 constexpr int httpOk = 200;
 
@@ -40,24 +39,27 @@
     : outlets_(std::move(outlets))
     , links_(io,
              makeLinkLimits(settings),
-             LinkEvents{[](LinkId /*link*/) {},
-                        [this](LinkId link) {
-                            peerLinks_.erase(link);
-                            DispatchActions actions;
-                            loseAgent(dispatcher_, readClocks(), link, actions);
-                            act(actions);
-                        },
+             LinkEvents{[](LinkId /*link*/) {}, [this](LinkId link) { closed(link); },
                         [this](LinkId link, std::string_view frame) { receive(link, frame); },
                         [this](std::string_view reason) {
                             noteRefusedLink(reason);
                         }})
-    , peers_(io, makeSelf(settings), settings.peers_, [this](CallerRef caller, HttpReply answer) { reply(caller, std::move(answer)); })
+    , peers_(io,
+             makeSelf(settings),
+             settings.peers_,
+             {[this](CallerRef caller, HttpReply answer) { reply(caller, std::move(answer)); },
+              [this](const std::string &peer, const PeerWord &word) { on(peer, word); },
+              [this](const PeerChanges &changes) {
+                  applyChanges(changes.changes_);
+              }})
     , timer_(io)
     , nextRelayed_(relayedBit)
 {
     dispatcher_.self_ = peers_.self();
     dispatcher_.limits_ = settings.limits_;
     dispatcher_.random_.seed(std::random_device{}());
+    electorate_.entries_ = peers_.size() + 1;
+    electorate_.startedAt_ = bootClock();
 }
 
 Result<std::uint16_t> DispatchDuty::start(const Address &address)
@@ -88,6 +90,14 @@
     log(LogLevel::Warning, part, "link refused: " + std::string(reason) + ", " + std::to_string(refusedLinks_) + " refused so far");
 }
 
+void DispatchDuty::closed(LinkId link)
+{
+    entryLinks_.erase(link);
+    DispatchActions actions;
+    loseAgent(dispatcher_, readClocks(), link, actions);
+    act(actions);
+}
+
 void DispatchDuty::scheduleTick()
 {
     timer_.expires_after(tickInterval);
@@ -98,6 +108,9 @@
         DispatchActions actions;
         tick(dispatcher_, readClocks(), actions);
         act(actions);
+        const Millis now = bootClock();
+        askPeers(now);
+        answerConfirms(now);
         reportDrained();
         scheduleTick();
     });
@@ -129,7 +142,7 @@
                      {0, RelayOp::Submit, format(request.submission_.id_), request.submission_.member_, std::move(request.body_)});
         return;
     }
-    if (!freshness_.known_) {
+    if (!electorate_.settled_) {
         replyError(request.caller_, {Code::NotReady, "configuration has not been read yet"});
         return;
     }
@@ -163,45 +176,9 @@
     reply(request.caller_, jsonReply(httpOk, formatIds(ids, dispatcher_.limits_.idLife_)));
 }
 
-std::vector<TargetPlace> DispatchDuty::announced() const
-{
-    std::vector<TargetPlace> places;
-    for (const auto &[ref, agent] : dispatcher_.fleet_.agents_) {
-        places.push_back(agent.info_.place_);
-    }
-    return places;
-}
-
-void DispatchDuty::on(const PlanRequest &request)
-{
-    const auto plan = makePlan(dispatcher_.configuration_, request.intent_, announced());
-    if (plan.has_error()) {
-        replyError(request.caller_, plan.error());
-        return;
-    }
-    reply(request.caller_, jsonReply(httpOk, formatPlan(plan.value())));
-}
-
-void DispatchDuty::on(const ConfirmRequest &request)
-{
-    const Confirmation &confirmation = request.confirmation_;
-    auto change = confirmPlan(dispatcher_.configuration_, confirmation.intent_, confirmation.baseVersion_, confirmation.digest_);
-    if (change.has_error()) {
-        replyError(request.caller_, change.error());
-        return;
-    }
-    change.value().who_ = confirmation.who_;
-    change.value().why_ = confirmation.why_;
-    change.value().when_ = wallClock();
-    change.value().changeId_ = format(issueId(dispatcher_, readClocks()));
-    if (!outlets_.platform_({request.caller_, std::move(change).value()})) {
-        replyError(request.caller_, {Code::Overloaded, "too many confirmations at a time"});
-    }
-}
-
 void DispatchDuty::on(const StatusRequest &request)
 {
-    reply(request.caller_, jsonReply(httpOk, formatStatus(dispatcher_, freshness_, bootClock())));
+    reply(request.caller_, jsonReply(httpOk, formatStatus(dispatcher_, electorate_, peers_.names(), bootClock())));
 }
 
 void DispatchDuty::on(const AuditRequest &request)
@@ -213,7 +190,7 @@
 {
     HttpReply text;
     text.contentType_ = "text/plain; version=0.0.4";
-    text.body_ = formatMetrics(dispatcher_, freshness_, bootClock());
+    text.body_ = formatMetrics(dispatcher_, electorate_, bootClock());
     reply(request.caller_, std::move(text));
 }
 
@@ -223,67 +200,6 @@
     reportDrained();
 }
 
-void DispatchDuty::on(LogRead &&message)
-{
-    for (const Change &change : message.changes_) {
-        applyChange(change);
-    }
-    if (!message.changes_.empty()) {
-        notifyAgents();
-    }
-    if (message.ok_) {
-        noteRead(freshness_, message.began_);
-    }
-}
-
-void DispatchDuty::applyChange(const Change &change)
-{
-    DispatchActions actions;
-    if (!takeChange(dispatcher_, readClocks(), change, actions)) {
-        return;
-    }
-    log(LogLevel::Info, part,
-        "version " + std::to_string(change.version_) + " in force: " + describe(change.intent_) + ", by " + change.who_);
-    audit_.push_back(change);
-    if (audit_.size() > maxAudit) {
-        audit_.pop_front();
-    }
-    act(actions);
-}
-
-void DispatchDuty::on(const WriteReply &message)
-{
-    const Change &change = message.change_;
-    switch (message.outcome_.code_) {
-    case Code::Ok:
-        reply(message.caller_, jsonReply(httpOk, formatChange(change)));
-        return;
-    case Code::LostRace: {
-        const Change &winner = message.outcome_.winner_;
-        replyError(
-            message.caller_,
-            {Code::LostRace, winner.who_ + " was first with version " + std::to_string(winner.version_) + ": " + describe(winner.intent_)});
-        return;
-    }
-    default:
-        replyError(message.caller_,
-                   {message.outcome_.code_, "version " + std::to_string(change.version_) + ": " + describe(change.intent_)});
-    }
-}
-
-Grant DispatchDuty::makeGrant(const Agent &agent, std::uint64_t renewal, Millis length) const
-{
-    const TargetPlace &place = agent.info_.place_;
-    return {renewal, dispatcher_.configuration_.version_, isOut(dispatcher_.configuration_, place.domain_, place.target_), length};
-}
-
-void DispatchDuty::notifyAgents()
-{
-    for (const auto &[ref, agent] : dispatcher_.fleet_.agents_) {
-        links_.send(ref, encode(makeGrant(agent, 0, {0})));
-    }
-}
-
 void DispatchDuty::receive(LinkId link, std::string_view frame)
 {
     const auto message = decode(frame);
@@ -293,7 +209,7 @@
         return;
     }
     const bool greets = std::holds_alternative<AgentHello>(message.value()) || std::holds_alternative<PeerHello>(message.value());
-    if (!greets && findAgent(dispatcher_.fleet_, link) == nullptr && peerLinks_.count(link) == 0) {
+    if (!greets && findAgent(dispatcher_.fleet_, link) == nullptr && entryLinks_.count(link) == 0) {
         log(LogLevel::Warning, part, "link " + std::to_string(link) + " closed: no hello before other messages");
         links_.close(link);
         return;
@@ -326,7 +242,7 @@
         return;
     }
     const Now now = readClocks();
-    links_.send(link, encode(makeGrant(*agent, renewal.number_, grantLength(freshness_, now.boot_))));
+    links_.send(link, encode(makeGrant(*agent, renewal.number_, grantLength(electorate_, dispatcher_.configuration_.version_, now.boot_))));
     DispatchActions actions;
     hearAgent(dispatcher_, now, link, renewal.version_, actions);
     act(actions);
@@ -351,7 +267,7 @@
         links_.close(link);
         return;
     }
-    peerLinks_.insert(link);
+    entryLinks_[link] = hello.entry_;
     links_.send(link, encode(PeerHello{protocolVersion, dispatcher_.self_}));
 }
 
--- a/src/ibiswall/entry/dispatchduty.hpp
+++ b/src/ibiswall/entry/dispatchduty.hpp
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <ibiswall/settings.hpp>
-#include <unordered_set>
 
 namespace ibiswall {
 
@@ -19,6 +18,15 @@
     std::function<bool(WriteRequest)> platform_;
 };
 
+/// A change that was written and whose confirmation is not answered.
+struct PendingConfirm
+{
+    CallerRef caller_ = 0;
+    Change change_;
+    /// When the confirmation is answered as unconfirmed.
+    Millis giveUpAt_;
+};
+
 /// Runs the dispatcher on its own event loop.
 class DispatchDuty
 {
@@ -57,6 +65,8 @@
     void onFrame(LinkId link, const Leaving &leaving);
     void onFrame(LinkId link, const PeerHello &hello);
     void onFrame(LinkId link, const RelayRequest &request);
+    void onFrame(LinkId link, const PeerQuestion &question);
+    void onFrame(LinkId link, const PeerChanges &changes);
     template<typename T>
     void onFrame(LinkId link, const T &unexpected);
 
@@ -65,7 +75,14 @@
     void reply(CallerRef caller, HttpReply reply);
     void replyError(CallerRef caller, const Error &error);
     void applyChange(const Change &change);
+    void applyChanges(Span<const Change> changes);
     void notifyAgents();
+    void on(const std::string &peer, const PeerWord &word);
+    void closed(LinkId link);
+    PeerChanges changesAfter(std::uint64_t version) const;
+    void askPeers(Millis now);
+    void answerConfirms(Millis now);
+    void awaitAcceptance(const WriteReply &message);
     Grant makeGrant(const Agent &agent, std::uint64_t renewal, Millis length) const;
     std::vector<TargetPlace> announced() const;
     void noteRefusedLink(std::string_view reason);
@@ -77,11 +94,15 @@
     LinkServer links_;
     Peers peers_;
     boost::asio::steady_timer timer_;
-    Freshness freshness_;
-    /// The latest changes, newest last, for the audit trail.
+    Electorate electorate_;
+    /// The other entries by the links that they opened.
+    std::unordered_map<LinkId, Incarnation> entryLinks_;
+    /// Written changes, by version, that too few entries are known to have applied.
+    std::map<std::uint64_t, PendingConfirm> pendingConfirms_;
+    /// When the other entries were last asked for their version.
+    Millis askedAt_;
+    /// The latest changes, newest last and without gaps, for the audit trail and for entries that are behind.
     std::deque<Change> audit_;
-    /// Links on which another entry has said hello.
-    std::unordered_set<LinkId> peerLinks_;
     /// Where replies to relayed requests go; such callers have the top bit set.
     std::unordered_map<CallerRef, std::pair<LinkId, std::uint64_t>> relayed_;
     CallerRef nextRelayed_;
--- a/src/ibiswall/entry/messages.hpp
+++ b/src/ibiswall/entry/messages.hpp
@@ -106,6 +106,8 @@
     Millis began_;
     /// Whether the platform answered.
     bool ok_ = false;
+    /// Whether the changes go up to the newest.
+    bool complete_ = false;
     /// Changes that followed the last ones read.
     std::vector<Change> changes_;
 };
--- a/src/ibiswall/entry/peers.cpp
+++ b/src/ibiswall/entry/peers.cpp
@@ -1,4 +1,4 @@
-// Client side of relaying between entries.
+// Client side of the links between entries.
 
 #include "peers.hpp"
 
@@ -10,6 +10,8 @@
 
 constexpr std::string_view part = "entry.peers";
 constexpr Millis askAgain{1000};
+// Questions older than any answer could be of use.
+constexpr std::size_t maxQuestionsOpen = 16;
 
 HttpReply refusal(Code code, const std::string &text)
 {
@@ -20,27 +22,27 @@
 
 } // namespace
 
-Peers::Peers(boost::asio::io_context &io,
-             Incarnation self,
-             const std::vector<PeerPlace> &places,
-             std::function<void(CallerRef, HttpReply)> reply)
+Peers::Peers(boost::asio::io_context &io, Incarnation self, const std::vector<PeerPlace> &places, PeerEvents events)
     : self_(std::move(self))
-    , reply_(std::move(reply))
+    , events_(std::move(events))
 {
     for (const PeerPlace &place : places) {
+        if (place.name_ == self_.name_) {
+            continue;
+        }
         Peer &peer = peers_[place.name_];
-        LinkEvents events;
-        events.opened_ = [this, &peer](LinkId /*link*/) {
+        LinkEvents linkEvents;
+        linkEvents.opened_ = [this, &peer](LinkId /*link*/) {
             peer.open_ = true;
             peer.link_->send(encode(PeerHello{protocolVersion, self_}));
         };
-        events.closed_ = [this, &peer](LinkId /*link*/) {
+        linkEvents.closed_ = [this, &peer](LinkId /*link*/) {
             closed(peer);
         };
-        events.received_ = [this, &peer](LinkId /*link*/, std::string_view frame) {
-            receive(peer, frame);
+        linkEvents.received_ = [this, &peer, name = place.name_](LinkId /*link*/, std::string_view frame) {
+            receive(name, peer, frame);
         };
-        peer.link_ = std::make_unique<LinkClient>(io, place.links_, LinkLimits{}, std::move(events));
+        peer.link_ = std::make_unique<LinkClient>(io, place.links_, LinkLimits{}, std::move(linkEvents));
     }
 }
 
@@ -62,16 +64,16 @@
 {
     const auto found = peers_.find(home.name_);
     if (found == peers_.end()) {
-        reply_(caller, refusal(Code::UnknownJob, "entry \"" + home.name_ + "\" is not known"));
+        events_.reply_(caller, refusal(Code::UnknownJob, "entry \"" + home.name_ + "\" is not known"));
         return;
     }
     Peer &peer = found->second;
     if (!peer.open_ || peer.remote_.number_ == 0) {
-        reply_(caller, refusal(Code::HomeUnreachable, "entry \"" + home.name_ + "\" cannot be reached"));
+        events_.reply_(caller, refusal(Code::HomeUnreachable, "entry \"" + home.name_ + "\" cannot be reached"));
         return;
     }
     if (peer.remote_ != home) {
-        reply_(caller, refusal(Code::HomeGone, "entry \"" + home.name_ + "\" was started anew; tasks of the job may have run"));
+        events_.reply_(caller, refusal(Code::HomeGone, "entry \"" + home.name_ + "\" was started anew; tasks of the job may have run"));
         return;
     }
     request.relay_ = nextRelay_++;
@@ -83,14 +85,69 @@
 {
     peer.open_ = false;
     peer.remote_ = {};
+    peer.asked_.clear();
     const auto waiting = std::move(peer.waiting_);
     peer.waiting_.clear();
     for (const auto &[relay, caller] : waiting) {
-        reply_(caller, refusal(Code::HomeUnreachable, "link to the job's home was lost"));
+        events_.reply_(caller, refusal(Code::HomeUnreachable, "link to the job's home was lost"));
     }
 }
 
-void Peers::receive(Peer &peer, std::string_view frame)
+void Peers::ask(std::uint64_t version)
+{
+    for (auto &[name, peer] : peers_) {
+        ask(peer, version);
+    }
+}
+
+void Peers::ask(const std::string &name, std::uint64_t version)
+{
+    const auto found = peers_.find(name);
+    if (found != peers_.end()) {
+        ask(found->second, version);
+    }
+}
+
+// Asks only a peer that has said which process it is.
+void Peers::ask(Peer &peer, std::uint64_t version)
+{
+    if (!peer.open_ || peer.remote_.number_ == 0) {
+        return;
+    }
+    const std::uint64_t number = nextQuestion_++;
+    peer.asked_[number] = bootClock();
+    if (peer.asked_.size() > maxQuestionsOpen) {
+        peer.asked_.erase(peer.asked_.begin());
+    }
+    peer.link_->send(encode(PeerQuestion{number, version}));
+}
+
+std::vector<std::string> Peers::names() const
+{
+    std::vector<std::string> names;
+    names.reserve(peers_.size());
+    for (const auto &[name, peer] : peers_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+void Peers::passToAll(const PeerChanges &changes)
+{
+    for (const auto &[name, peer] : peers_) {
+        pass(name, changes);
+    }
+}
+
+void Peers::pass(const std::string &name, const PeerChanges &changes)
+{
+    const auto found = peers_.find(name);
+    if (found != peers_.end() && found->second.open_) {
+        found->second.link_->send(encode(changes));
+    }
+}
+
+void Peers::receive(const std::string &name, Peer &peer, std::string_view frame)
 {
     const auto message = decode(frame);
     if (message.has_error()) {
@@ -98,18 +155,51 @@
         peer.link_->close();
         return;
     }
-    if (const auto *hello = std::get_if<PeerHello>(&message.value())) {
-        peer.remote_ = hello->entry_;
+    std::visit([&](const auto &m) { on(name, peer, m); }, message.value());
+}
+
+void Peers::on(const std::string &name, Peer &peer, const PeerHello &hello)
+{
+    if (hello.entry_.name_ != name) {
+        log(LogLevel::Error, part, "entry \"" + name + "\" in the settings calls itself \"" + hello.entry_.name_ + "\"");
+        peer.link_->close();
         return;
     }
-    const auto *reply = std::get_if<RelayReply>(&message.value());
-    const auto found = reply == nullptr ? peer.waiting_.end() : peer.waiting_.find(reply->relay_);
+    peer.remote_ = hello.entry_;
+}
+
+void Peers::on(const std::string & /*name*/, Peer &peer, const RelayReply &relayed)
+{
+    const auto found = peer.waiting_.find(relayed.relay_);
     if (found == peer.waiting_.end()) {
         return;
     }
     const CallerRef caller = found->second;
     peer.waiting_.erase(found);
-    reply_(caller, jsonReply(reply->status_, reply->body_));
+    events_.reply_(caller, jsonReply(relayed.status_, relayed.body_));
+}
+
+void Peers::on(const std::string &name, Peer &peer, const PeerAnswer &answer)
+{
+    const auto found = peer.asked_.find(answer.number_);
+    if (found == peer.asked_.end()) {
+        return;
+    }
+    const PeerWord word{found->second, answer.version_, answer.settled_};
+    peer.asked_.erase(peer.asked_.begin(), std::next(found));
+    events_.word_(name, word);
+}
+
+void Peers::on(const std::string & /*name*/, Peer & /*peer*/, const PeerChanges &changes)
+{
+    events_.changes_(changes);
+}
+
+template<typename T>
+void Peers::on(const std::string &name, Peer &peer, const T & /*unexpected*/)
+{
+    log(LogLevel::Warning, part, "link to entry \"" + name + "\" closed: unexpected message");
+    peer.link_->close();
 }
 
 } // namespace ibiswall
--- a/src/ibiswall/entry/peers.hpp
+++ b/src/ibiswall/entry/peers.hpp
@@ -1,4 +1,4 @@
-// Links to the other entries, and the callers' requests relayed over them.
+// Links to the other entries: callers' requests relayed over them, and the words on which the configuration rests.
 
 #pragma once
 
@@ -11,16 +11,23 @@
 
 namespace ibiswall {
 
-/// Relays requests to the home of a job.
+/// What the owner of the links to other entries is told.
+struct PeerEvents
+{
+    /// Sends the reply to a caller.
+    std::function<void(CallerRef, HttpReply)> reply_;
+    /// A peer answered a question.
+    std::function<void(const std::string &, const PeerWord &)> word_;
+    /// A peer handed changes on.
+    std::function<void(const PeerChanges &)> changes_;
+};
+
+/// Relays requests to the home of a job, and asks the other entries for their version.
 class Peers
 {
 public:
     /// @param self this process
-    /// @param reply sends the reply to a caller
-    Peers(boost::asio::io_context &io,
-          Incarnation self,
-          const std::vector<PeerPlace> &places,
-          std::function<void(CallerRef, HttpReply)> reply);
+    Peers(boost::asio::io_context &io, Incarnation self, const std::vector<PeerPlace> &places, PeerEvents events);
 
     /// Starts to connect.
     void start();
@@ -31,6 +38,28 @@
         return self_;
     }
 
+    /// Other entries in the settings.
+    std::size_t size() const
+    {
+        return peers_.size();
+    }
+
+    /// Asks every entry that can be reached for its version.
+    /// @param version applied here
+    void ask(std::uint64_t version);
+
+    /// Asks one entry for its version.
+    void ask(const std::string &name, std::uint64_t version);
+
+    /// The names of the other entries.
+    std::vector<std::string> names() const;
+
+    /// Hands changes on to every entry that can be reached.
+    void passToAll(const PeerChanges &changes);
+
+    /// Hands changes on to one entry.
+    void pass(const std::string &name, const PeerChanges &changes);
+
     /// Stops for good.
     void stop();
 
@@ -46,16 +75,27 @@
         Incarnation remote_;
         /// Callers by the relay numbers that wait for a reply.
         std::map<std::uint64_t, CallerRef> waiting_;
+        /// When each question without an answer was sent.
+        std::map<std::uint64_t, Millis> asked_;
     };
 
-    void receive(Peer &peer, std::string_view frame);
+    void ask(Peer &peer, std::uint64_t version);
+    void on(const std::string &name, Peer &peer, const PeerHello &hello);
+    void on(const std::string &name, Peer &peer, const RelayReply &relayed);
+    void on(const std::string &name, Peer &peer, const PeerAnswer &answer);
+    void on(const std::string &name, Peer &peer, const PeerChanges &changes);
+    template<typename T>
+    void on(const std::string &name, Peer &peer, const T &unexpected);
+
+    void receive(const std::string &name, Peer &peer, std::string_view frame);
     void closed(Peer &peer);
 
     Incarnation self_;
-    std::function<void(CallerRef, HttpReply)> reply_;
+    PeerEvents events_;
     /// By name.
     std::map<std::string, Peer> peers_;
     std::uint64_t nextRelay_ = 1;
+    std::uint64_t nextQuestion_ = 1;
 };
 
 } // namespace ibiswall
--- a/src/ibiswall/entry/platformduty.cpp
+++ b/src/ibiswall/entry/platformduty.cpp
@@ -54,7 +54,8 @@
             message.changes_ = std::move(changes).value();
         }
         const bool full = message.changes_.size() == changesPerRead;
-        message.ok_ = ok && !full;
+        message.ok_ = ok;
+        message.complete_ = ok && !full;
         version_ += message.changes_.size();
         report_(std::move(message));
         if (!full) {
--- a/src/ibiswall/entry/views.cpp
+++ b/src/ibiswall/entry/views.cpp
@@ -25,6 +25,15 @@
             {"version", agent.version_}};
 }
 
+// Fields of an entry that was never heard are null.
+Json entryJson(const std::string &name, const PeerWord *word, Millis now)
+{
+    if (word == nullptr) {
+        return {{"entry", name}, {"version", nullptr}, {"settled", nullptr}, {"heard_ms_ago", nullptr}};
+    }
+    return {{"entry", name}, {"version", word->version_}, {"settled", word->settled_}, {"heard_ms_ago", (now - word->askedAt_).count_}};
+}
+
 void addCounter(prometheus::Registry &registry, const char *name, const char *help, std::uint64_t value)
 {
     prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({}).Increment(static_cast<double>(value));
@@ -37,13 +46,16 @@
 
 } // namespace
 
-std::string formatStatus(const Dispatcher &dispatcher, const Freshness &freshness, Millis now)
+std::string formatStatus(const Dispatcher &dispatcher, const Electorate &electorate, Span<const std::string> entries, Millis now)
 {
+    const Freshness &read = electorate.read_;
     const Configuration &configuration = dispatcher.configuration_;
     Json json;
     json["entry"] = dispatcher.self_.name_;
     json["version"] = configuration.version_;
-    json["read_ms_ago"] = freshness.known_ ? Json((now - freshness.asOf_).count_) : Json();
+    json["read_ms_ago"] = read.known_ ? Json((now - read.asOf_).count_) : Json();
+    json["settled"] = electorate.settled_;
+    json["grant_ms"] = grantLength(electorate, configuration.version_, now).count_;
     json["domains_out"] = configuration.domainsOut_;
     json["targets_out"] = configuration.targetsOut_;
     json["open_jobs"] = dispatcher.openJobs_;
@@ -56,6 +68,16 @@
             json["unconfirmed"].push_back(agent.info_.place_.target_);
         }
     }
+    json["entries"] = Json::array();
+    json["unconfirmed_entries"] = Json::array();
+    for (const std::string &name : entries) {
+        const auto word = electorate.words_.find(name);
+        const bool heard = word != electorate.words_.end();
+        json["entries"].push_back(entryJson(name, heard ? &word->second : nullptr, now));
+        if (!heard || word->second.version_ < configuration.version_) {
+            json["unconfirmed_entries"].push_back(name);
+        }
+    }
     return json.dump();
 }
 
@@ -71,8 +93,9 @@
     return json.dump();
 }
 
-std::string formatMetrics(const Dispatcher &dispatcher, const Freshness &freshness, Millis now)
+std::string formatMetrics(const Dispatcher &dispatcher, const Electorate &electorate, Millis now)
 {
+    const Freshness &read = electorate.read_;
     const DispatchCounts &counts = dispatcher.counts_;
     prometheus::Registry registry;
     addCounter(registry, "ibiswall_jobs_accepted_total", "Jobs accepted", counts.jobsAccepted_);
@@ -91,7 +114,9 @@
     addGauge(registry, "ibiswall_queued_tasks", "Tasks that wait for a slot", static_cast<double>(dispatcher.queue_.size_));
     addGauge(registry, "ibiswall_agents", "Linked agents", static_cast<double>(dispatcher.fleet_.agents_.size()));
     addGauge(registry, "ibiswall_configuration_age_ms", "Milliseconds since the platform was read",
-             freshness.known_ ? static_cast<double>((now - freshness.asOf_).count_) : -1);
+             read.known_ ? static_cast<double>((now - read.asOf_).count_) : -1);
+    addGauge(registry, "ibiswall_grant_ms", "Milliseconds for which agents may start tasks without hearing again",
+             static_cast<double>(grantLength(electorate, dispatcher.configuration_.version_, now).count_));
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/ibiswall/entry/views.hpp
+++ b/src/ibiswall/entry/views.hpp
@@ -7,13 +7,14 @@
 
 namespace ibiswall {
 
-/// Writes the configuration in force and what each agent has applied.
-std::string formatStatus(const Dispatcher &dispatcher, const Freshness &freshness, Millis now);
+/// Writes the configuration in force, and what each agent and each other entry has applied.
+/// @param entries names of the other entries
+std::string formatStatus(const Dispatcher &dispatcher, const Electorate &electorate, Span<const std::string> entries, Millis now);
 
 /// Writes the changes after a version.
 std::string formatAudit(const std::deque<Change> &changes, std::uint64_t after);
 
 /// Writes the metrics in the Prometheus text format.
-std::string formatMetrics(const Dispatcher &dispatcher, const Freshness &freshness, Millis now);
+std::string formatMetrics(const Dispatcher &dispatcher, const Electorate &electorate, Millis now);
 
 } // namespace ibiswall
--- a/src/ibiswall/platform/changelog.cpp
+++ b/src/ibiswall/platform/changelog.cpp
@@ -45,6 +45,13 @@
 
 WriteOutcome writeChange(const Store &store, const Change &change, Millis giveUp)
 {
+    const auto present = readUpTo(store, change.version_ - 1, 1);
+    if (present.has_error()) {
+        return {Code::PlatformDown, {}};
+    }
+    if (!present.value().empty()) {
+        return {Code::LostRace, present.value().front()};
+    }
     const Millis until = bootClock() + giveUp;
     const auto ignored = createValue(store, keyOf(change.version_), formatChange(change));
     do {
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -25,6 +25,8 @@
     bool down_ = false;
     /// Calls take effect, but their answers never come.
     bool loseAnswers_ = false;
+    /// The same for writes alone.
+    bool loseWriteAnswers_ = false;
     /// Calls take effect only after this time.
     std::int64_t slowMillis_ = 0;
 };
@@ -79,6 +81,7 @@
     {
         mode_.down_ = json.value("down", false);
         mode_.loseAnswers_ = json.value("lose_answers", false);
+        mode_.loseWriteAnswers_ = json.value("lose_write_answers", false);
         mode_.slowMillis_ = json.value("slow_ms", 0);
     }
 
@@ -87,7 +90,7 @@
         expireLeases();
         const Json body = Json::parse(request.body_, nullptr, false);
         const Json answer = body.is_object() ? answerTo(request.path_, body) : Json();
-        if (mode_.loseAnswers_) {
+        if (mode_.loseAnswers_ || (mode_.loseWriteAnswers_ && request.path_ != "/v3/kv/range")) {
             lost_.push_back(respond);
             return;
         }
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -80,6 +80,7 @@
         startTarget(i);
         startAgent(i);
     }
+    awaitEntries();
     awaitAgents(places_.size());
 }
 
@@ -238,6 +239,17 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+void Cluster::awaitEntries() const
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        await("all entries are heard", [&] {
+            const auto answer = callAsOperator(i, "GET", "/v1/status");
+            const Json status = answer.has_value() ? Json::parse(answer.value().body_, nullptr, false) : Json();
+            return status.is_object() && status["unconfirmed_entries"].empty();
+        });
+    }
+}
+
 void Cluster::awaitAgents(std::size_t count) const
 {
     for (std::size_t i = 0; i < entries_.size(); ++i) {
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -114,6 +114,9 @@
     /// What an entry wrote to its log.
     std::string logOf(std::size_t entry) const;
 
+    /// Waits until every entry has heard every other.
+    void awaitEntries() const;
+
     std::vector<EntryPlace> entries_;
     std::vector<Place> places_;
     std::optional<Process> platform_;
