--- a/include/ibiswall/core.hpp
+++ b/include/ibiswall/core.hpp
@@ -5,8 +5,8 @@
 #include <ibiswall/base.hpp> // IWYU pragma: export
 #include <ibiswall/core/configuration.hpp> // IWYU pragma: export
 #include <ibiswall/core/dispatcher.hpp> // IWYU pragma: export
-#include <ibiswall/core/ended.hpp> // IWYU pragma: export
 #include <ibiswall/core/electorate.hpp> // IWYU pragma: export
+#include <ibiswall/core/ended.hpp> // IWYU pragma: export
 #include <ibiswall/core/fleet.hpp> // IWYU pragma: export
 #include <ibiswall/core/freshness.hpp> // IWYU pragma: export
 #include <ibiswall/core/gate.hpp> // IWYU pragma: export
