Keep the reason of the first loss with a task

Cause: a later loss overwrote the reason, so a task could end as may have run with the code of a refusal (209). Before: the reason of the last loss. After: of the first, as its comment says.

--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -243,7 +243,8 @@
 // Settles a task that may have run, or places it again where its kind allows that.
 void settleLost(Dispatcher &dispatcher, Now now, Job &job, std::uint32_t index, Code code, DispatchActions &actions)
 {
-    job.tasks_[index].lost_ = code;
+    Task &task = job.tasks_[index];
+    task.lost_ = task.lost_ == Code::Ok ? code : task.lost_;
     if (job.kind_.repeatable_) {
         placeAgain(dispatcher, now, job, index, code, actions);
         return;
--- a/src/ibiswall/core/ended_test.cpp
+++ b/src/ibiswall/core/ended_test.cpp
@@ -112,9 +112,13 @@
     DispatchActions actions;
     Dispatcher entry = makeSmallEntry(actions);
     entry.limits_.maxEndedJobs_ = 10;
-    while (entry.ended_.size() < entry.limits_.maxEndedJobs_) {
+    for (std::size_t i = 0; i < jobs; ++i) {
         runJob(entry);
+        if (entry.ended_.size() == entry.limits_.maxEndedJobs_) {
+            break;
+        }
     }
+    BOOST_REQUIRE(entry.ended_.size() == entry.limits_.maxEndedJobs_);
     BOOST_TEST((resubmit(entry, makeJob(entry)) == Code::Overloaded));
 }
 
