Tell a stale confirmation what changed since its plan

Cause: the refusal named two versions only, and the operator had to search the audit trail. Ruled out: sending whole changes, which a long absence would make unbounded; ten are described, then the audit trail is named. Before: the new system test fails on the reason. Conclusion: the loser of a race learns who won and with what.

--- a/src/ibiswall/entry/dispatchchanges.cpp
+++ b/src/ibiswall/entry/dispatchchanges.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatchduty.hpp"
 
+#include "views.hpp"
+
 #include <ibiswall/log.hpp>
 
 namespace ibiswall {
@@ -46,7 +48,11 @@
     const Confirmation &confirmation = request.confirmation_;
     auto change = confirmPlan(dispatcher_.configuration_, confirmation.intent_, confirmation.baseVersion_, confirmation.digest_);
     if (change.has_error()) {
-        replyError(request.caller_, change.error());
+        Error error = change.error();
+        if (error.code_ == Code::StalePlan) {
+            error.text_ += describeSince(audit_, confirmation.baseVersion_);
+        }
+        replyError(request.caller_, error);
         return;
     }
     if (!canAccept(electorate_, bootClock())) {
--- a/src/ibiswall/entry/views.cpp
+++ b/src/ibiswall/entry/views.cpp
@@ -14,6 +14,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t maxChangesDescribed = 10;
+
 Json agentJson(const Agent &agent)
 {
     return {{"target", agent.info_.place_.target_},
@@ -93,6 +95,23 @@
     return json.dump();
 }
 
+std::string describeSince(const std::deque<Change> &changes, std::uint64_t version)
+{
+    std::string text;
+    std::size_t count = 0;
+    for (const Change &change : changes) {
+        if (change.version_ <= version) {
+            continue;
+        }
+        if (++count > maxChangesDescribed) {
+            return text + "; and later ones, see the audit trail";
+        }
+        text += "; version " + std::to_string(change.version_) + " by " + change.who_ + ": " + describe(change.intent_) + ", before "
+            + change.before_ + ", after " + change.after_;
+    }
+    return text;
+}
+
 std::string formatMetrics(const Dispatcher &dispatcher, const Electorate &electorate, Millis now)
 {
     const Freshness &read = electorate.read_;
--- a/src/ibiswall/entry/views.hpp
+++ b/src/ibiswall/entry/views.hpp
@@ -14,6 +14,9 @@
 /// Writes the changes after a version.
 std::string formatAudit(const std::deque<Change> &changes, std::uint64_t after);
 
+/// Describes in one line what changed after a version; empty when nothing that is kept did.
+std::string describeSince(const std::deque<Change> &changes, std::uint64_t version);
+
 /// Writes the metrics in the Prometheus text format.
 std::string formatMetrics(const Dispatcher &dispatcher, const Electorate &electorate, Millis now);
 
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -75,6 +75,47 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_stale_confirmation_is_refused_with_the_difference)
+{
+    Cluster cluster({});
+    const Json first = {{"op", "domain-out"}, {"name", "fd-1"}};
+    const Json second = {{"op", "domain-out"}, {"name", "fd-2"}};
+    const Json plan = Json::parse(cluster.callAsOperator(0, "POST", "/v1/plan", second.dump()).value().body_);
+    BOOST_REQUIRE(cluster.change(0, first).value("version", 0) == 1);
+    const Json stale
+        = {{"intent", second}, {"base_version", plan["base_version"]}, {"digest", plan["digest"]}, {"who", ""}, {"why", "test"}};
+    const Json refused = Json::parse(cluster.callAsOperator(0, "POST", "/v1/confirm", stale.dump()).value().body_);
+    BOOST_TEST(refused.value("code", 0) == 500);
+    BOOST_TEST(refused.value("reason", "").find("version 1 by ops: domain-out fd-1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(of_two_racing_confirmations_one_wins_and_the_other_is_told)
+{
+    Cluster cluster({});
+    const Json intents[] = {{{"op", "domain-out"}, {"name", "fd-1"}}, {{"op", "domain-out"}, {"name", "fd-2"}}};
+    Json answers[2];
+    std::thread racer([&] { answers[0] = cluster.change(0, intents[0]); });
+    answers[1] = cluster.change(1, intents[1]);
+    racer.join();
+    for (const std::size_t i : {0U, 1U}) {
+        // Where one ended before the other planned, both are accepted in turn.
+        const int code = answers[i].value("code", 0);
+        BOOST_TEST((code == 0 || code == 500 || code == 501));
+        BOOST_TEST((code == 0 || answers[i].value("reason", "").find("ops") != std::string::npos));
+    }
+    std::size_t accepted = 0;
+    for (const Json &answer : answers) {
+        accepted += answer.contains("version") ? 1 : 0;
+    }
+    BOOST_TEST(accepted >= 1U);
+    for (const std::size_t entry : {0U, 1U}) {
+        await("the entry has every accepted change", [&] {
+            const Json trail = Json::parse(cluster.callAsOperator(entry, "GET", "/v1/audit?after=0").value().body_);
+            return trail["changes"].size() == accepted;
+        });
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::system
