--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -2,15 +2,14 @@
 
 #include <ibiswall/core/dispatcher.hpp>
 
+#include "admission.hpp"
+#include "answers.hpp"
 #include <algorithm>
 
 namespace ibiswall {
 
 namespace {
 
-// An answer outlives its id by this much, so that a last resubmission still finds it.
-constexpr Millis answerGrace{60000};
-
 std::shared_ptr<const JobAnswer> makeRefusal(std::string id, Code code, std::string text, Millis retryAfter)
 {
     auto answer = std::make_shared<JobAnswer>();
@@ -77,45 +76,6 @@
     }
 }
 
-// Tells why a new job cannot be taken in.
-Error admissionError(const Dispatcher &dispatcher, Now now, const Submission &submission)
-{
-    const DispatchLimits &limits = dispatcher.limits_;
-    const std::size_t count = submission.payloads_.size();
-    if (submission.id_.home_ != dispatcher.self_) {
-        return {Code::HomeGone, "id was issued by another incarnation"};
-    }
-    if (isExpired(submission.id_, now.wall_, limits.idLife_)) {
-        return {Code::ExpiredId, "id expired, ask for a new one"};
-    }
-    if (dispatcher.draining_) {
-        return {Code::Draining, "entry is stopping, use another"};
-    }
-    if (count == 0) {
-        return {Code::BadRequest, "tasks: a job needs at least one"};
-    }
-    if (count > limits.maxTasksPerJob_) {
-        return {Code::TooManyTasks, "tasks: " + std::to_string(count) + " given, at most " + std::to_string(limits.maxTasksPerJob_)};
-    }
-    if (dispatcher.configuration_.kinds_.count(submission.kind_) == 0) {
-        return {Code::UnknownKind, "kind \"" + submission.kind_ + "\" is not configured"};
-    }
-    if (dispatcher.queue_.size_ + count > limits.maxQueuedTasks_ || dispatcher.openJobs_ >= limits.maxJobs_) {
-        return {Code::Overloaded, "queue is full"};
-    }
-    if (dispatcher.ended_.size() >= limits.maxEndedJobs_) {
-        return {Code::Overloaded, "memory of ended jobs is full"};
-    }
-    const int quota = memberOf(dispatcher.configuration_, submission.member_).quota_;
-    const auto open = dispatcher.openTasks_.find(submission.member_);
-    const std::size_t already = open == dispatcher.openTasks_.end() ? 0 : open->second;
-    if (quota > 0 && already + count > static_cast<std::size_t>(quota)) {
-        return {Code::QuotaExceeded,
-                "member \"" + submission.member_ + "\" has " + std::to_string(already) + " open tasks of " + std::to_string(quota)};
-    }
-    return {};
-}
-
 void enqueue(Dispatcher &dispatcher, Now now, Job &job, std::uint32_t index)
 {
     const Member member = memberOf(dispatcher.configuration_, job.submission_.member_);
@@ -125,48 +85,6 @@
     task.waiting_ = push(dispatcher.queue_, now.boot_, job.submission_.member_, entry);
 }
 
-std::size_t sizeOf(const JobAnswer &answer)
-{
-    std::size_t size = sizeof(JobAnswer) + answer.id_.size() + answer.tasks_.capacity() * sizeof(TaskOutcome);
-    for (const TaskOutcome &outcome : answer.tasks_) {
-        size += outcome.answer_.capacity();
-    }
-    return size;
-}
-
-void forget(Dispatcher &dispatcher, std::uint64_t number)
-{
-    const auto found = dispatcher.jobs_.find(number);
-    const Job &job = found->second;
-    dispatcher.answerBytes_ -= sizeOf(*job.answer_);
-    dispatcher.answered_.erase({job.submission_.id_.issued_.count_, number});
-    dispatcher.numbers_.erase(job.idText_);
-    dispatcher.jobs_.erase(found);
-}
-
-bool keepsTooMuch(const Dispatcher &dispatcher)
-{
-    return dispatcher.answerBytes_ > dispatcher.limits_.maxAnswerBytes_ || dispatcher.jobs_.size() > dispatcher.limits_.maxJobs_;
-}
-
-// Drops the oldest answers while there are too many, and remembers their jobs.
-void dropAnswers(Dispatcher &dispatcher)
-{
-    while (!dispatcher.answerOrder_.empty()) {
-        const std::uint64_t oldest = dispatcher.answerOrder_.front();
-        const auto found = dispatcher.jobs_.find(oldest);
-        if (found != dispatcher.jobs_.end()) {
-            if (!keepsTooMuch(dispatcher)) {
-                return;
-            }
-            const Job &job = found->second;
-            remember(dispatcher.ended_, job.submission_, job.answer_->code_ == Code::Ok);
-            forget(dispatcher, oldest);
-        }
-        dispatcher.answerOrder_.pop_front();
-    }
-}
-
 void answer(Dispatcher &dispatcher, Job &job, DispatchActions &actions)
 {
     auto whole = std::make_shared<JobAnswer>();
@@ -183,9 +101,7 @@
     job.answer_ = std::move(whole);
     job.tasks_.clear();
     job.submission_.payloads_.clear();
-    dispatcher.answered_.emplace(job.submission_.id_.issued_.count_, job.number_);
-    dispatcher.answerOrder_.push_back(job.number_);
-    dispatcher.answerBytes_ += sizeOf(*job.answer_);
+    noteAnswer(dispatcher, job);
     removeCandidate(dispatcher.overload_, job.submission_.member_, job.kind_.deadline_, candidateOf(job));
     answerCallers(dispatcher, job, job.answer_, actions);
 }
@@ -408,25 +324,6 @@
     }
 }
 
-// Forgets answered jobs whose id can no longer be submitted.
-void forgetExpired(Dispatcher &dispatcher, Now now)
-{
-    while (!dispatcher.answered_.empty()) {
-        const auto [issued, number] = *dispatcher.answered_.begin();
-        const auto found = dispatcher.jobs_.find(number);
-        if (!isExpired(found->second.submission_.id_, now.wall_, dispatcher.limits_.idLife_ + answerGrace)) {
-            return;
-        }
-        forget(dispatcher, number);
-    }
-}
-
-// What a member may learn about a job whose answer was dropped.
-std::optional<Error> droppedError(const Dispatcher &dispatcher, const JobId &id, std::string_view member)
-{
-    return id.home_ == dispatcher.self_ ? endedError(dispatcher.ended_, id, member) : std::nullopt;
-}
-
 } // namespace
 
 JobId issueId(Dispatcher &dispatcher, Now now)
@@ -593,7 +490,6 @@
     settleLate(dispatcher, now, actions);
     forgetExpired(dispatcher, now);
     dropAnswers(dispatcher);
-    expire(dispatcher.ended_, now.wall_, dispatcher.limits_.idLife_ + answerGrace);
     dispatch(dispatcher, now, actions);
 }
 
