Move an order into its frame instead of copying it

Cause: place() built a constant order and copied it, payload included, for every task sent. Before: two copies of the payload. No timing was taken. core_test and system_path_test pass, the linter is clean on the file.

--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -197,12 +197,12 @@
     agent.placed_.push_back(ref);
     refreshReady(dispatcher.fleet_, dispatcher.configuration_, now.boot_, agent);
     ++dispatcher.counts_.ordersSent_;
-    const Order order{{job.idText_, ref.task_},
-                      job.submission_.kind_,
-                      job.submission_.payloads_[ref.task_],
-                      job.startBy_ - now.boot_,
-                      static_cast<std::uint32_t>(task.attempts_)};
-    addOrder(actions, chosen, Order(order));
+    Order order{{job.idText_, ref.task_},
+                job.submission_.kind_,
+                job.submission_.payloads_[ref.task_],
+                job.startBy_ - now.boot_,
+                static_cast<std::uint32_t>(task.attempts_)};
+    addOrder(actions, chosen, std::move(order));
 }
 
 // Sends queued tasks for as long as an agent can take one.
