Read the settings of seeded tests in one place

Cause: five tests each read IBISWALL_HISTORIES, and three IBISWALL_SEED, with code of their own. Before: five copies. After: testsettings.hpp.

--- a/src/ibiswall/core/electorate_test.cpp
+++ b/src/ibiswall/core/electorate_test.cpp
@@ -1,7 +1,8 @@
 // Runs several entries under made-up faults, and checks every grant against everything that was answered as accepted.
 
+#include "testsettings.hpp"
+
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <ibiswall/core.hpp>
 #include <optional>
 
@@ -376,14 +377,12 @@
 std::size_t histories()
 {
     constexpr std::size_t few = 60;
-    const char *setting = std::getenv("IBISWALL_HISTORIES");
-    return setting == nullptr ? few : std::strtoul(setting, nullptr, 10);
+    return fromEnvironment("IBISWALL_HISTORIES", few);
 }
 
 std::uint64_t seedStart()
 {
-    const char *setting = std::getenv("IBISWALL_SEED");
-    return setting == nullptr ? firstSeed : std::strtoull(setting, nullptr, 10);
+    return fromEnvironment("IBISWALL_SEED", firstSeed);
 }
 
 } // namespace
--- a/src/ibiswall/core/fleet_test.cpp
+++ b/src/ibiswall/core/fleet_test.cpp
@@ -1,8 +1,9 @@
 // Compares the set of agents that may be sent a task with a slow version over seeded histories.
 
+#include "testsettings.hpp"
 #include <algorithm>
+
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <ibiswall/core.hpp>
 
 namespace ibiswall {
@@ -11,12 +12,7 @@
 
 constexpr int credits = 4;
 
-std::uint64_t countHistories()
-{
-    constexpr std::uint64_t fewHistories = 50;
-    const char *text = std::getenv("IBISWALL_HISTORIES"); // NOLINT(concurrency-mt-unsafe)
-    return text == nullptr ? fewHistories : std::strtoull(text, nullptr, 10);
-}
+constexpr std::uint64_t fewHistories = 50;
 
 // The agents that may be sent a task, each judged from the start.
 std::set<AgentRef> findReady(const Fleet &fleet, const Configuration &configuration, Millis now)
@@ -108,7 +104,7 @@
 
 BOOST_AUTO_TEST_CASE(same_agents_as_a_slow_search)
 {
-    const std::uint64_t histories = countHistories();
+    const std::uint64_t histories = fromEnvironment("IBISWALL_HISTORIES", fewHistories);
     for (std::uint64_t seed = 1; seed <= histories; ++seed) {
         BOOST_TEST_INFO_SCOPE("seed " << seed);
         compareOnce(seed);
--- a/src/ibiswall/core/gatehistory_test.cpp
+++ b/src/ibiswall/core/gatehistory_test.cpp
@@ -1,9 +1,10 @@
 // Compares the gate with a naive version that keeps every event and searches all of them, over seeded histories.
 // IBISWALL_HISTORIES sets their number and IBISWALL_SEED the first seed.
 
+#include "testsettings.hpp"
 #include <algorithm>
+
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <ibiswall/core.hpp>
 
 namespace ibiswall {
@@ -13,12 +14,6 @@
 constexpr std::uint64_t defaultHistories = 300;
 constexpr int eventsPerHistory = 400;
 
-std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 enum class Fate {
     Waiting,
     Running,
--- a/src/ibiswall/core/history_test.cpp
+++ b/src/ibiswall/core/history_test.cpp
@@ -1,9 +1,10 @@
 // Seeded histories of an entry with agents that refuse, vanish and answer late: each caller gets exactly its own
 // whole answer, and each outcome agrees with the starts. IBISWALL_HISTORIES and IBISWALL_SEED set what is run.
 
+#include "testsettings.hpp"
 #include <algorithm>
+
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <ibiswall/core.hpp>
 
 namespace ibiswall {
@@ -14,12 +15,6 @@
 constexpr int eventsPerHistory = 250;
 constexpr Millis deadline{3000};
 
-std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 // An order that reached an agent.
 struct Held
 {
--- a/src/ibiswall/core/queue_test.cpp
+++ b/src/ibiswall/core/queue_test.cpp
@@ -1,7 +1,8 @@
 // Compares the queue with a slow version over seeded histories.
 
+#include "testsettings.hpp"
+
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <ibiswall/core.hpp>
 
 namespace ibiswall {
@@ -88,12 +89,7 @@
     return own == queue.members_.end() ? 0 : std::min(all, mine * weights / own->second.weight_);
 }
 
-std::uint64_t countHistories()
-{
-    constexpr std::uint64_t fewHistories = 50;
-    const char *text = std::getenv("IBISWALL_HISTORIES"); // NOLINT(concurrency-mt-unsafe)
-    return text == nullptr ? fewHistories : std::strtoull(text, nullptr, 10);
-}
+constexpr std::uint64_t fewHistories = 50;
 
 void compareOnce(std::uint64_t seed)
 {
@@ -131,7 +127,7 @@
 
 BOOST_AUTO_TEST_CASE(same_order_as_a_slow_queue)
 {
-    const std::uint64_t histories = countHistories();
+    const std::uint64_t histories = fromEnvironment("IBISWALL_HISTORIES", fewHistories);
     for (std::uint64_t seed = 1; seed <= histories; ++seed) {
         BOOST_TEST_INFO_SCOPE("seed " << seed);
         compareOnce(seed);
