--- /dev/null
+++ b/include/ibiswall/cell/attendant.hpp
@@ -0,0 +1,198 @@
+// The agent's part beside a target: the last judge of each start, keeper of the target's lease, reporter of ends.
+
+#pragma once
+
+#include <ibiswall/cell/model.hpp>
+#include <optional>
+#include <set>
+
+namespace ibiswall::cell {
+
+/// A call to make to the target.
+struct TargetCall
+{
+    enum class Kind : std::uint8_t {
+        Start,
+        Stop,
+        /// Renews the lease, acknowledges ends and lists runs and ends.
+        Hold,
+    };
+
+    Kind kind_ = Kind::Hold;
+    Run run_;
+    std::string payload_;
+    std::string checkpoint_;
+    /// Lease end on the target's own clock; nothing to leave the lease as it is.
+    std::optional<std::int64_t> leaseEnd_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t acknowledged_ = 0;
+    /// How long a hold may wait for an end.
+    Millis wait_;
+    /// Life of the target that the call is for, 0 for any.
+    std::int64_t born_ = 0;
+    Millis sentAt_;
+};
+
+/// How a call ended.
+enum class CallOutcome : std::uint8_t {
+    Ok,
+    /// Rejected for want of room.
+    NoRoom,
+    /// Rejected for another reason; not carried out.
+    Rejected,
+    /// Surely not carried out: the target could not be reached, or another life of it answered.
+    NotSent,
+    /// May have been carried out, or may be later.
+    Unknown,
+};
+
+/// A target's answer to a hold.
+struct HoldAnswer
+{
+    CallOutcome outcome_ = CallOutcome::Unknown;
+    /// The target's clock as it answered.
+    std::int64_t clock_ = 0;
+    std::int64_t born_ = 0;
+    std::vector<Run> running_;
+    std::vector<End> ends_;
+};
+
+/// What the dispatcher is told.
+struct AgentReport
+{
+    /// True when the lists are all that the agent knows; false when they add to what was told.
+    bool whole_ = false;
+    /// Set when it changed; with whole_, unless the target has not spoken since the agent began.
+    std::optional<TargetInfo> info_;
+    /// Life of the target that the lists belong to.
+    std::int64_t born_ = 0;
+    std::vector<Run> running_;
+    std::vector<End> ends_;
+    /// Starts that were not carried out, and whether for want of room.
+    std::vector<std::pair<Run, bool>> refused_;
+
+    bool isEmpty() const
+    {
+        return !whole_ && !info_ && ends_.empty() && refused_.empty();
+    }
+};
+
+/// Bounds of an attendant.
+struct AttendantSettings
+{
+    /// Longest lease of a target.
+    Millis maxLease_{1000};
+    /// Longest wait of a hold for an end; bounds how late a lost answer is noticed.
+    Millis holdWait_{200};
+    /// Pause before a call without an answer is repeated.
+    Millis retryPause_{60};
+    /// A target that has not answered for this long gets no further lease, so that what it runs is soon known to be over.
+    Millis silence_{350};
+    /// Added to a lease before it counts as lapsed: the target's slower clock, and its time to stop.
+    Millis lapseSlack_{150};
+};
+
+/// The state beside one target. Not thread-safe, no input or output.
+class Attendant
+{
+public:
+    explicit Attendant(AttendantSettings settings);
+
+    /// A dispatcher of a later epoch has taken over. All is to be reported to it.
+    /// @return false when the epoch is an older one
+    bool follow(std::uint64_t epoch, Millis now);
+
+    /// The current dispatcher grants the right to run until a moment.
+    void grant(Millis until);
+
+    /// Reports all again over a new link.
+    void reportAll();
+
+    /// Takes in what the target says of itself.
+    /// @param clock the target's clock as it spoke
+    void announced(const TargetInfo &info, std::int64_t clock, Millis now);
+
+    /// The agent is to end: nothing more is started, what runs goes on.
+    void leave();
+
+    /// The target has left for good.
+    void departed(const std::string &id, Millis now);
+
+    void start(const Run &run, const std::string &payload, const std::string &checkpoint, Millis now);
+    void stop(const Run &run, Millis now);
+
+    /// The dispatcher has stored what ends up to this number mean.
+    void acknowledge(std::uint64_t through);
+
+    void started(const TargetCall &call, CallOutcome outcome, Millis now);
+    void stopped(const TargetCall &call, CallOutcome outcome, Millis now);
+    void held(const TargetCall &call, const HoldAnswer &answer, Millis now);
+
+    /// Decides on holds, repeats and lapses.
+    void tick(Millis now);
+
+    std::vector<TargetCall> takeCalls();
+    AgentReport takeReport();
+
+    /// Runs that go on, or may.
+    std::size_t runs() const;
+    std::uint64_t epoch() const;
+
+    /// Whether the target can take starts as far as the agent knows.
+    bool isReady(Millis now) const;
+
+private:
+    enum class Phase : std::uint8_t {
+        Starting,
+        Running,
+        /// A stop is to be confirmed.
+        Stopping,
+        /// Stopped; the next list of ends tells whether it had ended before.
+        Stopped,
+    };
+
+    struct LocalRun
+    {
+        std::uint64_t number_ = 0;
+        Phase phase_ = Phase::Starting;
+        /// When the phase began; lists asked for earlier say nothing about it.
+        Millis since_;
+        Millis retryAt_;
+        bool calling_ = false;
+    };
+
+    std::optional<std::int64_t> leaseEnd(Millis now);
+    void hold(Millis wait, Millis now);
+    void callStop(const TaskId &task, LocalRun &run, Millis now);
+    void reborn(std::int64_t born);
+    void loseAll();
+    void compare(const TargetCall &call, const HoldAnswer &answer, Millis now);
+
+    AttendantSettings settings_;
+    std::optional<TargetInfo> info_;
+    /// Life of the target that runs_ and the end numbers belong to, 0 before the first word of it.
+    std::int64_t born_ = 0;
+    std::uint64_t epoch_ = 0;
+    Millis grantUntil_;
+    /// The target's clock was at least clock_ at the local moment clockAt_; not set before the target has spoken.
+    std::optional<std::int64_t> clock_;
+    Millis clockAt_;
+    /// Latest local moment at which a lease asked for can end.
+    Millis leaseUntil_;
+    /// When the target last answered or announced itself.
+    Millis heardAt_;
+    std::map<TaskId, LocalRun> runs_;
+    std::uint64_t forwarded_ = 0;
+    std::uint64_t acknowledged_ = 0;
+    /// Highest acknowledgement that a hold carried and the target answered.
+    std::uint64_t acknowledgedAtTarget_ = 0;
+    int holdsInFlight_ = 0;
+    Millis holdRetryAt_;
+    bool leaving_ = false;
+    bool reportDue_ = false;
+    bool reportHoldSent_ = false;
+    std::vector<TargetCall> calls_;
+    AgentReport report_;
+};
+
+} // namespace ibiswall::cell
--- /dev/null
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -0,0 +1,274 @@
+// The deciding process of a cell: which task runs where, and what has to be stored about it.
+
+#pragma once
+
+#include <deque>
+#include <ibiswall/cell/record.hpp>
+#include <ibiswall/cell/targets.hpp>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace ibiswall::cell {
+
+/// Tells an agent to start a run on its target.
+struct StartOrder
+{
+    std::string agent_;
+    Run run_;
+    std::string payload_;
+    std::string checkpoint_;
+};
+
+/// Tells an agent to stop a run, or to keep one that has not arrived from starting.
+struct StopOrder
+{
+    std::string agent_;
+    Run run_;
+};
+
+/// Tells an agent that the ends up to a number need not be listed again.
+struct AckOrder
+{
+    std::string agent_;
+    std::uint64_t through_ = 0;
+};
+
+/// Tells every entry that a job's state has changed. Final states are told only once they are stored.
+struct Notice
+{
+    std::string job_;
+    JobState state_ = JobState::Pending;
+    /// Entries whose callers wait for an ephemeral job; empty for every entry.
+    std::set<std::string> origins_;
+};
+
+/// What the dispatcher wants to be sent.
+struct Effects
+{
+    /// Jobs to read from the store: a target reports runs or ends of them, and nobody has offered them.
+    std::vector<std::string> lookups_;
+    std::vector<StartOrder> starts_;
+    std::vector<StopOrder> stops_;
+    std::vector<AckOrder> acks_;
+    std::vector<Notice> notices_;
+};
+
+/// A record to store under the condition that the stored one has the given revision.
+struct JobWrite
+{
+    std::string job_;
+    std::int64_t expectedRevision_ = 0;
+    JobRecord record_;
+};
+
+/// A job to take in.
+struct JobOffer
+{
+    std::string id_;
+    JobRecord record_;
+    std::int64_t revision_ = 0;
+    /// True when no other dispatcher can have started any of its tasks.
+    bool fresh_ = false;
+    /// Entry that offers it; empty when it was read from the store.
+    std::string origin_;
+};
+
+enum class CancelOutcome {
+    /// A notice follows once the cancel is stored.
+    Accepted,
+    AlreadyFinal,
+    Unknown,
+};
+
+/// Owns the jobs of a cell during one epoch. Not thread-safe, no input or output.
+class Dispatcher
+{
+public:
+    /// @param epoch higher than that of every earlier dispatcher; leads the run numbers
+    explicit Dispatcher(std::uint64_t epoch);
+
+    void setConfig(const CellConfig &config, const std::set<std::string> &domainsOut);
+
+    /// Takes a job in. A job that is already known stays as it is.
+    /// @return the state to tell the offering entry, when it is final
+    std::optional<JobState> addJob(JobOffer offer, Millis now);
+
+    /// The store has no such job: what targets report of it is to be stopped and forgotten.
+    void forgetJob(const std::string &job);
+
+    /// Takes in all that an agent knows, at the first contact in this epoch and after each new link.
+    /// @param born life of the target that the lists belong to
+    void report(const std::string &agent,
+                const std::optional<TargetInfo> &info,
+                std::int64_t born,
+                Span<const Run> running,
+                Span<const End> ends,
+                Millis now);
+
+    /// Takes in what a target now says of itself. A later birth loses every run of the earlier life.
+    void targetChanged(const std::string &agent, const TargetInfo &info, Millis now);
+
+    /// The agent can be holding no right to run anything, and nothing that it ran goes on.
+    void targetLost(const std::string &agent, Millis now);
+
+    void ended(const std::string &agent, const End &end, Millis now);
+
+    /// The target rejected a start.
+    void refused(const std::string &agent, const Run &run, bool forRoom, Millis now);
+
+    /// Every agent that may have run tasks of an earlier epoch has reported or lost its right.
+    void gathered(Millis now);
+
+    CancelOutcome cancel(const std::string &job, Millis now);
+
+    /// The last caller at an entry who waited for an ephemeral job has gone. Without another one the job is cancelled.
+    void abandon(const std::string &job, const std::string &origin, Millis now);
+
+    /// Forgets final states older than the given ages.
+    void forgetEnded(Millis ephemeralBefore, Millis storedBefore);
+
+    /// Places waiting tasks.
+    void schedule(Millis now);
+
+    Effects takeEffects();
+
+    /// Takes records that are due to be stored, most urgent first. Each job has one write in progress at most.
+    std::vector<JobWrite> takeWrites(std::size_t most, Millis now);
+
+    /// The record was stored.
+    void written(const std::string &job, std::int64_t revision, Millis now);
+
+    /// The record was not stored and is to be written again under another revision.
+    void notWritten(const std::string &job, std::int64_t revision);
+
+    /// Tells whether a job is known, in any state.
+    bool knows(const std::string &job) const;
+
+    /// Final state of a job that ended in this epoch or was loaded as ended.
+    std::optional<JobState> finalState(const std::string &job) const;
+
+    /// Jobs of each queue with no task started.
+    std::map<std::string, std::size_t> waitingJobs() const;
+
+    /// Seconds of work that wait, over the cores in service: how long a new task of the priority waits for room.
+    Millis backlog(std::uint32_t priority) const;
+
+    /// Jobs that are not final.
+    std::size_t openJobs() const;
+
+private:
+    enum class Phase : std::uint8_t {
+        /// A dispatcher of an earlier epoch may have started it.
+        Unsure,
+        Waiting,
+        Placed,
+        Done,
+    };
+
+    struct Task
+    {
+        Phase phase_ = Phase::Waiting;
+        /// Runs that ended as failed.
+        std::vector<std::uint64_t> failedRuns_;
+        /// The latest run, 0 before the first.
+        std::uint64_t run_ = 0;
+        std::string agent_;
+        Millis placedAt_;
+        std::string checkpoint_;
+    };
+
+    /// An end in the list of one life of a target.
+    struct EndRef
+    {
+        std::string agent_;
+        std::int64_t born_ = 0;
+        std::uint64_t number_ = 0;
+    };
+
+    struct Job
+    {
+        std::string id_;
+        JobRecord record_;
+        std::int64_t revision_ = 0;
+        /// In step order; task i of step s is at offsets_[s] + i.
+        std::vector<Task> tasks_;
+        std::vector<std::uint32_t> offsets_;
+        /// Tasks of each step that are not done.
+        std::vector<std::uint32_t> openInStep_;
+        std::uint32_t open_ = 0;
+        std::uint32_t waiting_ = 0;
+        JobState state_ = JobState::Pending;
+        std::uint32_t priority_ = 0;
+        Millis due_;
+        std::uint64_t sequence_ = 0;
+        /// When the record has to be stored; empty when it says all that must last.
+        std::optional<Millis> writeDue_;
+        bool writing_ = false;
+        /// Ends not yet in a stored record, and those in the write in progress.
+        std::vector<EndRef> unsaved_;
+        std::vector<EndRef> saving_;
+        /// Entries that have offered it.
+        std::set<std::string> origins_;
+
+        bool isEphemeral() const
+        {
+            return record_.spec_.ephemeral_;
+        }
+    };
+
+    struct Ended
+    {
+        JobState state_ = JobState::Completed;
+        Millis at_;
+        bool ephemeral_ = false;
+    };
+
+    /// What targets report of a job that nobody has offered yet.
+    struct Foreign
+    {
+        std::vector<std::pair<std::string, Run>> running_;
+        std::vector<std::pair<std::string, End>> ends_;
+    };
+
+    using ReadyKey = std::tuple<std::uint32_t, std::int64_t, std::uint64_t>;
+
+    static ReadyKey keyOf(const Job &job);
+    Task *findTask(const TaskId &id, Job *&job);
+    void setWaiting(Job &job, Task &task);
+    void noteEnd(Job &job, Task &task, const std::string &agent, const End &end, Millis now);
+    void saveLater(Job &job, const std::string &agent, const End &end, Millis due);
+    void finish(Job &job, JobState state, Millis now);
+    void conclude(Job &job, Millis now);
+    void stopRuns(Job &job);
+    void loseRunsOf(const std::string &agent, const std::set<TaskId> &kept, Millis now);
+    void adopt(Job &job, Task &task, const std::string &agent, const Run &run, Millis now);
+    void keepRun(const std::string &agent, const Run &run, std::set<TaskId> &kept, Millis now);
+    void endSaved(const EndRef &end);
+    bool placeTasks(Job &job, Millis now);
+    bool isStepReady(const Job &job, std::size_t step) const;
+    void place(Job &job, std::size_t step, std::uint32_t index, Target &target, Millis now);
+    void acknowledge(Target &target);
+    const Queue *queueOf(const Job &job) const;
+
+    std::uint64_t epoch_;
+    std::uint64_t runsGiven_ = 0;
+    std::uint64_t nextSequence_ = 1;
+    CellConfig config_;
+    std::set<std::string> domainsOut_;
+    std::unordered_map<std::string, Job> jobs_;
+    /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
+    std::unordered_map<std::string, Ended> ended_;
+    /// None of these jobs is in jobs_ or ended_.
+    std::unordered_map<std::string, Foreign> foreign_;
+    /// Jobs with waiting tasks, in the order of placing; all are in jobs_.
+    std::map<ReadyKey, Job *> ready_;
+    /// Jobs whose writeDue_ is set.
+    std::unordered_set<std::string> dirty_;
+    Targets targets_;
+    bool gathered_ = false;
+    Effects effects_;
+};
+
+} // namespace ibiswall::cell
--- a/include/ibiswall/net/httppool.hpp
+++ b/include/ibiswall/net/httppool.hpp
@@ -5,21 +5,24 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <ibiswall/base.hpp>
+#include <limits>
 #include <memory>
 #include <vector>
 
 namespace ibiswall {
 
-/// One POST request.
+/// One request.
 struct PoolCall
 {
+    std::string method_ = "POST";
+    /// Path with the query.
     std::string path_;
     /// Header names and values.
     std::vector<std::pair<std::string, std::string>> headers_;
     std::string body_;
     /// The first byte is not sent after this moment.
-    Millis startBy_;
-    /// Time from the first byte to the end of the reply.
+    Millis startBy_ = Millis{std::numeric_limits<std::int64_t>::max()};
+    /// Time from the first byte to the end of the reply. Connecting takes at most as long, and 2 s.
     Millis timeout_{60000};
 };
 
--- a/include/ibiswall/net/httpserver.hpp
+++ b/include/ibiswall/net/httpserver.hpp
@@ -20,9 +20,14 @@
     std::string query_;
     /// Value of the Authorization header.
     std::string authorization_;
+    /// Value of the Host header.
+    std::string host_;
     std::string body_;
-    /// Names in lower case and values of the headers that start with `x-`.
+    /// Names in lower case and values of the headers that start with `x-`, and of HttpLimits::passedHeader_.
     std::map<std::string, std::string> extensions_;
+    /// With HttpLimits::watchPeers_: the handler may set a function that is called if the peer closes the connection
+    /// before the reply.
+    std::shared_ptr<std::function<void()>> abandoned_;
 };
 
 /// A reply from the handler.
@@ -46,6 +51,10 @@
     std::size_t maxConnections_ = 1024;
     /// A peer that sends no complete request for this long is dropped.
     Millis idle_{30000};
+    /// Name in lower case of one more header that the handler is to see; may be empty.
+    std::string passedHeader_ = {};
+    /// Whether to look for the peer's close while a request is handled.
+    bool watchPeers_ = false;
 };
 
 /// Sends the reply to one request. May be called later, on the server's event loop.
--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -33,6 +33,8 @@
     std::size_t maxLinks_ = 4096;
     /// A link that has sent no frame this long after it connected is closed.
     Millis firstFrame_{5000};
+    /// Longest pause of a client between two attempts to connect.
+    Millis maxPause_{2000};
 };
 
 /// Accepts links.
@@ -55,6 +57,9 @@
     /// Closes a link; closed_ is called afterwards.
     void close(LinkId link);
 
+    /// Drops a link without a word to the peer, who may be silent; closed_ is called afterwards.
+    void drop(LinkId link);
+
     /// Stops to accept and closes every link.
     void stop();
 
@@ -83,6 +88,9 @@
     /// Closes the link; it is opened anew after a pause.
     void close();
 
+    /// Drops the link without a word to the peer, who may be silent; it is opened anew after a pause.
+    void drop();
+
     /// Closes the link for good.
     void stop();
 
--- a/include/ibiswall/settings.hpp
+++ b/include/ibiswall/settings.hpp
@@ -72,8 +72,44 @@
     Millis callTimeout_{60000};
 };
 
-/// Settings of either kind of process.
-using Settings = std::variant<EntrySettings, AgentSettings>;
+/// Settings of an entry of a cell, whose jobs are stored.
+struct CellEntrySettings
+{
+    std::string name_;
+    std::string domain_;
+    /// Where callers, and the balancer that asks whether the entry is ready, find it.
+    Address callers_;
+    Address ready_;
+    /// Where agents and other entries connect.
+    Address links_;
+    Address metrics_;
+    Address store_;
+    std::string logLevel_ = "info";
+    /// Time between the signal to stop and the end of the process.
+    Millis grace_{6000};
+    /// How long the final state of a job is kept.
+    Millis keepStates_{120000};
+};
+
+/// Settings of an agent of a cell.
+struct CellAgentSettings
+{
+    std::string name_;
+    std::string domain_;
+    /// Where the target announces itself.
+    Address announcements_;
+    /// Where the target takes calls.
+    Address target_;
+    Address metrics_;
+    Address store_;
+    std::string logLevel_ = "info";
+    Millis grace_{6000};
+    /// Longest lease that the target grants.
+    Millis maxLease_{1000};
+};
+
+/// Settings of any kind of process.
+using Settings = std::variant<EntrySettings, AgentSettings, CellEntrySettings, CellAgentSettings>;
 
 /// Reads settings from JSON with comments.
 /// @param file names the text in errors
--- a/src/ibiswall/platform/base64.cpp
+++ b/src/ibiswall/base/base64.cpp
@@ -1,6 +1,6 @@
 // Base64 through Boost.Beast's codec.
 
-#include "base64.hpp"
+#include <ibiswall/base/base64.hpp>
 
 #include <boost/beast/core/detail/base64.hpp>
 
--- /dev/null
+++ b/src/ibiswall/cell/attendant.cpp
@@ -0,0 +1,345 @@
+// Decides beside a target.
+
+#include <ibiswall/cell/attendant.hpp>
+
+#include <algorithm>
+
+namespace ibiswall::cell {
+
+namespace {
+
+// Right that must be left for a start to be worth sending.
+constexpr Millis minLease{50};
+
+} // namespace
+
+Attendant::Attendant(AttendantSettings settings)
+    : settings_(settings)
+{
+}
+
+bool Attendant::follow(std::uint64_t epoch, Millis now)
+{
+    if (epoch < epoch_) {
+        return false;
+    }
+    epoch_ = epoch;
+    reportAll();
+    tick(now);
+    return true;
+}
+
+void Attendant::reportAll()
+{
+    report_ = {};
+    reportDue_ = true;
+    reportHoldSent_ = false;
+    forwarded_ = 0;
+    holdRetryAt_ = {};
+}
+
+void Attendant::grant(Millis until)
+{
+    grantUntil_ = std::max(grantUntil_.count_, until.count_) == until.count_ ? until : grantUntil_;
+}
+
+void Attendant::announced(const TargetInfo &info, std::int64_t clock, Millis now)
+{
+    if (info.born_ < born_) {
+        return;
+    }
+    if (info.born_ > born_) {
+        reborn(info.born_);
+    }
+    if (!clock_) {
+        clock_ = clock;
+        clockAt_ = now;
+    }
+    heardAt_ = now;
+    if (!info_ || !(*info_ == info)) {
+        info_ = info;
+        report_.info_ = info;
+    }
+}
+
+void Attendant::leave()
+{
+    leaving_ = true;
+    if (info_) {
+        report_.info_ = info_;
+        report_.info_->draining_ = true;
+    }
+}
+
+void Attendant::departed(const std::string &id, Millis now)
+{
+    if (info_ && info_->id_ == id && !info_->draining_) {
+        info_->draining_ = true;
+        report_.info_ = info_;
+    }
+    tick(now);
+}
+
+// The target lives anew: nothing of the earlier life runs, and its numbers and clock begin again.
+void Attendant::reborn(std::int64_t born)
+{
+    loseAll();
+    born_ = born;
+    clock_.reset();
+    leaseUntil_ = {};
+    forwarded_ = 0;
+    acknowledged_ = 0;
+    acknowledgedAtTarget_ = 0;
+}
+
+void Attendant::loseAll()
+{
+    for (const auto &[task, run] : runs_) {
+        report_.ends_.push_back({0, {task, run.number_}, EndKind::Lost, {}});
+    }
+    runs_.clear();
+}
+
+bool Attendant::isReady(Millis now) const
+{
+    return info_ && !leaving_ && !info_->draining_ && clock_ && now + minLease < grantUntil_ && !reportDue_;
+}
+
+std::optional<std::int64_t> Attendant::leaseEnd(Millis now)
+{
+    const Millis until{std::min((now + settings_.maxLease_).count_, grantUntil_.count_)};
+    if (!clock_ || until <= now || now > heardAt_ + settings_.silence_) {
+        return std::nullopt;
+    }
+    leaseUntil_ = {std::max(leaseUntil_.count_, until.count_)};
+    return *clock_ + (until - clockAt_).count_;
+}
+
+void Attendant::start(const Run &run, const std::string &payload, const std::string &checkpoint, Millis now)
+{
+    const auto known = runs_.find(run.task_);
+    if (known != runs_.end() && known->second.number_ == run.number_) {
+        return;
+    }
+    if (!isReady(now) || known != runs_.end()) {
+        report_.refused_.emplace_back(run, false);
+        return;
+    }
+    if (runs_.empty()) {
+        // Nothing ran that the target would have been asked about, so its silence means nothing.
+        heardAt_ = now;
+    }
+    const auto lease = leaseEnd(now);
+    if (!lease) {
+        report_.refused_.emplace_back(run, false);
+        return;
+    }
+    runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true};
+    calls_.push_back({TargetCall::Kind::Start, run, payload, checkpoint, lease, epoch_, 0, {}, born_, now});
+}
+
+void Attendant::stop(const Run &run, Millis now)
+{
+    auto [entry, added] = runs_.try_emplace(run.task_);
+    LocalRun &local = entry->second;
+    if (added) {
+        local.number_ = run.number_;
+    }
+    if (local.number_ == run.number_ && local.phase_ != Phase::Stopping && local.phase_ != Phase::Stopped) {
+        callStop(run.task_, local, now);
+    }
+}
+
+void Attendant::callStop(const TaskId &task, LocalRun &run, Millis now)
+{
+    run.phase_ = Phase::Stopping;
+    run.since_ = now;
+    run.retryAt_ = now + settings_.retryPause_;
+    run.calling_ = true;
+    calls_.push_back({TargetCall::Kind::Stop, {task, run.number_}, {}, {}, std::nullopt, epoch_, 0, {}, born_, now});
+}
+
+void Attendant::acknowledge(std::uint64_t through)
+{
+    acknowledged_ = std::max(acknowledged_, std::min(through, forwarded_));
+}
+
+void Attendant::started(const TargetCall &call, CallOutcome outcome, Millis now)
+{
+    const auto found = runs_.find(call.run_.task_);
+    if (found == runs_.end() || found->second.number_ != call.run_.number_ || found->second.phase_ != Phase::Starting) {
+        return;
+    }
+    LocalRun &run = found->second;
+    run.calling_ = false;
+    if (outcome != CallOutcome::Unknown && outcome != CallOutcome::NotSent) {
+        heardAt_ = now;
+    }
+    switch (outcome) {
+    case CallOutcome::Ok:
+        run.phase_ = Phase::Running;
+        run.since_ = now;
+        break;
+    case CallOutcome::Unknown:
+        // A stop keeps a start that is still under way from being carried out.
+        callStop(call.run_.task_, run, now);
+        break;
+    case CallOutcome::NoRoom:
+    case CallOutcome::Rejected:
+    case CallOutcome::NotSent:
+        report_.refused_.emplace_back(call.run_, outcome == CallOutcome::NoRoom);
+        runs_.erase(found);
+        break;
+    }
+    tick(now);
+}
+
+void Attendant::stopped(const TargetCall &call, CallOutcome outcome, Millis now)
+{
+    const auto found = runs_.find(call.run_.task_);
+    if (found == runs_.end() || found->second.number_ != call.run_.number_) {
+        return;
+    }
+    LocalRun &run = found->second;
+    run.calling_ = false;
+    run.since_ = now;
+    if (outcome == CallOutcome::Ok) {
+        run.phase_ = Phase::Stopped;
+        holdRetryAt_ = {};
+    } else {
+        run.retryAt_ = now + settings_.retryPause_;
+    }
+    tick(now);
+}
+
+void Attendant::held(const TargetCall &call, const HoldAnswer &answer, Millis now)
+{
+    --holdsInFlight_;
+    if (answer.outcome_ != CallOutcome::Ok) {
+        holdRetryAt_ = now + settings_.retryPause_;
+        reportHoldSent_ = false;
+        tick(now);
+        return;
+    }
+    if (answer.born_ > born_) {
+        reborn(answer.born_);
+    }
+    if (answer.born_ == born_ && call.epoch_ == epoch_) {
+        clock_ = answer.clock_;
+        clockAt_ = now;
+        heardAt_ = now;
+        acknowledgedAtTarget_ = std::max(acknowledgedAtTarget_, call.acknowledged_);
+        compare(call, answer, now);
+    } else {
+        reportHoldSent_ = false;
+    }
+    tick(now);
+}
+
+// Brings runs_ in line with the target's lists.
+void Attendant::compare(const TargetCall &call, const HoldAnswer &answer, Millis now)
+{
+    for (const End &end : answer.ends_) {
+        if (end.number_ > forwarded_) {
+            report_.ends_.push_back(end);
+            forwarded_ = end.number_;
+        }
+        const auto found = runs_.find(end.run_.task_);
+        if (found != runs_.end() && found->second.number_ == end.run_.number_) {
+            runs_.erase(found);
+        }
+    }
+    std::set<TaskId> running;
+    for (const Run &run : answer.running_) {
+        running.insert(run.task_);
+        auto [entry, added] = runs_.try_emplace(run.task_);
+        if (added) {
+            entry->second = {run.number_, Phase::Running, now, {}, false};
+            if (!reportDue_) {
+                callStop(run.task_, entry->second, now);
+            }
+        }
+    }
+    for (auto each = runs_.begin(); each != runs_.end();) {
+        const LocalRun &run = each->second;
+        const bool settled = run.phase_ == Phase::Running || run.phase_ == Phase::Stopped;
+        if (settled && run.since_ < call.sentAt_ && running.count(each->first) == 0) {
+            report_.ends_.push_back({0, {each->first, run.number_}, EndKind::Lost, {}});
+            each = runs_.erase(each);
+        } else {
+            ++each;
+        }
+    }
+    if (reportDue_ && reportHoldSent_) {
+        reportDue_ = false;
+        report_.whole_ = true;
+        report_.info_ = info_;
+        report_.born_ = born_;
+        if (leaving_ && report_.info_) {
+            report_.info_->draining_ = true;
+        }
+        for (const auto &[task, run] : runs_) {
+            report_.running_.push_back({task, run.number_});
+        }
+    }
+}
+
+void Attendant::hold(Millis wait, Millis now)
+{
+    ++holdsInFlight_;
+    calls_.push_back({TargetCall::Kind::Hold, {}, {}, {}, leaseEnd(now), epoch_, acknowledged_, wait, 0, now});
+}
+
+void Attendant::tick(Millis now)
+{
+    if (!runs_.empty() && leaseUntil_ != Millis{0} && now > leaseUntil_ + settings_.lapseSlack_) {
+        loseAll();
+    }
+    for (auto &[task, run] : runs_) {
+        if (run.phase_ == Phase::Stopping && !run.calling_ && now >= run.retryAt_) {
+            callStop(task, run, now);
+        }
+    }
+    if (epoch_ == 0 || now < holdRetryAt_) {
+        return;
+    }
+    if (reportDue_ && !reportHoldSent_) {
+        reportHoldSent_ = true;
+        hold({}, now);
+        return;
+    }
+    if (holdsInFlight_ > 0) {
+        return;
+    }
+    const bool settling = std::any_of(runs_.begin(), runs_.end(), [](const auto &each) { return each.second.phase_ == Phase::Stopped; });
+    if (settling) {
+        hold({}, now);
+    } else if (!runs_.empty() || acknowledged_ > acknowledgedAtTarget_) {
+        hold(runs_.empty() ? Millis{} : settings_.holdWait_, now);
+    }
+}
+
+std::vector<TargetCall> Attendant::takeCalls()
+{
+    return std::exchange(calls_, {});
+}
+
+AgentReport Attendant::takeReport()
+{
+    if (reportDue_) {
+        return {};
+    }
+    return std::exchange(report_, {});
+}
+
+std::size_t Attendant::runs() const
+{
+    return runs_.size();
+}
+
+std::uint64_t Attendant::epoch() const
+{
+    return epoch_;
+}
+
+} // namespace ibiswall::cell
--- /dev/null
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -0,0 +1,122 @@
+// Which records a dispatcher stores and when, and which ends targets may forget.
+
+#include <ibiswall/cell/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace ibiswall::cell {
+
+void Dispatcher::saveLater(Job &job, const std::string &agent, const End &end, Millis due)
+{
+    if (end.number_ != 0) {
+        job.unsaved_.push_back({agent, targets_[agent].info_.born_, end.number_});
+        targets_[agent].unsavedEnds_.insert(end.number_);
+    }
+    if (!job.writeDue_ || due < *job.writeDue_) {
+        job.writeDue_ = due;
+        dirty_.insert(job.id_);
+    }
+}
+
+std::vector<JobWrite> Dispatcher::takeWrites(std::size_t most, Millis now)
+{
+    std::vector<std::pair<std::int64_t, Job *>> due;
+    std::vector<Job *> forgettable;
+    for (const std::string &id : dirty_) {
+        Job &job = jobs_.at(id);
+        if (job.isEphemeral()) {
+            if (*job.writeDue_ <= now) {
+                forgettable.push_back(&job);
+            }
+        } else if (!job.writing_ && *job.writeDue_ <= now) {
+            due.emplace_back(isFinal(job.state_) ? 0 : 1, &job);
+        }
+    }
+    for (Job *job : forgettable) {
+        job->writeDue_.reset();
+        dirty_.erase(job->id_);
+        for (const EndRef &end : std::exchange(job->unsaved_, {})) {
+            endSaved(end);
+        }
+    }
+    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
+        return std::tuple(a.first, a.second->writeDue_->count_, a.second->sequence_)
+            < std::tuple(b.first, b.second->writeDue_->count_, b.second->sequence_);
+    });
+    std::vector<JobWrite> writes;
+    for (const auto &[order, job] : due) {
+        if (writes.size() == most) {
+            break;
+        }
+        JobProgress &progress = job->record_.progress_;
+        progress.state_ = job->state_;
+        progress.endedAt_ = isFinal(job->state_) ? wallClock().count_ : 0;
+        progress.done_.assign(job->tasks_.size(), false);
+        progress.failedRuns_.clear();
+        for (std::size_t i = 0; i < job->tasks_.size(); ++i) {
+            const Task &task = job->tasks_[i];
+            progress.done_[i] = task.phase_ == Phase::Done;
+            for (const std::uint64_t run : task.failedRuns_) {
+                progress.failedRuns_.emplace_back(static_cast<std::uint32_t>(i), run);
+            }
+        }
+        job->writing_ = true;
+        job->writeDue_.reset();
+        dirty_.erase(job->id_);
+        job->saving_ = std::exchange(job->unsaved_, {});
+        writes.push_back({job->id_, job->revision_, job->record_});
+    }
+    return writes;
+}
+
+void Dispatcher::written(const std::string &id, std::int64_t revision, Millis now)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    Job &job = found->second;
+    job.revision_ = revision;
+    job.writing_ = false;
+    for (const EndRef &end : std::exchange(job.saving_, {})) {
+        endSaved(end);
+    }
+    if (isFinal(job.record_.progress_.state_)) {
+        conclude(job, now);
+    }
+}
+
+void Dispatcher::notWritten(const std::string &id, std::int64_t revision)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    Job &job = found->second;
+    job.revision_ = revision;
+    job.writing_ = false;
+    job.unsaved_.insert(job.unsaved_.end(), job.saving_.begin(), job.saving_.end());
+    job.saving_.clear();
+    job.writeDue_ = Millis{0};
+    dirty_.insert(id);
+}
+
+void Dispatcher::endSaved(const EndRef &end)
+{
+    Target &target = targets_[end.agent_];
+    if (target.info_.born_ == end.born_) {
+        target.unsavedEnds_.erase(end.number_);
+        acknowledge(target);
+    }
+}
+
+void Dispatcher::acknowledge(Target &target)
+{
+    const std::uint64_t through = target.unsavedEnds_.empty() ? target.highestEnd_ : *target.unsavedEnds_.begin() - 1;
+    if (through > target.acknowledged_) {
+        target.acknowledged_ = through;
+        effects_.acks_.push_back({target.agent_, through});
+    }
+}
+
+} // namespace ibiswall::cell
--- /dev/null
+++ b/src/ibiswall/cell/record.cpp
@@ -0,0 +1,126 @@
+// Job records in CBOR, as arrays in the order of the fields.
+
+#include <ibiswall/cell/record.hpp>
+
+#include "stepcodec.hpp"
+
+namespace ibiswall::cell {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int recordFormat = 1;
+
+Json formatSpec(const JobSpec &spec)
+{
+    Json steps = Json::array();
+    for (const Step &step : spec.steps_) {
+        steps.push_back(formatStep(step));
+    }
+    return Json::array({spec.queue_, spec.payload_, std::move(steps), spec.ephemeral_});
+}
+
+JobSpec parseSpec(const Json &json)
+{
+    JobSpec spec;
+    spec.queue_ = json.at(0).get<std::string>();
+    spec.payload_ = json.at(1).get<std::string>();
+    for (const Json &step : json.at(2)) {
+        spec.steps_.push_back(parseStep(step));
+    }
+    spec.ephemeral_ = json.at(3).get<bool>();
+    return spec;
+}
+
+// Packs flags into the bytes of a string, lowest bit first.
+std::string packFlags(const std::vector<bool> &flags)
+{
+    constexpr std::size_t bits = 8;
+    std::string out((flags.size() + bits - 1) / bits, '\0');
+    for (std::size_t i = 0; i < flags.size(); ++i) {
+        if (flags[i]) {
+            out[i / bits] = static_cast<char>(static_cast<unsigned char>(out[i / bits]) | (1U << (i % bits)));
+        }
+    }
+    return out;
+}
+
+std::vector<bool> unpackFlags(const std::string &bytes, std::size_t count)
+{
+    constexpr std::size_t bits = 8;
+    std::vector<bool> flags;
+    if (bytes.empty()) {
+        return flags;
+    }
+    flags.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        flags[i] = ((static_cast<unsigned char>(bytes.at(i / bits)) >> (i % bits)) & 1U) != 0;
+    }
+    return flags;
+}
+
+Json::binary_t binary(const std::string &bytes)
+{
+    return Json::binary_t(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string text(const Json &json)
+{
+    const auto &bytes = json.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+JobRecord readRecord(const Json &json)
+{
+    if (json.at(0).get<int>() != recordFormat) {
+        throw std::out_of_range("unknown format of a job record");
+    }
+    JobRecord record;
+    record.nonce_ = json.at(1).get<std::string>();
+    const int state = json.at(2).get<int>();
+    if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
+        throw std::out_of_range("unknown state of a job");
+    }
+    record.progress_.state_ = static_cast<JobState>(state);
+    record.progress_.endedAt_ = json.at(3).get<std::int64_t>();
+    record.spec_ = parseSpec(json.at(4));
+    const std::size_t tasks = taskCount(record.spec_);
+    record.progress_.done_ = unpackFlags(text(json.at(5)), tasks);
+    constexpr std::size_t failedRunsAt = 6;
+    record.progress_.failedRuns_ = json.at(failedRunsAt).get<std::vector<std::pair<std::uint32_t, std::uint64_t>>>();
+    for (const auto &[task, run] : record.progress_.failedRuns_) {
+        if (task >= tasks) {
+            throw std::out_of_range("a failed run belongs to no task of the job");
+        }
+    }
+    return record;
+}
+
+} // namespace
+
+std::string formatRecord(const JobRecord &record)
+{
+    JobSpec spec = record.spec_;
+    const bool ended = isFinal(record.progress_.state_);
+    if (ended) {
+        spec.payload_.clear();
+        spec.steps_.clear();
+    }
+    const Json json = Json::array({recordFormat, record.nonce_, static_cast<int>(record.progress_.state_), record.progress_.endedAt_,
+                                   formatSpec(spec), binary(ended ? std::string() : packFlags(record.progress_.done_)),
+                                   ended ? Json::array() : Json(record.progress_.failedRuns_)});
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+    return {bytes.begin(), bytes.end()};
+}
+
+Result<JobRecord> parseRecord(std::string_view bytes)
+{
+    try {
+        return readRecord(Json::from_cbor(bytes));
+    } catch (const std::exception &error) {
+        return Error{Code::Corrupt, std::string("job record: ") + error.what()};
+    }
+}
+
+} // namespace ibiswall::cell
--- a/src/ibiswall/cli/cli.cpp
+++ b/src/ibiswall/cli/cli.cpp
@@ -19,6 +19,8 @@
 constexpr Command commands[] = {
     {"entry", "run an entry: takes jobs and operators' intents", runEntryCommand},
     {"agent", "run an agent beside its target", runAgentCommand},
+    {"cell-entry", "run an entry of a cell, whose jobs are stored", runCellEntryCommand},
+    {"cell-agent", "run an agent of a cell beside its target", runCellAgentCommand},
     {"check-settings", "check a settings file", runCheckSettings},
     {"submit", "submit a job and print its whole answer", runSubmit},
     {"cancel", "give up the tasks of a job that have not been sent", runCancel},
--- a/src/ibiswall/cli/processes.cpp
+++ b/src/ibiswall/cli/processes.cpp
@@ -6,6 +6,7 @@
 #include <ibiswall/agent.hpp>
 #include <ibiswall/entry.hpp>
 #include <ibiswall/log.hpp>
+#include <ibiswall/node.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -28,7 +29,8 @@
 po::options_description settingsOptions()
 {
     po::options_description options("options");
-    options.add_options()("settings", po::value<std::string>()->required(), "settings file, JSON with comments");
+    options.add_options()("settings", po::value<std::string>(),
+                          "settings file, JSON with comments; else the file that IBISWALL_SETTINGS names");
     return options;
 }
 
@@ -50,6 +52,16 @@
     std::cout << verdict.dump() << '\n';
 }
 
+// The settings file that the command line or the environment names; empty for none.
+std::string settingsFile(const ParsedOptions &parsed)
+{
+    if (parsed.values_.count("settings") != 0) {
+        return parsed.values_["settings"].as<std::string>();
+    }
+    const char *named = std::getenv("IBISWALL_SETTINGS");
+    return named == nullptr ? std::string() : std::string(named);
+}
+
 // Reads the settings file that the command line names.
 Result<Settings> loadNamed(const CommandLine &line, Exit &ended)
 {
@@ -58,7 +70,13 @@
         ended = parsed.exit_;
         return Error{Code::BadUsage, {}};
     }
-    auto settings = loadSettings(parsed.values_["settings"].as<std::string>());
+    const std::string file = settingsFile(parsed);
+    if (file.empty()) {
+        std::cerr << "ibiswall " << line.command_ << ": no settings file is named\n";
+        ended = Exit::Usage;
+        return Error{Code::BadUsage, {}};
+    }
+    auto settings = loadSettings(file);
     if (settings.has_error()) {
         std::cerr << settings.error().text_ << '\n';
         ended = Exit::Settings;
@@ -104,6 +122,28 @@
     return runAgent(*agent, [](std::uint16_t port) { std::cout << "health " << port << std::endl; });
 }
 
+Exit runCellEntryCommand(const CommandLine &line)
+{
+    Exit ended = Exit::Ok;
+    const auto settings = loadNamed(line, ended);
+    if (settings.has_error()) {
+        return ended;
+    }
+    const auto *entry = std::get_if<CellEntrySettings>(&settings.value());
+    return entry == nullptr ? wrongRole(line) : node::runCellEntry(*entry);
+}
+
+Exit runCellAgentCommand(const CommandLine &line)
+{
+    Exit ended = Exit::Ok;
+    const auto settings = loadNamed(line, ended);
+    if (settings.has_error()) {
+        return ended;
+    }
+    const auto *agent = std::get_if<CellAgentSettings>(&settings.value());
+    return agent == nullptr ? wrongRole(line) : node::runCellAgent(*agent);
+}
+
 Exit runCheckSettings(const CommandLine &line)
 {
     po::options_description options = settingsOptions();
@@ -112,7 +152,12 @@
     if (parsed.ended_) {
         return parsed.exit_;
     }
-    const auto settings = loadSettings(parsed.values_["settings"].as<std::string>());
+    const std::string file = settingsFile(parsed);
+    if (file.empty()) {
+        std::cerr << "ibiswall " << line.command_ << ": no settings file is named\n";
+        return Exit::Usage;
+    }
+    const auto settings = loadSettings(file);
     const std::string problems = settings.has_error() ? settings.error().text_ : std::string();
     if (parsed.values_.count("json") != 0) {
         printVerdict(problems);
--- a/src/ibiswall/net/httppool.cpp
+++ b/src/ibiswall/net/httppool.cpp
@@ -34,7 +34,7 @@
 
 constexpr unsigned httpVersion11 = 11;
 constexpr std::uint64_t maxReply = 8U << 20U;
-constexpr std::chrono::seconds connectTimeout(2);
+constexpr std::int64_t connectTimeoutMillis = 2000;
 
 // Tells whether the server has neither closed the connection nor sent anything unasked.
 bool isQuiet(beast::tcp_stream &stream)
@@ -81,7 +81,7 @@
             return;
         }
         stream_ = std::make_unique<beast::tcp_stream>(state_->io_);
-        stream_->expires_after(connectTimeout);
+        stream_->expires_after(std::chrono::milliseconds(std::min(connectTimeoutMillis, call_.timeout_.count_)));
         stream_->async_connect(endpoint, [self = this->shared_from_this()](beast::error_code error) {
             if (error) {
                 self->finish({Code::ConnectRefused, 0, {}});
@@ -95,7 +95,7 @@
 
     void write()
     {
-        request_ = {http::verb::post, call_.path_, httpVersion11};
+        request_ = {http::string_to_verb(call_.method_), call_.path_, httpVersion11};
         request_.set(http::field::host, format(state_->server_));
         for (const auto &[name, value] : call_.headers_) {
             request_.set(name, value);
--- a/src/ibiswall/net/httpserver.cpp
+++ b/src/ibiswall/net/httpserver.cpp
@@ -74,7 +74,7 @@
         + "\"}";
 }
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
+HttpRequest toRequest(http::request<http::string_body> &&message, std::string_view passedHeader)
 {
     const std::string target(message.target());
     const auto mark = target.find('?');
@@ -83,10 +83,11 @@
     request.path_ = target.substr(0, mark);
     request.query_ = mark == std::string::npos ? std::string() : target.substr(mark + 1);
     request.authorization_ = std::string(message[http::field::authorization]);
+    request.host_ = std::string(message[http::field::host]);
     for (const auto &field : message) {
         std::string name(field.name_string());
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        if (name.compare(0, 2, "x-") == 0) {
+        if (name.compare(0, 2, "x-") == 0 || name == passedHeader) {
             request.extensions_[name] = std::string(field.value());
         }
     }
@@ -170,8 +171,35 @@
         keepAlive_ = parser_->get().keep_alive();
         version_ = parser_->get().version();
         withoutBody_ = parser_->get().method() == http::verb::head;
-        state_->handler_(toRequest(parser_->release()),
-                         [self = this->shared_from_this()](HttpReply reply) { self->send(std::move(reply)); });
+        HttpRequest request = toRequest(parser_->release(), state_->limits_.passedHeader_);
+        if (state_->limits_.watchPeers_) {
+            abandoned_ = std::make_shared<std::function<void()>>();
+            request.abandoned_ = abandoned_;
+        }
+        state_->handler_(std::move(request), [self = this->shared_from_this()](HttpReply reply) { self->send(std::move(reply)); });
+        watchPeer();
+    }
+
+    // Waits for the peer to close while the handler is at work.
+    void watchPeer()
+    {
+        if (phase_ != Phase::Handling || !abandoned_ || !*abandoned_) {
+            return;
+        }
+        stream_.socket().async_wait(tcp::socket::wait_read, [weak = this->weak_from_this(), watched = abandoned_](beast::error_code error) {
+            const auto self = weak.lock();
+            if (error || !self || self->abandoned_ != watched) {
+                return;
+            }
+            char byte = 0;
+            beast::error_code state;
+            self->stream_.socket().non_blocking(true, state);
+            const std::size_t waiting = self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, state);
+            const bool open = waiting > 0 || state == asio::error::would_block;
+            if (!open) {
+                (*watched)();
+            }
+        });
     }
 
     void onBadRead(beast::error_code error)
@@ -198,6 +226,7 @@
     void send(HttpReply reply)
     {
         phase_ = Phase::Handling;
+        abandoned_.reset();
         reply_ = {static_cast<http::status>(reply.status_), version_};
         reply_.set(http::field::content_type, reply.contentType_);
         if (reply.retryAfter_ > Millis{0}) {
@@ -257,6 +286,8 @@
     bool keepAlive_ = true;
     /// Whether the reply is the server's own refusal.
     bool refused_ = false;
+    /// Set while a handler may be told that the peer has closed.
+    std::shared_ptr<std::function<void()>> abandoned_;
     /// Whether the request was a HEAD, whose reply has no body.
     bool withoutBody_ = false;
     unsigned version_ = httpVersion11;
--- a/src/ibiswall/net/linkclient.cpp
+++ b/src/ibiswall/net/linkclient.cpp
@@ -12,11 +12,20 @@
 
 namespace {
 
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+// The library's own configuration, but for a shorter wait for a host that does not answer.
+struct ClientConfig : websocketpp::config::asio_client
+{
+    struct TransportConfig : websocketpp::config::asio_client::transport_config
+    {
+        static constexpr long timeout_connect = 1000; // NOLINT(readability-identifier-naming)
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<TransportConfig>; // NOLINT(readability-identifier-naming)
+};
+
+using Client = websocketpp::client<ClientConfig>;
 using Handle = websocketpp::connection_hdl;
 
 constexpr std::int64_t firstPauseMillis = 100;
-constexpr std::int64_t maxPauseMillis = 2000;
 
 } // namespace
 
@@ -91,7 +100,7 @@
         }
         const std::int64_t jitter = std::uniform_int_distribution<std::int64_t>(0, pauseMillis_)(noise_);
         timer_.expires_after(std::chrono::milliseconds(pauseMillis_ / 2 + jitter));
-        pauseMillis_ = std::min(pauseMillis_ * 2, maxPauseMillis);
+        pauseMillis_ = std::min(pauseMillis_ * 2, limits_.maxPause_.count_);
         const auto weak = weak_from_this();
         timer_.async_wait([weak](boost::system::error_code error) {
             const auto self = weak.lock();
@@ -156,6 +165,16 @@
     }
 }
 
+void LinkClient::drop()
+{
+    websocketpp::lib::error_code error;
+    const auto connection = state_->client_.get_con_from_hdl(state_->handle_, error);
+    if (state_->open_ && !error) {
+        boost::system::error_code ignored;
+        connection->get_raw_socket().close(ignored);
+    }
+}
+
 void LinkClient::stop()
 {
     state_->stopping_ = true;
--- a/src/ibiswall/net/linkserver.cpp
+++ b/src/ibiswall/net/linkserver.cpp
@@ -179,6 +179,20 @@
     state_->server_.close(found->second, websocketpp::close::status::going_away, "", ignored);
 }
 
+void LinkServer::drop(LinkId link)
+{
+    const auto found = state_->links_.find(link);
+    if (found == state_->links_.end()) {
+        return;
+    }
+    websocketpp::lib::error_code error;
+    const auto connection = state_->server_.get_con_from_hdl(found->second, error);
+    if (!error) {
+        boost::system::error_code ignored;
+        connection->get_raw_socket().close(ignored);
+    }
+}
+
 void LinkServer::stop()
 {
     state_->stopping_ = true;
--- /dev/null
+++ b/src/ibiswall/node/acceptor.cpp
@@ -0,0 +1,141 @@
+// Group commit of new jobs.
+
+#include "acceptor.hpp"
+
+#include "keys.hpp"
+
+namespace ibiswall::node {
+
+namespace {
+
+// Each job takes a condition and a write.
+constexpr std::size_t maxBatch = platform::maxTransaction / 2;
+// Least time between two transactions, so that jobs gather: a call to the store costs more than this wait.
+constexpr Millis gather{12};
+// Wait before a call without a known outcome is repeated.
+constexpr Millis repeat{50};
+
+} // namespace
+
+Acceptor::Acceptor(boost::asio::io_context &io, platform::StoreClient &store, AcceptHandler handle)
+    : store_(store)
+    , handle_(std::move(handle))
+    , timer_(io)
+{
+}
+
+void Acceptor::submit(const std::string &id, cell::JobRecord record)
+{
+    const auto [entry, added] = pending_.try_emplace(id);
+    if (!added) {
+        return;
+    }
+    entry->second.bytes_ = formatRecord(record);
+    entry->second.record_ = std::move(record);
+    queue_.push_back(id);
+    pump();
+}
+
+bool Acceptor::isPending(const std::string &id) const
+{
+    return pending_.count(id) != 0;
+}
+
+std::size_t Acceptor::pending() const
+{
+    return pending_.size();
+}
+
+void Acceptor::pump()
+{
+    if (busy_ || (batch_.empty() && queue_.empty())) {
+        return;
+    }
+    busy_ = true;
+    const Millis due = lastCommit_ + (batch_.empty() ? gather : repeat);
+    const Millis now = bootClock();
+    if (now >= due) {
+        commit();
+        return;
+    }
+    timer_.expires_after(std::chrono::milliseconds((due - now).count_));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            commit();
+        }
+    });
+}
+
+void Acceptor::commit()
+{
+    while (batch_.size() < maxBatch && !queue_.empty() && !uncertain_) {
+        batch_.push_back(std::move(queue_.front()));
+        queue_.pop_front();
+    }
+    platform::Transaction transaction;
+    for (const std::string &id : batch_) {
+        transaction.conditions_.push_back({keys::job(id), 0});
+        transaction.writes_.push_back({keys::job(id), pending_.at(id).bytes_});
+    }
+    lastCommit_ = bootClock();
+    store_.commit(transaction, [this](const platform::StoreAnswer &answer) { onAnswer(answer); });
+}
+
+void Acceptor::onAnswer(const platform::StoreAnswer &answer)
+{
+    using platform::StoreOutcome;
+    busy_ = false;
+    if (answer.outcome_ == StoreOutcome::Ok) {
+        uncertain_ = false;
+        for (const std::string &id : std::exchange(batch_, {})) {
+            finish(id, {Acceptance::Created, {}, answer.revision_});
+        }
+    } else if (answer.outcome_ == StoreOutcome::Conflict) {
+        settle(answer);
+    } else if (answer.outcome_ == StoreOutcome::Unknown) {
+        uncertain_ = true;
+    } else if (!uncertain_) {
+        for (const std::string &id : std::exchange(batch_, {})) {
+            finish(id, {});
+        }
+    }
+    pump();
+}
+
+// Some ids exist. Those that hold our own bytes were stored by an earlier attempt; the rest is tried again.
+void Acceptor::settle(const platform::StoreAnswer &conflict)
+{
+    uncertain_ = false;
+    std::vector<std::string> left;
+    for (const std::string &id : std::exchange(batch_, {})) {
+        const platform::Item *present = nullptr;
+        for (const platform::Item &item : conflict.items_) {
+            if (item.key_ == keys::job(id) && item.revision_ != 0 && !item.deleted_) {
+                present = &item;
+            }
+        }
+        if (present == nullptr) {
+            left.push_back(id);
+            continue;
+        }
+        if (present->value_ == pending_.at(id).bytes_) {
+            finish(id, {Acceptance::Created, {}, present->revision_});
+            continue;
+        }
+        auto record = cell::parseRecord(present->value_);
+        finish(id, {Acceptance::Present, record ? std::move(record.value()) : cell::JobRecord{}, present->revision_});
+    }
+    batch_ = std::move(left);
+}
+
+void Acceptor::finish(const std::string &id, AcceptedJob job)
+{
+    const auto found = pending_.find(id);
+    if (job.acceptance_ != Acceptance::Present) {
+        job.record_ = std::move(found->second.record_);
+    }
+    pending_.erase(found);
+    handle_(id, job);
+}
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -0,0 +1,311 @@
+// What an entry answers its callers.
+
+#include "entrynode.hpp"
+
+#include "../../../platform/callers.hpp"
+#include "keys.hpp"
+#include <algorithm>
+#include <charconv>
+#include <ibiswall/log/eventlog.hpp>
+
+namespace ibiswall::node {
+
+namespace {
+
+// Deadline of a caller who names none.
+constexpr Millis defaultDeadline{10000};
+// Time before a caller's deadline at which a job whose storing is unsettled is answered as unknown.
+constexpr Millis answerReserve{60};
+// When to come back after the store could not be reached: outages last seconds.
+constexpr Millis storeRetryAfter{2000};
+constexpr Millis startRetryAfter{1000};
+constexpr Millis forgetPeriod{1000};
+
+enum Status {
+    Fine = 200,
+    Accepted = 202,
+    Malformed = 400,
+    NotFound = 404,
+    NotAllowed = 405,
+    Gone = 410,
+    TooLarge = 413,
+    Unavailable = 503,
+    Unknown = 504
+};
+
+HttpReply errorReply(int status, Code code, const std::string &text, Millis retryAfter = {})
+{
+    std::string body = "{\"code\":" + std::to_string(static_cast<int>(code)) + ",\"reason\":\"";
+    for (const char c : text.empty() ? std::string(describe(code)) : text) {
+        body += c == '"' || c == '\\' || static_cast<unsigned char>(c) < ' ' ? '\'' : c;
+    }
+    HttpReply reply = jsonReply(status, body + "\"}");
+    reply.retryAfter_ = retryAfter;
+    return reply;
+}
+
+Millis deadlineOf(const HttpRequest &request)
+{
+    const auto found = request.extensions_.find(platform::deadlineHeader);
+    std::int64_t millis = defaultDeadline.count_;
+    if (found != request.extensions_.end()) {
+        const std::string &text = found->second;
+        std::int64_t given = 0;
+        if (std::from_chars(text.data(), text.data() + text.size(), given).ec == std::errc() && given > 0) {
+            millis = std::min(given, millis);
+        }
+    }
+    return bootClock() + Millis{millis} - answerReserve;
+}
+
+} // namespace
+
+void EntryNode::serve(HttpRequest &&request, Respond respond)
+{
+    if (!configured_) {
+        respond(errorReply(Unavailable, Code::NotReady, {}, startRetryAfter));
+        return;
+    }
+    const cell::Queue *queue = findQueue(config_, request.host_, request.path_);
+    if (queue == nullptr) {
+        respond(errorReply(NotFound, Code::UnknownPath, {}));
+        return;
+    }
+    const std::string id = request.path_.substr(queue->prefix_.size());
+    if (id.empty() && request.method_ == "GET") {
+        answerWaiting(*queue, respond);
+        return;
+    }
+    if (!platform::isJobId(id)) {
+        respond(errorReply(Malformed, Code::BadRequest, "not a job id: 16 hexadecimal digits are required"));
+    } else if (request.method_ == "POST") {
+        submit(*queue, id, request, std::move(respond));
+    } else if (request.method_ == "GET") {
+        answerState(id, respond);
+    } else if (request.method_ == "DELETE") {
+        cancel(id, deadlineOf(request), std::move(respond));
+    } else {
+        respond(errorReply(NotAllowed, Code::WrongMethod, {}));
+    }
+}
+
+void EntryNode::submit(const cell::Queue &queue, const std::string &id, const HttpRequest &request, Respond respond)
+{
+    if (const auto known = jobs_.find(id); known != jobs_.end() && !known->second.isEphemeral()) {
+        logEvent("job.repeated", {{"job", std::string_view(id)}});
+        respond(jsonReply(Fine, {}));
+        return;
+    }
+    if (request.body_.size() > config_.maxBody_) {
+        respond(errorReply(TooLarge, Code::TooLarge, {}));
+        return;
+    }
+    auto spec = platform::parseJob(request.body_);
+    if (spec.has_error()) {
+        logEvent("job.malformed", {{"job", std::string_view(id)}, {"reason", std::string_view(spec.error().text_)}});
+        respond(errorReply(Malformed, spec.error().code_, spec.error().text_));
+        return;
+    }
+    spec.value().queue_ = queue.name_;
+    if (spec.value().ephemeral_) {
+        submitEphemeral(id, std::move(spec.value()), request, std::move(respond));
+        return;
+    }
+    if (!acceptor_.isPending(id) && isStoreLost()) {
+        logEvent("job.refused",
+                 {{"job", std::string_view(id)},
+                  {"reason", "store lost"},
+                  {"store_age_ms", (bootClock() - store_.health().answeredSentAt_).count_}});
+        respond(errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
+        return;
+    }
+    submitters_[id].push_back({std::move(respond), deadlineOf(request), nextCaller_++});
+    cell::JobRecord record;
+    record.spec_ = std::move(spec.value());
+    record.nonce_ = std::to_string(self_.incarnation_) + '.' + std::to_string(nextNonce_++);
+    acceptor_.submit(id, std::move(record));
+}
+
+// The caller waits until the job has ended. Nothing is stored; a caller who loses its connection asks again.
+void EntryNode::submitEphemeral(const std::string &id, cell::JobSpec spec, const HttpRequest &request, Respond respond)
+{
+    const std::uint64_t number = nextCaller_++;
+    if (request.abandoned_) {
+        *request.abandoned_ = [this, id, number] {
+            callerLeft(id, number);
+        };
+    }
+    submitters_[id].push_back({std::move(respond), deadlineOf(request), number});
+    KnownJob &job = jobs_[id];
+    if (job.record_) {
+        return;
+    }
+    logEvent("job.received", {{"job", std::string_view(id)}, {"queue", std::string_view(spec.queue_)}});
+    job.record_.emplace();
+    job.record_->spec_ = std::move(spec);
+    offerLater(id);
+}
+
+// A caller closed its connection before the answer.
+void EntryNode::callerLeft(const std::string &id, std::uint64_t number)
+{
+    const auto found = submitters_.find(id);
+    if (found == submitters_.end()) {
+        return;
+    }
+    auto &callers = found->second;
+    callers.erase(std::remove_if(callers.begin(), callers.end(), [number](const Caller &each) { return each.number_ == number; }),
+                  callers.end());
+    if (!callers.empty()) {
+        return;
+    }
+    submitters_.erase(found);
+    logEvent("job.abandoned", {{"job", std::string_view(id)}});
+    jobs_.erase(id);
+    sendTo(leadership_.lead().leader_, CancelFrame{id, true});
+}
+
+void EntryNode::answerAll(Callers &waiting, const std::string &id, const HttpReply &reply)
+{
+    const auto found = waiting.find(id);
+    if (found == waiting.end()) {
+        return;
+    }
+    const std::vector<Caller> callers = std::move(found->second);
+    waiting.erase(found);
+    for (const Caller &caller : callers) {
+        caller.respond_(reply);
+    }
+}
+
+void EntryNode::onAccepted(const std::string &id, const AcceptedJob &job)
+{
+    if (job.acceptance_ == Acceptance::NotStored) {
+        logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", "store refused"}});
+        answerAll(submitters_, id, errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
+        return;
+    }
+    logEvent("job.accepted",
+             {{"job", std::string_view(id)},
+              {"queue", std::string_view(job.record_.spec_.queue_)},
+              {"revision", job.revision_},
+              {"new", job.acceptance_ == Acceptance::Created ? 1 : 0}});
+    KnownJob &known = jobs_[id];
+    known.state_ = job.record_.progress_.state_;
+    known.revision_ = job.revision_;
+    if (!isFinal(known.state_)) {
+        known.record_ = job.record_;
+        // Another entry or an earlier leader may know a job that was there before.
+        known.offeredTo_ = job.acceptance_ == Acceptance::Created ? 0 : leadership_.lead().epoch_;
+        offerLater(id);
+    }
+    answerAll(submitters_, id, jsonReply(Fine, {}));
+}
+
+void EntryNode::answerState(const std::string &id, const Respond &respond)
+{
+    if (const auto known = jobs_.find(id); known != jobs_.end()) {
+        respond(jsonReply(Fine, platform::formatState(known->second.state_)));
+        return;
+    }
+    store_.get(keys::job(id), [this, id, respond](const platform::StoreAnswer &answer) {
+        if (answer.outcome_ == platform::StoreOutcome::NotFound) {
+            logEvent("job.unknown", {{"job", std::string_view(id)}});
+            respond(errorReply(Gone, Code::UnknownJob, {}));
+            return;
+        }
+        const auto record = answer.items_.empty() ? Result<cell::JobRecord>(Error{Code::PlatformDown, {}})
+                                                  : cell::parseRecord(answer.items_.front().value_);
+        if (record.has_error()) {
+            respond(errorReply(Unavailable, record.error().code_, record.error().text_, startRetryAfter));
+            return;
+        }
+        const cell::JobState state = record.value().progress_.state_;
+        if (isFinal(state)) {
+            onNotice({id, state, {}});
+        }
+        respond(jsonReply(Fine, platform::formatState(state)));
+    });
+}
+
+void EntryNode::cancel(const std::string &id, Millis giveUpAt, Respond respond)
+{
+    if (const auto known = jobs_.find(id); known != jobs_.end() && isFinal(known->second.state_)) {
+        respond(jsonReply(Fine, platform::formatState(known->second.state_)));
+        return;
+    }
+    cancellers_[id].push_back({std::move(respond), giveUpAt});
+    flushOffers();
+    sendTo(leadership_.lead().leader_, CancelFrame{id});
+}
+
+void EntryNode::onNotice(const cell::Notice &notice)
+{
+    KnownJob &job = jobs_[notice.job_];
+    if (isFinal(job.state_)) {
+        return;
+    }
+    job.state_ = notice.state_;
+    if (!isFinal(notice.state_)) {
+        return;
+    }
+    logEvent("job.ended", {{"job", std::string_view(notice.job_)}, {"state", static_cast<std::int64_t>(notice.state_)}});
+    const bool ephemeral = job.isEphemeral();
+    job.record_.reset();
+    job.endedAt_ = bootClock();
+    const HttpReply reply = jsonReply(Fine, platform::formatState(notice.state_));
+    answerAll(cancellers_, notice.job_, reply);
+    if (ephemeral) {
+        // The leader keeps the state for a caller who asks again.
+        jobs_.erase(notice.job_);
+        answerAll(submitters_, notice.job_, reply);
+    }
+}
+
+void EntryNode::onUnknownJob(const std::string &id)
+{
+    answerAll(cancellers_, id, errorReply(Gone, Code::UnknownJob, {}));
+}
+
+void EntryNode::answerWaiting(const cell::Queue &queue, const Respond &respond) const
+{
+    const auto found = waiting_.find(queue.name_);
+    std::size_t own = 0;
+    for (const auto &[id, job] : jobs_) {
+        if (job.record_ && job.state_ == cell::JobState::Pending && job.record_->spec_.queue_ == queue.name_) {
+            ++own;
+        }
+    }
+    respond(jsonReply(Fine, platform::formatQueueLength(std::max(own, found == waiting_.end() ? std::size_t{0} : found->second))));
+}
+
+// Answers callers whose deadline is near and whose request is still unsettled.
+void EntryNode::giveUp(Millis now)
+{
+    if (now > forgotAt_ + forgetPeriod) {
+        forgotAt_ = now;
+        for (auto each = jobs_.begin(); each != jobs_.end();) {
+            const KnownJob &job = each->second;
+            each = isFinal(job.state_) && now > job.endedAt_ + settings_.keepStates_ ? jobs_.erase(each) : std::next(each);
+        }
+    }
+    for (Callers *waiting : {&submitters_, &cancellers_}) {
+        std::vector<std::string> over;
+        for (const auto &[id, callers] : *waiting) {
+            if (std::any_of(callers.begin(), callers.end(), [now](const Caller &each) { return now >= each.giveUpAt_; })) {
+                over.push_back(id);
+            }
+        }
+        for (const std::string &id : over) {
+            logEvent("request.unsettled", {{"job", std::string_view(id)}, {"cancel", waiting == &cancellers_ ? 1 : 0}});
+            answerAll(*waiting, id, errorReply(Unknown, Code::Unconfirmed, "outcome unknown, ask again"));
+            const auto job = jobs_.find(id);
+            if (waiting == &submitters_ && job != jobs_.end() && job->second.isEphemeral()) {
+                jobs_.erase(job);
+                sendTo(leadership_.lead().leader_, CancelFrame{id, true});
+            }
+        }
+    }
+}
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/entryconfig.cpp
@@ -0,0 +1,102 @@
+// Follows the operators' configuration.
+
+#include "entrynode.hpp"
+
+#include "../../../platform/configuration.hpp"
+#include <ibiswall/log/eventlog.hpp>
+
+namespace ibiswall::node {
+
+namespace {
+
+constexpr Millis readRetry{100};
+// A watch is renewed this often, so that a connection that has gone silent delays no change for long.
+constexpr Millis watchWait{1000};
+
+} // namespace
+
+// Reads all that operators have written. The answer is current, so what is not in it is not in force.
+void EntryNode::readConfig()
+{
+    store_.readAll(platform::operatorPrefix, false, [this](const platform::StoreAnswer &answer) {
+        if (answer.outcome_ == platform::StoreOutcome::Ok) {
+            watchFrom_ = answer.revision_;
+            takeConfig(answer.items_, true);
+            watchConfig();
+            return;
+        }
+        configTimer_.expires_after(std::chrono::milliseconds(readRetry.count_));
+        configTimer_.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                readConfig();
+            }
+        });
+    });
+}
+
+void EntryNode::watchConfig()
+{
+    store_.watch(platform::operatorPrefix, watchFrom_, watchWait, [this](const platform::StoreAnswer &answer) {
+        if (answer.outcome_ != platform::StoreOutcome::Ok) {
+            readConfig();
+            return;
+        }
+        watchFrom_ = std::max(watchFrom_, answer.revision_);
+        if (!answer.items_.empty()) {
+            takeConfig(answer.items_, false);
+        }
+        watchConfig();
+    });
+}
+
+void EntryNode::takeConfig(Span<const platform::Item> items, bool whole)
+{
+    const std::set<std::string> before = domainsOut_;
+    bool changed = false;
+    if (whole) {
+        domainsOut_.clear();
+    }
+    for (const platform::Item &item : items) {
+        if (const auto domain = platform::evacuatedDomain(item.key_)) {
+            if (item.deleted_) {
+                domainsOut_.erase(*domain);
+            } else {
+                domainsOut_.insert(*domain);
+            }
+        } else if (item.key_ == platform::configKey && !item.deleted_ && item.revision_ > configRevision_) {
+            auto config = platform::parseConfig(item.value_);
+            if (config.has_error()) {
+                logEvent("config.unreadable", {{"revision", item.revision_}, {"reason", std::string_view(config.error().text_)}});
+                continue;
+            }
+            configRevision_ = item.revision_;
+            config_ = std::move(config.value());
+            configured_ = true;
+            changed = true;
+            logEvent("config.applied",
+                     {{"version", static_cast<std::int64_t>(config_.version_)},
+                      {"revision", item.revision_},
+                      {"queues", static_cast<std::int64_t>(config_.queues_.size())}});
+        }
+    }
+    if (domainsOut_ != before) {
+        std::string names;
+        for (const std::string &domain : domainsOut_) {
+            names += (names.empty() ? "" : " ") + domain;
+        }
+        logEvent("domains.out", {{"domains", std::string_view(names)}});
+        changed = true;
+    }
+    if (changed) {
+        configChanged();
+    }
+}
+
+void EntryNode::configChanged()
+{
+    if (duty_) {
+        duty_->setConfig(config_, domainsOut_);
+    }
+}
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/entrynode.cpp
@@ -0,0 +1,131 @@
+// Wires an entry together, and stops it in order.
+
+#include "entrynode.hpp"
+
+#include "../../../platform/callers.hpp"
+#include <csignal>
+#include <ibiswall/log/eventlog.hpp>
+
+namespace ibiswall::node {
+
+namespace {
+
+constexpr Millis tickPeriod{50};
+// Calls to the store normally end within milliseconds; when it is slow they may take some hundreds.
+constexpr Millis storeTimeout{1000};
+// The balancer notices within two of its checks, a second each, that the entry takes no more connections.
+constexpr Millis balancerDelay{2200};
+// Time kept free at the end of the grace for what is in progress.
+constexpr Millis stopReserve{500};
+
+HttpLimits callerLimits()
+{
+    HttpLimits limits;
+    limits.maxBody_ = 1U << 20U;
+    limits.maxHeader_ = 16384;
+    limits.maxConnections_ = 3500;
+    limits.idle_ = {60000};
+    limits.passedHeader_ = platform::deadlineHeader;
+    limits.watchPeers_ = true;
+    return limits;
+}
+
+} // namespace
+
+EntryNode::EntryNode(boost::asio::io_context &io, const CellEntrySettings &settings)
+    : io_(io)
+    , settings_(settings)
+    , self_{settings.name_, wallClock().count_, true}
+    , store_(io, settings.store_, storeTimeout)
+    , mesh_(io,
+            {self_, settings.links_},
+            {[this](const Peer &peer) { peerUp(peer); }, [this](const std::string &name) { peerDown(name); },
+             [this](const std::string &from, std::string_view bytes) {
+                 receive(from, bytes);
+             }})
+    , leadership_(settings.name_, {})
+    , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
+    , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
+    , ready_(io,
+             {},
+             [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(configured_ && !stoppingSince_ ? 200 : 503, "{}")); })
+    , timer_(io)
+    , configTimer_(io)
+    , signals_(io, SIGTERM, SIGINT)
+{
+}
+
+Result<void> EntryNode::start()
+{
+    BOOST_OUTCOME_TRY(callers_.listen(settings_.callers_));
+    BOOST_OUTCOME_TRY(ready_.listen(settings_.ready_));
+    BOOST_OUTCOME_TRY(mesh_.listen());
+    logEvent("process.started", {{"role", "entry"}, {"incarnation", self_.incarnation_}});
+    signals_.async_wait([this](boost::system::error_code error, int) {
+        if (!error) {
+            stop();
+        }
+    });
+    publishEntry();
+    readConfig();
+    tick();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void EntryNode::tick()
+{
+    const Millis now = bootClock();
+    beat();
+    considerLead();
+    readEntries();
+    giveUp(now);
+    if (stoppingSince_) {
+        finishStop();
+    }
+    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+// Callers go on until the balancer sends them elsewhere; another entry takes the lead meanwhile.
+void EntryNode::stop()
+{
+    if (stoppingSince_) {
+        io_.stop();
+        return;
+    }
+    logEvent("process.stopping", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"leading", duty_ ? 1 : 0}});
+    stoppingSince_ = bootClock();
+    signals_.async_wait([this](boost::system::error_code error, int) {
+        if (!error) {
+            io_.stop();
+        }
+    });
+}
+
+void EntryNode::finishStop()
+{
+    const Millis passed = bootClock() - *stoppingSince_;
+    if (passed < balancerDelay) {
+        return;
+    }
+    callers_.closeIdle();
+    const bool done = callers_.pending() == 0 && acceptor_.pending() == 0 && !duty_;
+    if (done || passed > settings_.grace_ - stopReserve) {
+        logEvent("process.stopped", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"leading", duty_ ? 1 : 0}});
+        io_.stop();
+    }
+}
+
+bool EntryNode::isStoreLost() const
+{
+    constexpr int failures = 3;
+    constexpr Millis silence{1200};
+    const platform::StoreHealth &health = store_.health();
+    return health.failures_ >= failures && bootClock() > health.answeredSentAt_ + silence;
+}
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/frames.cpp
@@ -0,0 +1,297 @@
+// CBOR arrays; the first element numbers the kind of frame.
+
+#include "frames.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace ibiswall::node {
+
+namespace {
+
+using Json = nlohmann::json;
+using cell::End;
+using cell::Run;
+using cell::TargetInfo;
+
+Json toJson(const Run &run)
+{
+    return Json::array({run.task_.job_, run.task_.step_, run.task_.index_, run.number_});
+}
+
+Run parseRun(const Json &json)
+{
+    Run run;
+    run.task_ = {json.at(0).get<std::string>(), json.at(1).get<std::uint32_t>(), json.at(2).get<std::uint32_t>()};
+    run.number_ = json.at(3).get<std::uint64_t>();
+    return run;
+}
+
+Json toJson(const End &end)
+{
+    return Json::array({end.number_, toJson(end.run_), static_cast<int>(end.kind_), end.checkpoint_});
+}
+
+End parseEnd(const Json &json)
+{
+    const int kind = json.at(2).get<int>();
+    if (kind < 0 || kind > static_cast<int>(cell::EndKind::Lost)) {
+        throw std::out_of_range("unknown kind of end");
+    }
+    return {json.at(0).get<std::uint64_t>(), parseRun(json.at(1)), static_cast<cell::EndKind>(kind), json.at(3).get<std::string>()};
+}
+
+Json toJson(const TargetInfo &info)
+{
+    return Json::array({info.id_, info.born_, info.service_, info.failureDomain_, info.labels_, info.room_.cpu_, info.room_.memory_,
+                        info.room_.gpus_, info.draining_});
+}
+
+TargetInfo parseInfo(const Json &json)
+{
+    std::size_t at = 0;
+    TargetInfo info;
+    info.id_ = json.at(at++).get<std::string>();
+    info.born_ = json.at(at++).get<std::int64_t>();
+    info.service_ = json.at(at++).get<std::string>();
+    info.failureDomain_ = json.at(at++).get<std::string>();
+    info.labels_ = json.at(at++).get<std::vector<std::string>>();
+    info.room_.cpu_ = json.at(at++).get<std::int64_t>();
+    info.room_.memory_ = json.at(at++).get<std::int64_t>();
+    info.room_.gpus_ = json.at(at++).get<std::int64_t>();
+    info.draining_ = json.at(at++).get<bool>();
+    return info;
+}
+
+Json binary(const std::string &bytes)
+{
+    return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string text(const Json &json)
+{
+    const auto &bytes = json.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+Json body(const LeadFrame &frame)
+{
+    return Json::array({frame.epoch_});
+}
+
+Json body(const PingFrame &frame)
+{
+    return Json::array({frame.epoch_, frame.sentAt_.count_});
+}
+
+Json body(const PongFrame &frame)
+{
+    return Json::array({frame.epoch_, frame.sentAt_.count_, frame.right_.count_});
+}
+
+Json body(const ReportFrame &frame)
+{
+    Json running = Json::array();
+    for (const Run &run : frame.report_.running_) {
+        running.push_back(toJson(run));
+    }
+    Json ends = Json::array();
+    for (const End &end : frame.report_.ends_) {
+        ends.push_back(toJson(end));
+    }
+    Json refused = Json::array();
+    for (const auto &[run, forRoom] : frame.report_.refused_) {
+        refused.push_back(Json::array({toJson(run), forRoom}));
+    }
+    return Json::array({frame.epoch_, frame.report_.whole_, frame.report_.info_ ? toJson(*frame.report_.info_) : Json(),
+                        frame.report_.born_, std::move(running), std::move(ends), std::move(refused)});
+}
+
+// Tasks of one job often go to the same agent together, so each payload is sent once.
+Json body(const OrdersFrame &frame)
+{
+    std::map<std::string_view, std::size_t> places;
+    Json payloads = Json::array();
+    Json starts = Json::array();
+    for (const cell::StartOrder &start : frame.starts_) {
+        const auto [place, added] = places.try_emplace(start.payload_, payloads.size());
+        if (added) {
+            payloads.push_back(start.payload_);
+        }
+        starts.push_back(Json::array({toJson(start.run_), place->second, start.checkpoint_}));
+    }
+    Json stops = Json::array();
+    for (const cell::StopOrder &stop : frame.stops_) {
+        stops.push_back(toJson(stop.run_));
+    }
+    return Json::array({frame.epoch_, std::move(payloads), std::move(starts), std::move(stops), frame.acknowledged_});
+}
+
+Json body(const BeatFrame &frame)
+{
+    return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.sentAt_.count_,
+                        frame.promisedFrom_.count_, Json(frame.waiting_)});
+}
+
+Json body(const OffersFrame &frame)
+{
+    Json offers = Json::array();
+    for (const cell::JobOffer &offer : frame.offers_) {
+        offers.push_back(Json::array({offer.id_, binary(formatRecord(offer.record_)), offer.revision_, offer.fresh_}));
+    }
+    return offers;
+}
+
+Json body(const NoticesFrame &frame)
+{
+    Json notices = Json::array();
+    for (const cell::Notice &notice : frame.notices_) {
+        notices.push_back(Json::array({notice.job_, static_cast<int>(notice.state_)}));
+    }
+    return notices;
+}
+
+Json body(const CancelFrame &frame)
+{
+    return Json::array({frame.job_, frame.abandoned_});
+}
+
+Json body(const UnknownJobFrame &frame)
+{
+    return frame.job_;
+}
+
+ReportFrame parseReport(const Json &json)
+{
+    constexpr std::size_t runningAt = 4;
+    constexpr std::size_t endsAt = 5;
+    constexpr std::size_t refusedAt = 6;
+    ReportFrame frame;
+    frame.epoch_ = json.at(0).get<std::uint64_t>();
+    cell::AgentReport &report = frame.report_;
+    report.whole_ = json.at(1).get<bool>();
+    if (!json.at(2).is_null()) {
+        report.info_ = parseInfo(json.at(2));
+    }
+    report.born_ = json.at(3).get<std::int64_t>();
+    for (const Json &each : json.at(runningAt)) {
+        report.running_.push_back(parseRun(each));
+    }
+    for (const Json &each : json.at(endsAt)) {
+        report.ends_.push_back(parseEnd(each));
+    }
+    for (const Json &each : json.at(refusedAt)) {
+        report.refused_.emplace_back(parseRun(each.at(0)), each.at(1).get<bool>());
+    }
+    return frame;
+}
+
+OrdersFrame parseOrders(const Json &json)
+{
+    constexpr std::size_t acknowledgedAt = 4;
+    OrdersFrame frame;
+    frame.epoch_ = json.at(0).get<std::uint64_t>();
+    const Json &payloads = json.at(1);
+    for (const Json &each : json.at(2)) {
+        frame.starts_.push_back(
+            {{}, parseRun(each.at(0)), payloads.at(each.at(1).get<std::size_t>()).get<std::string>(), each.at(2).get<std::string>()});
+    }
+    for (const Json &each : json.at(3)) {
+        frame.stops_.push_back({{}, parseRun(each)});
+    }
+    frame.acknowledged_ = json.at(acknowledgedAt).get<std::uint64_t>();
+    return frame;
+}
+
+BeatFrame parseBeat(const Json &json)
+{
+    std::size_t at = 0;
+    BeatFrame frame;
+    frame.epoch_ = json.at(at++).get<std::uint64_t>();
+    frame.leader_ = json.at(at++).get<std::string>();
+    frame.leaderAge_ = {json.at(at++).get<std::int64_t>()};
+    frame.storeAge_ = {json.at(at++).get<std::int64_t>()};
+    frame.leaving_ = json.at(at++).get<bool>();
+    frame.sentAt_ = {json.at(at++).get<std::int64_t>()};
+    frame.promisedFrom_ = {json.at(at++).get<std::int64_t>()};
+    frame.waiting_ = json.at(at++).get<std::map<std::string, std::size_t>>();
+    return frame;
+}
+
+OffersFrame parseOffers(const Json &json)
+{
+    OffersFrame frame;
+    for (const Json &each : json) {
+        auto record = cell::parseRecord(text(each.at(1)));
+        if (record.has_error()) {
+            throw std::out_of_range(record.error().text_);
+        }
+        frame.offers_.push_back(
+            {each.at(0).get<std::string>(), std::move(record.value()), each.at(2).get<std::int64_t>(), each.at(3).get<bool>(), {}});
+    }
+    return frame;
+}
+
+NoticesFrame parseNotices(const Json &json)
+{
+    NoticesFrame frame;
+    for (const Json &each : json) {
+        const int state = each.at(1).get<int>();
+        if (state < 0 || state > static_cast<int>(cell::JobState::Cancelled)) {
+            throw std::out_of_range("unknown state of a job");
+        }
+        frame.notices_.push_back({each.at(0).get<std::string>(), static_cast<cell::JobState>(state), {}});
+    }
+    return frame;
+}
+
+// The kinds in the order of the variant.
+enum Kind : std::size_t { Lead, Ping, Pong, Report, Orders, Beat, Offers, Notices, Cancel, UnknownJob };
+
+Frame readFrame(std::size_t kind, const Json &json)
+{
+    switch (kind) {
+    case Lead:
+        return LeadFrame{json.at(0).get<std::uint64_t>()};
+    case Ping:
+        return PingFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}};
+    case Pong:
+        return PongFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}, {json.at(2).get<std::int64_t>()}};
+    case Report:
+        return parseReport(json);
+    case Orders:
+        return parseOrders(json);
+    case Beat:
+        return parseBeat(json);
+    case Offers:
+        return parseOffers(json);
+    case Notices:
+        return parseNotices(json);
+    case Cancel:
+        return CancelFrame{json.at(0).get<std::string>(), json.at(1).get<bool>()};
+    case UnknownJob:
+        return UnknownJobFrame{json.get<std::string>()};
+    default:
+        throw std::out_of_range("unknown kind of frame " + std::to_string(kind));
+    }
+}
+
+} // namespace
+
+std::string formatFrame(const Frame &frame)
+{
+    Json json = Json::array({frame.index(), std::visit([](const auto &each) { return body(each); }, frame)});
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+    return {bytes.begin(), bytes.end()};
+}
+
+Result<Frame> parseFrame(std::string_view bytes)
+{
+    try {
+        const Json json = Json::from_cbor(bytes);
+        return readFrame(json.at(0).get<std::size_t>(), json.at(1));
+    } catch (const std::exception &error) {
+        return Error{Code::BadFrame, error.what()};
+    }
+}
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/frames.hpp
@@ -0,0 +1,102 @@
+// Frames between entries and agents, and between entries, as CBOR.
+
+#pragma once
+
+#include <ibiswall/cell/attendant.hpp>
+#include <ibiswall/cell/dispatcher.hpp>
+#include <variant>
+
+namespace ibiswall::node {
+
+/// A dispatcher makes itself known to an agent.
+struct LeadFrame
+{
+    std::uint64_t epoch_ = 0;
+};
+
+/// An agent asks for the right to go on.
+struct PingFrame
+{
+    std::uint64_t epoch_ = 0;
+    /// The agent's clock, returned with the answer.
+    Millis sentAt_;
+};
+
+/// The right runs from the moment at which the agent had sent its ping.
+struct PongFrame
+{
+    std::uint64_t epoch_ = 0;
+    Millis sentAt_;
+    Millis right_;
+};
+
+struct ReportFrame
+{
+    std::uint64_t epoch_ = 0;
+    cell::AgentReport report_;
+};
+
+/// Orders of a dispatcher to one agent.
+struct OrdersFrame
+{
+    std::uint64_t epoch_ = 0;
+    std::vector<cell::StartOrder> starts_;
+    std::vector<cell::StopOrder> stops_;
+    /// Ends up to this number need not be listed again; 0 for no news.
+    std::uint64_t acknowledged_ = 0;
+};
+
+/// An entry's word to another about the dispatcher and the store.
+struct BeatFrame
+{
+    std::uint64_t epoch_ = 0;
+    std::string leader_;
+    /// Time since the leader was last heard, at this entry or further on.
+    Millis leaderAge_;
+    /// Age of the latest answer of the store.
+    Millis storeAge_;
+    /// The sender wants another entry to lead, and as the leader has stopped to place tasks.
+    bool leaving_ = false;
+    /// The sender's clock.
+    Millis sentAt_;
+    /// The leader's clock in the latest beat of this epoch that the sender has received from it: the sender has not
+    /// tried for the lead since, and will not for LeadershipSettings::promise_ from then.
+    Millis promisedFrom_;
+    /// From the leader: jobs of each queue with no task started.
+    std::map<std::string, std::size_t> waiting_;
+};
+
+/// Jobs that an entry has accepted and stored.
+struct OffersFrame
+{
+    std::vector<cell::JobOffer> offers_;
+};
+
+/// States that have changed, from the leader to all entries.
+struct NoticesFrame
+{
+    std::vector<cell::Notice> notices_;
+};
+
+struct CancelFrame
+{
+    std::string job_;
+    /// The caller has only stopped to wait; another one may still.
+    bool abandoned_ = false;
+};
+
+/// The leader knows of no such job, nor does the store. Any other answer to a cancel is a notice.
+struct UnknownJobFrame
+{
+    std::string job_;
+};
+
+using Frame = std::
+    variant<LeadFrame, PingFrame, PongFrame, ReportFrame, OrdersFrame, BeatFrame, OffersFrame, NoticesFrame, CancelFrame, UnknownJobFrame>;
+
+std::string formatFrame(const Frame &frame);
+
+/// @return BadFrame when the bytes are not a frame
+Result<Frame> parseFrame(std::string_view bytes);
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/leadership.hpp
@@ -0,0 +1,102 @@
+// Decides when an entry takes the lead of its cell. The store's conditional write decides who gets it.
+
+#pragma once
+
+#include <ibiswall/base.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+#include "frames.hpp"
+
+namespace ibiswall::node {
+
+/// Times of the lead.
+struct LeadershipSettings
+{
+    /// A leader not heard of for this long, on any path, is taken for gone.
+    Millis silence_{700};
+    /// Added for each live entry whose name comes first, so that not all try at once.
+    Millis turn_{200};
+    /// A leader whose latest word from the store is older than this lets go ...
+    Millis storeLost_{1300};
+    /// ... when another entry's latest word from it is not older than this.
+    Millis storeFresh_{800};
+    /// How long an entry that has just heard the leader does not try for the lead; less than silence_.
+    Millis promise_{650};
+    /// Time that a new leader has to make itself heard.
+    Millis settle_{1000};
+};
+
+/// What an entry knows of the lead.
+struct Lead
+{
+    /// Revision of the leader's key; 0 while nobody has led.
+    std::uint64_t epoch_ = 0;
+    std::string leader_;
+};
+
+/// The state of one entry. No input or output.
+class Leadership
+{
+public:
+    Leadership(std::string self, LeadershipSettings settings);
+
+    /// The stored lead as read from the store, or as a beat tells it.
+    /// @return true when it is newer than what was known
+    bool learn(const Lead &lead, Millis now);
+
+    void heard(const std::string &from, const BeatFrame &beat, Millis now);
+
+    /// Tells whether to try for the lead now.
+    bool shouldTake(Millis storeAge, bool leaving, Millis now) const;
+
+    /// This process has won the lead with this epoch.
+    void take(std::uint64_t epoch, Millis now);
+
+    /// This process lets go of the lead that it had.
+    void release();
+
+    bool isMine() const;
+    const Lead &lead() const;
+
+    /// Time since the leader was heard.
+    Millis leaderAge(Millis now) const;
+
+    /// At the leader: until when no other entry can have taken the lead, whatever the store does. Entries that have
+    /// not promised anything, or whose promise is over, may have.
+    /// @param entries names of all other entries
+    Millis promisedUntil(const std::set<std::string> &entries) const;
+
+    /// At the leader: whether to let go to an entry that reaches the store while this one does not.
+    bool shouldLetGo(Millis storeAge, Millis now) const;
+
+    /// What to promise the leader in a beat.
+    Millis promisedFrom() const;
+
+private:
+    struct Other
+    {
+        Millis heardAt_;
+        Millis storeAge_;
+        bool leaving_ = false;
+        /// Latest promise to this leader in this epoch, 0 for none.
+        Millis promisedFrom_;
+        std::uint64_t epoch_ = 0;
+    };
+
+    bool isAlive(const Other &other, Millis now) const;
+
+    std::string self_;
+    LeadershipSettings settings_;
+    Lead lead_;
+    /// Epoch that this process has won, 0 for none.
+    std::uint64_t taken_ = 0;
+    Millis heardAt_;
+    /// The leader's clock in the latest beat heard from itself in this epoch.
+    Millis leaderClock_;
+    /// Other entries by name.
+    std::map<std::string, Other> others_;
+};
+
+} // namespace ibiswall::node
--- a/src/ibiswall/platform/store.cpp
+++ b/src/ibiswall/platform/store.cpp
@@ -2,7 +2,7 @@
 
 #include <ibiswall/platform/store.hpp>
 
-#include "base64.hpp"
+#include <ibiswall/base/base64.hpp>
 #include <nlohmann/json.hpp>
 
 namespace ibiswall {
--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::int64_t maxSlots = 4096;
 constexpr std::int64_t maxDelay = 600000;
+// A day.
+constexpr std::int64_t maxKeep = 86400000;
+// A shorter lease could not be renewed in time.
+constexpr std::int64_t minLease = 200;
 constexpr std::int64_t maxBytes = 1 << 30;
 constexpr std::size_t minToken = 8;
 constexpr std::size_t maxToken = 256;
@@ -200,6 +204,37 @@
     return settings;
 }
 
+CellEntrySettings readCellEntry(Checker &in)
+{
+    CellEntrySettings settings;
+    settings.name_ = in.name("name");
+    settings.domain_ = in.name("domain");
+    settings.callers_ = in.address("callers");
+    settings.ready_ = in.address("ready");
+    settings.links_ = in.address("links");
+    settings.metrics_ = in.address("metrics");
+    settings.store_ = in.address("store");
+    settings.logLevel_ = readLogLevel(in);
+    settings.grace_ = {in.number("grace_ms", 0, maxDelay, settings.grace_.count_)};
+    settings.keepStates_ = {in.number("keep_states_ms", 0, maxKeep, settings.keepStates_.count_)};
+    return settings;
+}
+
+CellAgentSettings readCellAgent(Checker &in)
+{
+    CellAgentSettings settings;
+    settings.name_ = in.name("name");
+    settings.domain_ = in.name("domain");
+    settings.announcements_ = in.address("announcements");
+    settings.target_ = in.address("target");
+    settings.metrics_ = in.address("metrics");
+    settings.store_ = in.address("store");
+    settings.logLevel_ = readLogLevel(in);
+    settings.grace_ = {in.number("grace_ms", 0, maxDelay, settings.grace_.count_)};
+    settings.maxLease_ = {in.number("max_lease_ms", minLease, maxDelay, settings.maxLease_.count_)};
+    return settings;
+}
+
 Error makeError(std::string_view file, const std::vector<std::string> &problems)
 {
     std::string text;
@@ -224,14 +259,18 @@
     }
     std::vector<std::string> problems;
     Checker in(root, "", problems);
-    const std::string role = in.word("role", {"entry", "agent"}, "");
+    const std::string role = in.word("role", {"entry", "agent", "cell-entry", "cell-agent"}, "");
     Settings settings;
     if (role == "entry") {
         settings = readEntry(in);
     } else if (role == "agent") {
         settings = readAgent(in);
+    } else if (role == "cell-entry") {
+        settings = readCellEntry(in);
+    } else if (role == "cell-agent") {
+        settings = readCellAgent(in);
     } else {
-        return makeError(file, {"role: \"entry\" or \"agent\" is required"});
+        return makeError(file, {"role: \"entry\", \"agent\", \"cell-entry\" or \"cell-agent\" is required"});
     }
     in.refuseUnknown();
     if (!problems.empty()) {
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -1,9 +1,9 @@
 // Stand-in for the platform's key-value service: the part of the etcd v3 JSON gateway that the system
 // calls, with switches for outage, slowness and answers lost after the write.
 
-#include "../../src/ibiswall/platform/base64.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
+#include <ibiswall/base/base64.hpp>
 #include <ibiswall/net.hpp>
 #include <iostream>
 #include <map>
