--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -31,6 +31,8 @@
     /// Life of the target that the call is for, 0 for any.
     std::int64_t born_ = 0;
     Millis sentAt_;
+    /// Local moment of the lease end.
+    Millis leaseUntil_;
 };
 
 /// How a call ended.
@@ -88,6 +90,8 @@
     Millis retryPause_{60};
     /// A target that has not answered for this long gets no further lease, so that what it runs is soon known to be over.
     Millis silence_{350};
+    /// Pause between two questions to a target that does not answer.
+    Millis probePause_{100};
     /// Added to a lease before it counts as lapsed: the target's slower clock, and its time to stop.
     Millis lapseSlack_{150};
 };
@@ -161,7 +165,11 @@
         bool calling_ = false;
     };
 
-    std::optional<std::int64_t> leaseEnd(Millis now);
+    void answered(const TargetCall &call, CallOutcome outcome, Millis now);
+    void setAnswering(bool answering);
+    bool mayLease(Millis now) const;
+    TargetCall makeCall(TargetCall::Kind kind, const Run &run, Millis now) const;
+    void lease(TargetCall &call, Millis now);
     void hold(Millis wait, Millis now);
     void callStop(const TaskId &task, LocalRun &run, Millis now);
     void reborn(std::int64_t born);
@@ -177,8 +185,13 @@
     /// The target's clock was at least clock_ at the local moment clockAt_; not set before the target has spoken.
     std::optional<std::int64_t> clock_;
     Millis clockAt_;
-    /// Latest local moment at which a lease asked for can end.
+    /// Latest local moment at which a lease can end that the target may have granted.
     Millis leaseUntil_;
+    /// Calls without an outcome yet that ask for a lease.
+    int leasesInFlight_ = 0;
+    /// Whether the target has answered its latest calls.
+    bool answering_ = true;
+    int unanswered_ = 0;
     /// When the target last answered or announced itself.
     Millis heardAt_;
     std::map<TaskId, LocalRun> runs_;
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -135,6 +135,8 @@
     std::vector<std::string> labels_;
     Resources room_;
     bool draining_ = false;
+    /// Whether it answers its agent.
+    bool answering_ = true;
 };
 
 inline bool operator==(const Resources &a, const Resources &b)
@@ -145,7 +147,7 @@
 inline bool operator==(const TargetInfo &a, const TargetInfo &b)
 {
     return a.id_ == b.id_ && a.born_ == b.born_ && a.service_ == b.service_ && a.failureDomain_ == b.failureDomain_
-        && a.labels_ == b.labels_ && a.room_ == b.room_ && a.draining_ == b.draining_;
+        && a.labels_ == b.labels_ && a.room_ == b.room_ && a.draining_ == b.draining_ && a.answering_ == b.answering_;
 }
 
 /// A queue of the configuration.
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -23,6 +23,8 @@
     std::uint64_t acknowledged_ = 0;
     /// No start before this moment, after the target rejected one.
     Millis pausedUntil_;
+    /// Starts rejected in a row.
+    std::uint32_t refusals_ = 0;
     /// Mean of (run time / usual run time of the queue) over recent runs; 1 is usual.
     double slowness_ = 1;
     /// Share of recent runs that failed, 0 to 1.
--- a/include/ibiswall/net/httppool.hpp
+++ b/include/ibiswall/net/httppool.hpp
@@ -45,6 +45,9 @@
     HttpPool(const HttpPool &) = delete;
     HttpPool &operator=(const HttpPool &) = delete;
 
+    /// Makes later calls to another server.
+    void setServer(Address server);
+
     /// Sends a request; the handler is called once, on the event loop.
     void call(PoolCall call, std::function<void(PoolAnswer)> done);
 
--- a/include/ibiswall/node.hpp
+++ b/include/ibiswall/node.hpp
@@ -7,9 +7,10 @@
 namespace ibiswall::node {
 
 /// Runs an entry until it is told to stop.
-Exit runCellEntry(const CellEntrySettings &settings);
+/// @param file where the settings came from; read again when it changes
+Exit runCellEntry(const CellEntrySettings &settings, const std::string &file);
 
 /// Runs an agent until it is told to stop.
-Exit runCellAgent(const CellAgentSettings &settings);
+Exit runCellAgent(const CellAgentSettings &settings, const std::string &file);
 
 } // namespace ibiswall::node
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -56,9 +56,11 @@
         clockAt_ = now;
     }
     heardAt_ = now;
-    if (!info_ || !(*info_ == info)) {
-        info_ = info;
-        report_.info_ = info;
+    TargetInfo told = info;
+    told.answering_ = answering_;
+    if (!info_ || !(*info_ == told)) {
+        info_ = told;
+        report_.info_ = told;
     }
 }
 
@@ -84,6 +86,8 @@
 void Attendant::reborn(std::int64_t born)
 {
     loseAll();
+    answering_ = true;
+    unanswered_ = 0;
     born_ = born;
     clock_.reset();
     leaseUntil_ = {};
@@ -92,12 +96,18 @@
     acknowledgedAtTarget_ = 0;
 }
 
+// Gives up every run, but for those whose start is under way: a new life may have taken it.
 void Attendant::loseAll()
 {
-    for (const auto &[task, run] : runs_) {
-        report_.ends_.push_back({0, {task, run.number_}, EndKind::Lost, {}});
+    for (auto each = runs_.begin(); each != runs_.end();) {
+        const LocalRun &run = each->second;
+        if (run.phase_ == Phase::Starting && run.calling_) {
+            ++each;
+            continue;
+        }
+        report_.ends_.push_back({0, {each->first, run.number_}, EndKind::Lost, {}});
+        each = runs_.erase(each);
     }
-    runs_.clear();
 }
 
 bool Attendant::isReady(Millis now) const
@@ -105,14 +115,59 @@
     return info_ && !leaving_ && !info_->draining_ && clock_ && now + minLease < grantUntil_ && !reportDue_;
 }
 
-std::optional<std::int64_t> Attendant::leaseEnd(Millis now)
+bool Attendant::mayLease(Millis now) const
+{
+    return clock_ && now + minLease < grantUntil_ && answering_ && (runs_.empty() || now <= heardAt_ + settings_.silence_);
+}
+
+TargetCall Attendant::makeCall(TargetCall::Kind kind, const Run &run, Millis now) const
+{
+    TargetCall call;
+    call.kind_ = kind;
+    call.run_ = run;
+    call.epoch_ = epoch_;
+    call.born_ = born_;
+    call.sentAt_ = now;
+    return call;
+}
+
+// Lets a call ask for the longest lease that the right allows.
+void Attendant::lease(TargetCall &call, Millis now)
+{
+    call.leaseUntil_ = {std::min((now + settings_.maxLease_).count_, grantUntil_.count_)};
+    call.leaseEnd_ = *clock_ + (call.leaseUntil_ - clockAt_).count_;
+    ++leasesInFlight_;
+}
+
+// Notes what a call's outcome says about the target and its lease.
+void Attendant::answered(const TargetCall &call, CallOutcome outcome, Millis now)
+{
+    if (call.leaseEnd_) {
+        --leasesInFlight_;
+        if (outcome != CallOutcome::NotSent) {
+            leaseUntil_ = {std::max(leaseUntil_.count_, call.leaseUntil_.count_)};
+        }
+    }
+    if (outcome == CallOutcome::NotSent || outcome == CallOutcome::Unknown) {
+        constexpr int tolerated = 2;
+        ++unanswered_;
+        if (outcome == CallOutcome::NotSent || unanswered_ > tolerated) {
+            setAnswering(false);
+        }
+        return;
+    }
+    heardAt_ = now;
+    unanswered_ = 0;
+    setAnswering(true);
+}
+
+void Attendant::setAnswering(bool answering)
 {
-    const Millis until{std::min((now + settings_.maxLease_).count_, grantUntil_.count_)};
-    if (!clock_ || until <= now || now > heardAt_ + settings_.silence_) {
-        return std::nullopt;
+    answering_ = answering;
+    if (info_ && info_->answering_ != answering) {
+        info_->answering_ = answering;
+        report_.info_ = info_;
     }
-    leaseUntil_ = {std::max(leaseUntil_.count_, until.count_)};
-    return *clock_ + (until - clockAt_).count_;
 }
 
 void Attendant::start(const Run &run, const std::string &payload, const std::string &checkpoint, Millis now)
@@ -121,7 +176,7 @@
     if (known != runs_.end() && known->second.number_ == run.number_) {
         return;
     }
-    if (!isReady(now) || known != runs_.end()) {
+    if (!isReady(now) || known != runs_.end() || !mayLease(now)) {
         report_.refused_.emplace_back(run, false);
         return;
     }
@@ -129,13 +184,12 @@
         // Nothing ran that the target would have been asked about, so its silence means nothing.
         heardAt_ = now;
     }
-    const auto lease = leaseEnd(now);
-    if (!lease) {
-        report_.refused_.emplace_back(run, false);
-        return;
-    }
     runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true};
-    calls_.push_back({TargetCall::Kind::Start, run, payload, checkpoint, lease, epoch_, 0, {}, born_, now});
+    TargetCall call = makeCall(TargetCall::Kind::Start, run, now);
+    call.payload_ = payload;
+    call.checkpoint_ = checkpoint;
+    lease(call, now);
+    calls_.push_back(std::move(call));
 }
 
 void Attendant::stop(const Run &run, Millis now)
@@ -156,7 +210,7 @@
     run.since_ = now;
     run.retryAt_ = now + settings_.retryPause_;
     run.calling_ = true;
-    calls_.push_back({TargetCall::Kind::Stop, {task, run.number_}, {}, {}, std::nullopt, epoch_, 0, {}, born_, now});
+    calls_.push_back(makeCall(TargetCall::Kind::Stop, {task, run.number_}, now));
 }
 
 void Attendant::acknowledge(std::uint64_t through)
@@ -166,15 +220,13 @@
 
 void Attendant::started(const TargetCall &call, CallOutcome outcome, Millis now)
 {
+    answered(call, outcome, now);
     const auto found = runs_.find(call.run_.task_);
     if (found == runs_.end() || found->second.number_ != call.run_.number_ || found->second.phase_ != Phase::Starting) {
         return;
     }
     LocalRun &run = found->second;
     run.calling_ = false;
-    if (outcome != CallOutcome::Unknown && outcome != CallOutcome::NotSent) {
-        heardAt_ = now;
-    }
     switch (outcome) {
     case CallOutcome::Ok:
         run.phase_ = Phase::Running;
@@ -196,6 +248,7 @@
 
 void Attendant::stopped(const TargetCall &call, CallOutcome outcome, Millis now)
 {
+    answered(call, outcome, now);
     const auto found = runs_.find(call.run_.task_);
     if (found == runs_.end() || found->second.number_ != call.run_.number_) {
         return;
@@ -215,8 +268,9 @@
 void Attendant::held(const TargetCall &call, const HoldAnswer &answer, Millis now)
 {
     --holdsInFlight_;
+    answered(call, answer.outcome_, now);
     if (answer.outcome_ != CallOutcome::Ok) {
-        holdRetryAt_ = now + settings_.retryPause_;
+        holdRetryAt_ = now + (answering_ ? settings_.retryPause_ : settings_.probePause_);
         reportHoldSent_ = false;
         tick(now);
         return;
@@ -227,7 +281,6 @@
     if (answer.born_ == born_ && call.epoch_ == epoch_) {
         clock_ = answer.clock_;
         clockAt_ = now;
-        heardAt_ = now;
         acknowledgedAtTarget_ = std::max(acknowledgedAtTarget_, call.acknowledged_);
         compare(call, answer, now);
     } else {
@@ -287,12 +340,19 @@
 void Attendant::hold(Millis wait, Millis now)
 {
     ++holdsInFlight_;
-    calls_.push_back({TargetCall::Kind::Hold, {}, {}, {}, leaseEnd(now), epoch_, acknowledged_, wait, 0, now});
+    TargetCall call = makeCall(TargetCall::Kind::Hold, {}, now);
+    call.acknowledged_ = acknowledged_;
+    call.wait_ = wait;
+    if (mayLease(now)) {
+        lease(call, now);
+    }
+    calls_.push_back(std::move(call));
 }
 
 void Attendant::tick(Millis now)
 {
-    if (!runs_.empty() && leaseUntil_ != Millis{0} && now > leaseUntil_ + settings_.lapseSlack_) {
+    if (!runs_.empty() && leasesInFlight_ == 0 && now > leaseUntil_ + settings_.lapseSlack_) {
+        // Neither starts nor holds have kept anything alive.
         loseAll();
     }
     for (auto &[task, run] : runs_) {
@@ -314,7 +374,7 @@
     const bool settling = std::any_of(runs_.begin(), runs_.end(), [](const auto &each) { return each.second.phase_ == Phase::Stopped; });
     if (settling) {
         hold({}, now);
-    } else if (!runs_.empty() || acknowledged_ > acknowledgedAtTarget_) {
+    } else if (!runs_.empty() || acknowledged_ > acknowledgedAtTarget_ || !answering_) {
         hold(runs_.empty() ? Millis{} : settings_.holdWait_, now);
     }
 }
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -12,6 +12,9 @@
 constexpr Millis progressDelay{1000};
 // Time for which a target that rejected a start for want of room gets no further one.
 constexpr Millis roomPause{40};
+// Pause of a target after a start that it rejected for another reason; doubles with each in a row.
+constexpr Millis firstPause{10};
+constexpr Millis maxPause{500};
 // Jobs in a row that could not be placed, after which the rest is taken not to fit either.
 constexpr int maxMisses = 4;
 // Objective of a job whose queue is no longer configured.
@@ -326,6 +329,7 @@
     Target &target = targets_[agent];
     const bool current = task.phase_ == Phase::Placed && task.agent_ == agent && task.run_ == end.run_.number_;
     const bool failed = end.kind_ == EndKind::Failed;
+    target.refusals_ = 0;
     if (current) {
         const Step &step = job.record_.spec_.steps_[end.run_.task_.step_];
         const auto expected = static_cast<double>(std::max<std::int64_t>(step.estimate_.count_, 1));
@@ -423,9 +427,10 @@
 
 void Dispatcher::refused(const std::string &agent, const Run &run, bool forRoom, Millis now)
 {
-    if (forRoom) {
-        targets_[agent].pausedUntil_ = now + roomPause;
-    }
+    Target &target = targets_[agent];
+    const Millis pause{forRoom ? roomPause.count_ : std::min(maxPause.count_, firstPause.count_ << std::min(target.refusals_, 6U))};
+    target.refusals_ += forRoom ? 0 : 1;
+    target.pausedUntil_ = {std::max(target.pausedUntil_.count_, (now + pause).count_)};
     ended(agent, {0, run, EndKind::Lost, {}}, now);
 }
 
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -29,7 +29,7 @@
 bool mayTake(const Target &target, const Placement &placement, Millis now)
 {
     const TargetInfo &info = target.info_;
-    if (!target.present_ || info.draining_ || info.service_ != placement.service_ || now < target.pausedUntil_) {
+    if (!target.present_ || info.draining_ || !info.answering_ || info.service_ != placement.service_ || now < target.pausedUntil_) {
         return false;
     }
     if (placement.domainsOut_.count(info.failureDomain_) != 0 || !fits(placement.step_.need_, info.room_ - target.used_)) {
--- a/src/ibiswall/cli/processes.cpp
+++ b/src/ibiswall/cli/processes.cpp
@@ -63,14 +63,14 @@
 }
 
 // Reads the settings file that the command line names.
-Result<Settings> loadNamed(const CommandLine &line, Exit &ended)
+Result<Settings> loadNamed(const CommandLine &line, Exit &ended, std::string &file)
 {
     const ParsedOptions parsed = parseOptions(line, settingsOptions(), settingsPosition(), "FILE");
     if (parsed.ended_) {
         ended = parsed.exit_;
         return Error{Code::BadUsage, {}};
     }
-    const std::string file = settingsFile(parsed);
+    file = settingsFile(parsed);
     if (file.empty()) {
         std::cerr << "ibiswall " << line.command_ << ": no settings file is named\n";
         ended = Exit::Usage;
@@ -95,7 +95,8 @@
 Exit runEntryCommand(const CommandLine &line)
 {
     Exit ended = Exit::Ok;
-    const auto settings = loadNamed(line, ended);
+    std::string file;
+    const auto settings = loadNamed(line, ended, file);
     if (settings.has_error()) {
         return ended;
     }
@@ -110,7 +111,8 @@
 Exit runAgentCommand(const CommandLine &line)
 {
     Exit ended = Exit::Ok;
-    const auto settings = loadNamed(line, ended);
+    std::string file;
+    const auto settings = loadNamed(line, ended, file);
     if (settings.has_error()) {
         return ended;
     }
@@ -125,23 +127,25 @@
 Exit runCellEntryCommand(const CommandLine &line)
 {
     Exit ended = Exit::Ok;
-    const auto settings = loadNamed(line, ended);
+    std::string file;
+    const auto settings = loadNamed(line, ended, file);
     if (settings.has_error()) {
         return ended;
     }
     const auto *entry = std::get_if<CellEntrySettings>(&settings.value());
-    return entry == nullptr ? wrongRole(line) : node::runCellEntry(*entry);
+    return entry == nullptr ? wrongRole(line) : node::runCellEntry(*entry, file);
 }
 
 Exit runCellAgentCommand(const CommandLine &line)
 {
     Exit ended = Exit::Ok;
-    const auto settings = loadNamed(line, ended);
+    std::string file;
+    const auto settings = loadNamed(line, ended, file);
     if (settings.has_error()) {
         return ended;
     }
     const auto *agent = std::get_if<CellAgentSettings>(&settings.value());
-    return agent == nullptr ? wrongRole(line) : node::runCellAgent(*agent);
+    return agent == nullptr ? wrongRole(line) : node::runCellAgent(*agent, file);
 }
 
 Exit runCheckSettings(const CommandLine &line)
--- a/src/ibiswall/net/httppool.cpp
+++ b/src/ibiswall/net/httppool.cpp
@@ -169,6 +169,12 @@
 
 HttpPool::~HttpPool() = default;
 
+void HttpPool::setServer(Address server)
+{
+    state_->idle_.clear();
+    state_->server_ = std::move(server);
+}
+
 void HttpPool::call(PoolCall call, std::function<void(PoolAnswer)> done)
 {
     std::make_shared<Exchange<State>>(state_, std::move(call), std::move(done))->start();
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -69,6 +69,20 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void AgentNode::apply(const CellAgentSettings &settings)
+{
+    const bool moved = !(settings.announcements_ == settings_.announcements_) || !(settings.target_ == settings_.target_)
+        || settings.name_ != settings_.name_;
+    if (moved) {
+        logEvent("settings.restart_needed", {{"reason", "name, target or listening addresses have changed"}});
+    }
+    if (!(settings.store_ == settings_.store_)) {
+        store_.setServer(settings.store_);
+    }
+    settings_.store_ = settings.store_;
+    settings_.grace_ = settings.grace_;
+}
+
 void AgentNode::serve(const HttpRequest &request, const Respond &respond)
 {
     constexpr int fine = 200;
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -19,6 +19,9 @@
     /// Starts to listen and to connect.
     Result<void> start();
 
+    /// Takes over changed settings, but for the addresses that it listens on.
+    void apply(const CellAgentSettings &settings);
+
 private:
     void serve(const HttpRequest &request, const Respond &respond);
     void receive(const std::string &from, std::string_view bytes);
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -355,6 +355,11 @@
     }
 }
 
+bool DispatchDuty::hasYielded() const
+{
+    return yielded_;
+}
+
 Millis DispatchDuty::rightUntil() const
 {
     if (yielded_) {
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -56,6 +56,7 @@
 
     /// Stops to place tasks and to grant rights, so that another entry can take over without waiting.
     void yield();
+    bool hasYielded() const;
 
     void setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut);
 
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -176,11 +176,11 @@
     frame.leader_ = leadership_.lead().leader_;
     frame.leaderAge_ = leadership_.leaderAge(now);
     frame.storeAge_ = duty_ ? duty_->proofAge() : now - store_.health().answeredSentAt_;
-    const bool letGo = duty_ && (stoppingSince_ || leadership_.shouldLetGo(duty_->proofAge(), now));
-    if (letGo) {
+    if (duty_ && leadership_.shouldLetGo(duty_->proofAge(), stoppingSince_.has_value(), now)) {
         duty_->yield();
     }
-    frame.leaving_ = stoppingSince_.has_value() || letGo;
+    frame.leaving_ = stoppingSince_.has_value();
+    frame.yielded_ = duty_ && duty_->hasYielded();
     frame.sentAt_ = now;
     frame.promisedFrom_ = takingLead_ ? Millis{0} : leadership_.promisedFrom();
     if (duty_) {
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -72,6 +72,21 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void EntryNode::apply(const CellEntrySettings &settings)
+{
+    const bool moved = !(settings.callers_ == settings_.callers_) || !(settings.ready_ == settings_.ready_)
+        || !(settings.links_ == settings_.links_) || settings.name_ != settings_.name_;
+    if (moved) {
+        logEvent("settings.restart_needed", {{"reason", "name or listening addresses have changed"}});
+    }
+    if (!(settings.store_ == settings_.store_)) {
+        store_.setServer(settings.store_);
+    }
+    settings_.store_ = settings.store_;
+    settings_.grace_ = settings.grace_;
+    settings_.keepStates_ = settings.keepStates_;
+}
+
 void EntryNode::tick()
 {
     const Millis now = bootClock();
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -19,6 +19,9 @@
     /// Starts to listen and to connect.
     Result<void> start();
 
+    /// Takes over changed settings, but for the addresses that it listens on.
+    void apply(const CellEntrySettings &settings);
+
 private:
     /// A job as this entry knows it.
     struct KnownJob
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -43,7 +43,7 @@
 Json toJson(const TargetInfo &info)
 {
     return Json::array({info.id_, info.born_, info.service_, info.failureDomain_, info.labels_, info.room_.cpu_, info.room_.memory_,
-                        info.room_.gpus_, info.draining_});
+                        info.room_.gpus_, info.draining_, info.answering_});
 }
 
 TargetInfo parseInfo(const Json &json)
@@ -59,6 +59,7 @@
     info.room_.memory_ = json.at(at++).get<std::int64_t>();
     info.room_.gpus_ = json.at(at++).get<std::int64_t>();
     info.draining_ = json.at(at++).get<bool>();
+    info.answering_ = json.at(at++).get<bool>();
     return info;
 }
 
@@ -128,8 +129,8 @@
 
 Json body(const BeatFrame &frame)
 {
-    return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.sentAt_.count_,
-                        frame.promisedFrom_.count_, Json(frame.waiting_)});
+    return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.yielded_,
+                        frame.sentAt_.count_, frame.promisedFrom_.count_, Json(frame.waiting_)});
 }
 
 Json body(const OffersFrame &frame)
@@ -211,6 +212,7 @@
     frame.leaderAge_ = {json.at(at++).get<std::int64_t>()};
     frame.storeAge_ = {json.at(at++).get<std::int64_t>()};
     frame.leaving_ = json.at(at++).get<bool>();
+    frame.yielded_ = json.at(at++).get<bool>();
     frame.sentAt_ = {json.at(at++).get<std::int64_t>()};
     frame.promisedFrom_ = {json.at(at++).get<std::int64_t>()};
     frame.waiting_ = json.at(at++).get<std::map<std::string, std::size_t>>();
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -55,8 +55,10 @@
     Millis leaderAge_;
     /// Age of the latest answer of the store.
     Millis storeAge_;
-    /// The sender wants another entry to lead, and as the leader has stopped to place tasks.
+    /// The sender is about to end.
     bool leaving_ = false;
+    /// The sender leads, and has stopped to place tasks so that another entry can take over.
+    bool yielded_ = false;
     /// The sender's clock.
     Millis sentAt_;
     /// The leader's clock in the latest beat of this epoch that the sender has received from it: the sender has not
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -26,14 +26,14 @@
 
 void Leadership::heard(const std::string &from, const BeatFrame &beat, Millis now)
 {
-    others_[from] = {now, beat.storeAge_, beat.leaving_, beat.promisedFrom_, beat.epoch_};
+    others_[from] = {now, beat.storeAge_, beat.leaving_, beat.yielded_, beat.promisedFrom_, beat.epoch_};
     learn({beat.epoch_, beat.leader_}, now);
     if (beat.epoch_ != lead_.epoch_) {
         return;
     }
     heardAt_ = {std::max(heardAt_.count_, (now - beat.leaderAge_).count_)};
     if (from == lead_.leader_) {
-        leaderClock_ = beat.leaving_ ? Millis{0} : beat.sentAt_;
+        leaderClock_ = beat.yielded_ ? Millis{0} : beat.sentAt_;
     }
 }
 
@@ -42,17 +42,26 @@
     return now <= other.heardAt_ + settings_.silence_;
 }
 
+// Able to take the lead, as far as is known here.
+bool Leadership::isAble(const Other &other, Millis now) const
+{
+    return isAlive(other, now) && !other.leaving_ && other.storeAge_ <= settings_.storeFresh_;
+}
+
 bool Leadership::shouldTake(Millis storeAge, bool leaving, Millis now) const
 {
-    if (isMine() || leaving || storeAge > settings_.storeFresh_) {
+    if (isMine() || storeAge > settings_.storeFresh_) {
         return false;
     }
     std::int64_t rank = 0;
     for (const auto &[name, other] : others_) {
-        const bool able = isAlive(other, now) && !other.leaving_ && other.storeAge_ <= settings_.storeFresh_;
-        if (able && name < self_ && name != lead_.leader_) {
-            ++rank;
+        if (name == lead_.leader_ || !isAble(other, now)) {
+            continue;
+        }
+        if (leaving) {
+            return false;
         }
+        rank += name < self_ ? 1 : 0;
     }
     const Millis turn{settings_.turn_.count_ * rank};
     if (lead_.epoch_ == 0) {
@@ -64,7 +73,7 @@
     }
     const auto leader = others_.find(lead_.leader_);
     if (leader != others_.end() && isAlive(leader->second, now)) {
-        if (leader->second.leaving_) {
+        if (leader->second.yielded_) {
             return rank == 0;
         }
     }
@@ -82,11 +91,10 @@
     return from + settings_.promise_;
 }
 
-bool Leadership::shouldLetGo(Millis storeAge, Millis now) const
+bool Leadership::shouldLetGo(Millis storeAge, bool leaving, Millis now) const
 {
-    return storeAge > settings_.storeLost_ && std::any_of(others_.begin(), others_.end(), [&](const auto &each) {
-               return isAlive(each.second, now) && !each.second.leaving_ && each.second.storeAge_ <= settings_.storeFresh_;
-           });
+    return (leaving || storeAge > settings_.storeLost_)
+        && std::any_of(others_.begin(), others_.end(), [&](const auto &each) { return isAble(each.second, now); });
 }
 
 Millis Leadership::promisedFrom() const
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -68,8 +68,8 @@
     /// @param entries names of all other entries
     Millis promisedUntil(const std::set<std::string> &entries) const;
 
-    /// At the leader: whether to let go to an entry that reaches the store while this one does not.
-    bool shouldLetGo(Millis storeAge, Millis now) const;
+    /// At the leader: whether to let go, since it is leaving or does not reach the store, and another entry can take over.
+    bool shouldLetGo(Millis storeAge, bool leaving, Millis now) const;
 
     /// What to promise the leader in a beat.
     Millis promisedFrom() const;
@@ -80,12 +80,14 @@
         Millis heardAt_;
         Millis storeAge_;
         bool leaving_ = false;
+        bool yielded_ = false;
         /// Latest promise to this leader in this epoch, 0 for none.
         Millis promisedFrom_;
         std::uint64_t epoch_ = 0;
     };
 
     bool isAlive(const Other &other, Millis now) const;
+    bool isAble(const Other &other, Millis now) const;
 
     std::string self_;
     LeadershipSettings settings_;
--- a/src/ibiswall/node/run.cpp
+++ b/src/ibiswall/node/run.cpp
@@ -2,6 +2,7 @@
 
 #include "agentnode.hpp"
 #include "entrynode.hpp"
+#include "settingswatch.hpp"
 #include <csignal>
 #include <ibiswall/log/eventlog.hpp>
 #include <ibiswall/node.hpp>
@@ -10,8 +11,8 @@
 
 namespace {
 
-template<typename Node, typename Settings>
-Exit run(const Settings &settings)
+template<typename Node, typename Own>
+Exit run(const Own &settings, const std::string &file)
 {
     std::signal(SIGPIPE, SIG_IGN);
     startEventLog(settings.name_);
@@ -22,20 +23,26 @@
         logEvent("process.failed", {{"reason", std::string_view(started.error().text_)}});
         return Exit::CannotListen;
     }
+    SettingsWatch watch(io, file, [&node](const Settings &changed) {
+        if (const auto *own = std::get_if<Own>(&changed)) {
+            node.apply(*own);
+        }
+    });
+    watch.start();
     io.run();
     return Exit::Ok;
 }
 
 } // namespace
 
-Exit runCellEntry(const CellEntrySettings &settings)
+Exit runCellEntry(const CellEntrySettings &settings, const std::string &file)
 {
-    return run<EntryNode>(settings);
+    return run<EntryNode>(settings, file);
 }
 
-Exit runCellAgent(const CellAgentSettings &settings)
+Exit runCellAgent(const CellAgentSettings &settings, const std::string &file)
 {
-    return run<AgentNode>(settings);
+    return run<AgentNode>(settings, file);
 }
 
 } // namespace ibiswall::node
