Repeat orders without an answer, keep ephemeral ends at the agent, take over faster, refuse what was never started

Holds returned at once while ends were listed that wait for their job: the agent now keeps those ends, and the target forgets them.

--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -22,6 +22,8 @@
     Run run_;
     std::string payload_;
     std::string checkpoint_;
+    /// How often the same start was sent before.
+    int repeats_ = 0;
     /// Lease end on the target's own clock; nothing to leave the lease as it is.
     std::optional<std::int64_t> leaseEnd_;
     std::uint64_t epoch_ = 0;
@@ -64,6 +66,8 @@
 {
     /// True when the lists are all that the agent knows; false when they add to what was told.
     bool whole_ = false;
+    /// Numbers the whole reports. Starts that were ordered without knowledge of the latest one are refused.
+    std::int64_t number_ = 0;
     /// Set when it changed; with whole_, unless the target has not spoken since the agent began.
     std::optional<TargetInfo> info_;
     /// Life of the target that the lists belong to.
@@ -85,11 +89,14 @@
     /// Longest lease of a target.
     Millis maxLease_{1000};
     /// Longest wait of a hold for an end; bounds how late a lost answer is noticed.
-    Millis holdWait_{200};
+    Millis holdWait_{120};
     /// Pause before a call without an answer is repeated.
-    Millis retryPause_{60};
-    /// A target that has not answered for this long gets no further lease, so that what it runs is soon known to be over.
-    Millis silence_{350};
+    Millis retryPause_{40};
+    /// How often a start without an answer is sent again before it is stopped.
+    int startRepeats_ = 2;
+    /// A target that has answered nothing for this long gets no further lease, so that what it runs is soon known to be
+    /// over. Several calls fall into it, so that single lost answers do no harm.
+    Millis silence_{700};
     /// Pause between two questions to a target that does not answer.
     Millis probePause_{100};
     /// Added to a lease before it counts as lapsed: the target's slower clock, and its time to stop.
@@ -100,7 +107,8 @@
 class Attendant
 {
 public:
-    explicit Attendant(AttendantSettings settings);
+    /// @param firstReport number of the first whole report; higher than those of earlier processes beside the target
+    Attendant(AttendantSettings settings, std::int64_t firstReport);
 
     /// A dispatcher of a later epoch has taken over. All is to be reported to it.
     /// @return false when the epoch is an older one
@@ -122,10 +130,12 @@
     /// The target has left for good.
     void departed(const std::string &id, Millis now);
 
-    void start(const Run &run, const std::string &payload, const std::string &checkpoint, Millis now);
+    /// @param report number of the latest whole report that the dispatcher had when it decided
+    /// @param ephemeral whether the end need not last longer than this process
+    void start(const Run &run, const std::string &payload, const std::string &checkpoint, bool ephemeral, std::int64_t report, Millis now);
     void stop(const Run &run, Millis now);
 
-    /// The dispatcher has stored what ends up to this number mean.
+    /// The dispatcher needs to hear no more of ends up to this number.
     void acknowledge(std::uint64_t through);
 
     void started(const TargetCall &call, CallOutcome outcome, Millis now);
@@ -163,6 +173,14 @@
         Millis since_;
         Millis retryAt_;
         bool calling_ = false;
+        bool ephemeral_ = false;
+    };
+
+    /// An end that the dispatcher has not acknowledged.
+    struct KeptEnd
+    {
+        End end_;
+        bool ephemeral_ = false;
     };
 
     void answered(const TargetCall &call, CallOutcome outcome, Millis now);
@@ -174,6 +192,8 @@
     void callStop(const TaskId &task, LocalRun &run, Millis now);
     void reborn(std::int64_t born);
     void loseAll();
+    void keepEnd(const End &end);
+    std::uint64_t forgettable() const;
     void compare(const TargetCall &call, const HoldAnswer &answer, Millis now);
 
     AttendantSettings settings_;
@@ -191,17 +211,20 @@
     int leasesInFlight_ = 0;
     /// Whether the target has answered its latest calls.
     bool answering_ = true;
-    int unanswered_ = 0;
     /// When the target last answered or announced itself.
     Millis heardAt_;
     std::map<TaskId, LocalRun> runs_;
-    std::uint64_t forwarded_ = 0;
-    std::uint64_t acknowledged_ = 0;
-    /// Highest acknowledgement that a hold carried and the target answered.
-    std::uint64_t acknowledgedAtTarget_ = 0;
+    /// Ends by number that are told again in each whole report. Those of ephemeral jobs live here alone once the target
+    /// has been told to forget them; all others the target lists until the dispatcher has stored what they mean.
+    std::map<std::uint64_t, KeptEnd> kept_;
+    /// Highest number that the target has listed.
+    std::uint64_t listed_ = 0;
+    /// Highest number that a hold told the target to forget and the target answered.
+    std::uint64_t forgotten_ = 0;
     int holdsInFlight_ = 0;
     Millis holdRetryAt_;
     bool leaving_ = false;
+    std::int64_t reports_ = 0;
     bool reportDue_ = false;
     bool reportHoldSent_ = false;
     std::vector<TargetCall> calls_;
--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -19,6 +19,7 @@
     Run run_;
     std::string payload_;
     std::string checkpoint_;
+    bool ephemeral_ = false;
 };
 
 /// Tells an agent to stop a run, or to keep one that has not arrived from starting.
@@ -73,6 +74,8 @@
     bool fresh_ = false;
     /// Entry that offers it; empty when it was read from the store.
     std::string origin_;
+    /// For how long its caller waits; 0 when nobody waits.
+    Millis patience_;
 };
 
 enum class CancelOutcome {
@@ -110,6 +113,9 @@
     /// Takes in what a target now says of itself. A later birth loses every run of the earlier life.
     void targetChanged(const std::string &agent, const TargetInfo &info, Millis now);
 
+    /// Places nothing more on the agent's target until the agent has reported anew.
+    void pause(const std::string &agent);
+
     /// The agent can be holding no right to run anything, and nothing that it ran goes on.
     void targetLost(const std::string &agent, Millis now);
 
@@ -126,6 +132,9 @@
     /// The last caller at an entry who waited for an ephemeral job has gone. Without another one the job is cancelled.
     void abandon(const std::string &job, const std::string &origin, Millis now);
 
+    /// Turns away the ephemeral jobs of which no task can have been started and whose callers are about to give up.
+    void turnAway(Millis now);
+
     /// Forgets final states older than the given ages.
     void forgetEnded(Millis ephemeralBefore, Millis storedBefore);
 
@@ -202,6 +211,8 @@
         JobState state_ = JobState::Pending;
         std::uint32_t priority_ = 0;
         Millis due_;
+        /// When its caller gives up; 0 for never.
+        Millis giveUpAt_;
         std::uint64_t sequence_ = 0;
         /// When the record has to be stored; empty when it says all that must last.
         std::optional<Millis> writeDue_;
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -67,6 +67,8 @@
     Completed,
     Failed,
     Cancelled,
+    /// Turned away before any task was started. Never stored; the same id may come again.
+    Refused,
 };
 
 constexpr bool isFinal(JobState state)
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-Attendant::Attendant(AttendantSettings settings)
+Attendant::Attendant(AttendantSettings settings, std::int64_t firstReport)
     : settings_(settings)
+    , reports_(firstReport)
 {
 }
 
@@ -32,9 +33,9 @@
 void Attendant::reportAll()
 {
     report_ = {};
+    ++reports_;
     reportDue_ = true;
     reportHoldSent_ = false;
-    forwarded_ = 0;
     holdRetryAt_ = {};
 }
 
@@ -87,13 +88,12 @@
 {
     loseAll();
     answering_ = true;
-    unanswered_ = 0;
     born_ = born;
     clock_.reset();
     leaseUntil_ = {};
-    forwarded_ = 0;
-    acknowledged_ = 0;
-    acknowledgedAtTarget_ = 0;
+    kept_.clear();
+    listed_ = 0;
+    forgotten_ = 0;
 }
 
 // Gives up every run, but for those whose start is under way: a new life may have taken it.
@@ -149,15 +149,12 @@
         }
     }
     if (outcome == CallOutcome::NotSent || outcome == CallOutcome::Unknown) {
-        constexpr int tolerated = 2;
-        ++unanswered_;
-        if (outcome == CallOutcome::NotSent || unanswered_ > tolerated) {
+        if (outcome == CallOutcome::NotSent || now > heardAt_ + settings_.silence_) {
             setAnswering(false);
         }
         return;
     }
     heardAt_ = now;
-    unanswered_ = 0;
     setAnswering(true);
 }
 
@@ -170,13 +167,14 @@
     }
 }
 
-void Attendant::start(const Run &run, const std::string &payload, const std::string &checkpoint, Millis now)
+void Attendant::start(
+    const Run &run, const std::string &payload, const std::string &checkpoint, bool ephemeral, std::int64_t report, Millis now)
 {
     const auto known = runs_.find(run.task_);
     if (known != runs_.end() && known->second.number_ == run.number_) {
         return;
     }
-    if (!isReady(now) || known != runs_.end() || !mayLease(now)) {
+    if (report != reports_ || !isReady(now) || known != runs_.end() || !mayLease(now)) {
         report_.refused_.emplace_back(run, false);
         return;
     }
@@ -184,7 +182,7 @@
         // Nothing ran that the target would have been asked about, so its silence means nothing.
         heardAt_ = now;
     }
-    runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true};
+    runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true, ephemeral};
     TargetCall call = makeCall(TargetCall::Kind::Start, run, now);
     call.payload_ = payload;
     call.checkpoint_ = checkpoint;
@@ -215,7 +213,32 @@
 
 void Attendant::acknowledge(std::uint64_t through)
 {
-    acknowledged_ = std::max(acknowledged_, std::min(through, forwarded_));
+    kept_.erase(kept_.begin(), kept_.upper_bound(through));
+}
+
+void Attendant::keepEnd(const End &end)
+{
+    const auto found = runs_.find(end.run_.task_);
+    const bool known = found != runs_.end() && found->second.number_ == end.run_.number_;
+    if (end.number_ > listed_) {
+        listed_ = end.number_;
+        kept_[end.number_] = {end, known && found->second.ephemeral_};
+        report_.ends_.push_back(end);
+    }
+    if (known) {
+        runs_.erase(found);
+    }
+}
+
+// Highest number up to which the target need not list ends again.
+std::uint64_t Attendant::forgettable() const
+{
+    for (const auto &[number, kept] : kept_) {
+        if (!kept.ephemeral_) {
+            return number - 1;
+        }
+    }
+    return listed_;
 }
 
 void Attendant::started(const TargetCall &call, CallOutcome outcome, Millis now)
@@ -233,8 +256,18 @@
         run.since_ = now;
         break;
     case CallOutcome::Unknown:
-        // A stop keeps a start that is still under way from being carried out.
-        callStop(call.run_.task_, run, now);
+        if (call.repeats_ < settings_.startRepeats_ && call.born_ == born_ && mayLease(now)) {
+            // The target takes the same run once, however often it arrives.
+            TargetCall again = call;
+            ++again.repeats_;
+            again.sentAt_ = now;
+            lease(again, now);
+            run.calling_ = true;
+            calls_.push_back(std::move(again));
+        } else {
+            // A stop keeps a start that is still under way from being carried out.
+            callStop(call.run_.task_, run, now);
+        }
         break;
     case CallOutcome::NoRoom:
     case CallOutcome::Rejected:
@@ -281,7 +314,7 @@
     if (answer.born_ == born_ && call.epoch_ == epoch_) {
         clock_ = answer.clock_;
         clockAt_ = now;
-        acknowledgedAtTarget_ = std::max(acknowledgedAtTarget_, call.acknowledged_);
+        forgotten_ = std::max(forgotten_, call.acknowledged_);
         compare(call, answer, now);
     } else {
         reportHoldSent_ = false;
@@ -293,21 +326,14 @@
 void Attendant::compare(const TargetCall &call, const HoldAnswer &answer, Millis now)
 {
     for (const End &end : answer.ends_) {
-        if (end.number_ > forwarded_) {
-            report_.ends_.push_back(end);
-            forwarded_ = end.number_;
-        }
-        const auto found = runs_.find(end.run_.task_);
-        if (found != runs_.end() && found->second.number_ == end.run_.number_) {
-            runs_.erase(found);
-        }
+        keepEnd(end);
     }
     std::set<TaskId> running;
     for (const Run &run : answer.running_) {
         running.insert(run.task_);
         auto [entry, added] = runs_.try_emplace(run.task_);
         if (added) {
-            entry->second = {run.number_, Phase::Running, now, {}, false};
+            entry->second = {run.number_, Phase::Running, now, {}, false, false};
             if (!reportDue_) {
                 callStop(run.task_, entry->second, now);
             }
@@ -326,8 +352,13 @@
     if (reportDue_ && reportHoldSent_) {
         reportDue_ = false;
         report_.whole_ = true;
+        report_.number_ = reports_;
         report_.info_ = info_;
         report_.born_ = born_;
+        report_.ends_.clear();
+        for (const auto &[number, kept] : kept_) {
+            report_.ends_.push_back(kept.end_);
+        }
         if (leaving_ && report_.info_) {
             report_.info_->draining_ = true;
         }
@@ -341,7 +372,7 @@
 {
     ++holdsInFlight_;
     TargetCall call = makeCall(TargetCall::Kind::Hold, {}, now);
-    call.acknowledged_ = acknowledged_;
+    call.acknowledged_ = forgettable();
     call.wait_ = wait;
     if (mayLease(now)) {
         lease(call, now);
@@ -374,8 +405,8 @@
     const bool settling = std::any_of(runs_.begin(), runs_.end(), [](const auto &each) { return each.second.phase_ == Phase::Stopped; });
     if (settling) {
         hold({}, now);
-    } else if (!runs_.empty() || acknowledged_ > acknowledgedAtTarget_ || !answering_) {
-        hold(runs_.empty() ? Millis{} : settings_.holdWait_, now);
+    } else if (!runs_.empty() || forgettable() > forgotten_ || !answering_) {
+        hold(runs_.empty() || !answering_ ? Millis{} : settings_.holdWait_, now);
     }
 }
 
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -82,6 +82,9 @@
     if (!offer.origin_.empty()) {
         job.origins_.insert(offer.origin_);
     }
+    if (offer.patience_ > Millis{0}) {
+        job.giveUpAt_ = now + offer.patience_;
+    }
     if (!added) {
         return std::nullopt;
     }
@@ -279,6 +282,13 @@
     target.info_ = info;
 }
 
+void Dispatcher::pause(const std::string &agent)
+{
+    if (const auto found = targets_.find(agent); found != targets_.end()) {
+        found->second.present_ = false;
+    }
+}
+
 void Dispatcher::targetLost(const std::string &agent, Millis now)
 {
     const auto found = targets_.find(agent);
@@ -384,7 +394,9 @@
 {
     const std::string id = job.id_;
     effects_.notices_.push_back({id, job.state_, job.isEphemeral() ? job.origins_ : std::set<std::string>()});
-    ended_[id] = {job.state_, now, job.isEphemeral()};
+    if (job.state_ != JobState::Refused) {
+        ended_[id] = {job.state_, now, job.isEphemeral()};
+    }
     std::vector<EndRef> ends = std::move(job.unsaved_);
     dirty_.erase(id);
     jobs_.erase(id);
@@ -405,6 +417,20 @@
     }
 }
 
+void Dispatcher::turnAway(Millis now)
+{
+    std::vector<Job *> over;
+    for (const auto &[key, job] : ready_) {
+        const bool untouched = job->state_ == JobState::Pending && job->waiting_ == job->tasks_.size();
+        if (job->isEphemeral() && untouched && job->giveUpAt_ != Millis{0} && now >= job->giveUpAt_) {
+            over.push_back(job);
+        }
+    }
+    for (Job *job : over) {
+        finish(*job, JobState::Refused, now);
+    }
+}
+
 void Dispatcher::forgetEnded(Millis ephemeralBefore, Millis storedBefore)
 {
     for (auto each = ended_.begin(); each != ended_.end();) {
@@ -537,7 +563,7 @@
             effects_.notices_.push_back({job.id_, JobState::Running, {}});
         }
     }
-    effects_.starts_.push_back({target.agent_, {id, task.run_}, job.record_.spec_.payload_, task.checkpoint_});
+    effects_.starts_.push_back({target.agent_, {id, task.run_}, job.record_.spec_.payload_, task.checkpoint_, job.isEphemeral()});
 }
 
 Effects Dispatcher::takeEffects()
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Millis tickPeriod{50};
-constexpr Millis pingPeriod{200};
+constexpr Millis pingPeriod{150};
 // Pings come this often while there is no right.
 constexpr Millis eagerPingPeriod{60};
 constexpr Millis entriesPeriod{2000};
@@ -49,7 +49,7 @@
              [this](const std::string &from, std::string_view bytes) {
                  receive(from, bytes);
              }})
-    , attendant_(attendantSettings(settings))
+    , attendant_(attendantSettings(settings), self_.incarnation_)
     , announcements_(io, {}, [this](const HttpRequest &request, const Respond &respond) { serve(request, respond); })
     , timer_(io)
     , signals_(io, SIGTERM, SIGINT)
@@ -165,7 +165,7 @@
         attendant_.stop(stop.run_, now);
     }
     for (const cell::StartOrder &start : frame.starts_) {
-        attendant_.start(start.run_, start.payload_, start.checkpoint_, now);
+        attendant_.start(start.run_, start.payload_, start.checkpoint_, start.ephemeral_, frame.report_, now);
     }
     if (frame.acknowledged_ > 0) {
         attendant_.acknowledge(frame.acknowledged_);
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -92,7 +92,7 @@
         logEvent("job.unreadable", {{"key", std::string_view(item.key_)}, {"reason", std::string_view(record.error().text_)}});
         return;
     }
-    dispatcher_.addJob({keys::nameOf(item.key_, keys::jobs), std::move(record.value()), item.revision_, false, {}}, bootClock());
+    dispatcher_.addJob({keys::nameOf(item.key_, keys::jobs), std::move(record.value()), item.revision_, false, {}, {}}, bootClock());
 }
 
 void DispatchDuty::onAgentsLoaded(const platform::StoreAnswer &agents)
@@ -130,6 +130,7 @@
 void DispatchDuty::agentUp(const std::string &agent)
 {
     agents_[agent].reported_ = false;
+    dispatcher_.pause(agent);
     if (loaded_) {
         outlets_.send_(agent, LeadFrame{epoch_});
     }
@@ -220,6 +221,8 @@
                   {"running", number(report.running_.size())},
                   {"ends", number(report.ends_.size())}});
         agent.reported_ = true;
+        agent.trusted_ = true;
+        agent.report_ = report.number_;
         agent.grantedAt_ = now;
         dispatcher_.report(from, report.info_, report.born_, report.running_, report.ends_, now);
         outlets_.send_(from, PongFrame{epoch_, {}, {}});
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -14,7 +14,7 @@
     /// Longest right of an agent counted from its ping: a silent agent's tasks go elsewhere after it.
     Millis agent_{1000};
     /// Longest right of all agents counted from the leader's latest proof from the store that it leads.
-    Millis leader_{2500};
+    Millis leader_{3500};
     /// Added before a right counts as over: slower clocks, and the target's time to stop.
     Millis slack_{200};
 };
@@ -80,6 +80,10 @@
         bool registered_ = false;
         /// Has reported in this epoch over the present path.
         bool reported_ = false;
+        /// Whether it may hold a right, or runs that go on.
+        bool trusted_ = false;
+        /// Number of its latest whole report.
+        std::int64_t report_ = 0;
         /// When the latest answer that gave a right went out.
         Millis grantedAt_;
         /// Reports that wait for the registration.
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -48,6 +48,7 @@
     // Without a fresh proof of the lead another entry may be placing the same tasks.
     if (now < rightUntil()) {
         dispatcher_.schedule(now);
+        dispatcher_.turnAway(now);
     }
     send(dispatcher_.takeEffects());
     store();
@@ -74,6 +75,7 @@
     }
     for (auto &[agent, frame] : orders) {
         frame.epoch_ = epoch_;
+        frame.report_ = agents_[agent].report_;
         outlets_.send_(agent, frame);
     }
     NoticesFrame forAll;
@@ -233,9 +235,10 @@
 void DispatchDuty::checkAgents(Millis now)
 {
     for (auto &[name, agent] : agents_) {
-        if (agent.reported_ && now > agent.grantedAt_ + rights_.agent_ + rights_.slack_) {
+        if (agent.trusted_ && now > agent.grantedAt_ + rights_.agent_ + rights_.slack_) {
             logEvent("agent.lost", {{"agent", std::string_view(name)}, {"granted_ms_ago", (now - agent.grantedAt_).count_}});
             agent.reported_ = false;
+            agent.trusted_ = false;
             dispatcher_.targetLost(name, now);
             outlets_.drop_(name);
         }
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -253,7 +253,8 @@
     const bool ephemeral = job.isEphemeral();
     job.record_.reset();
     job.endedAt_ = bootClock();
-    const HttpReply reply = jsonReply(Fine, platform::formatState(notice.state_));
+    const HttpReply reply = notice.state_ == cell::JobState::Refused ? errorReply(Unavailable, Code::Overloaded, {}, startRetryAfter)
+                                                                     : jsonReply(Fine, platform::formatState(notice.state_));
     answerAll(cancellers_, notice.job_, reply);
     if (ephemeral) {
         // The leader keeps the state for a caller who asks again.
@@ -297,10 +298,17 @@
             }
         }
         for (const std::string &id : over) {
-            logEvent("request.unsettled", {{"job", std::string_view(id)}, {"cancel", waiting == &cancellers_ ? 1 : 0}});
-            answerAll(*waiting, id, errorReply(Unknown, Code::Unconfirmed, "outcome unknown, ask again"));
             const auto job = jobs_.find(id);
-            if (waiting == &submitters_ && job != jobs_.end() && job->second.isEphemeral()) {
+            const bool ephemeral = waiting == &submitters_ && job != jobs_.end() && job->second.isEphemeral();
+            const bool offered = !ephemeral || job->second.offeredTo_ != 0;
+            logEvent(offered ? "request.unsettled" : "job.refused",
+                     {{"job", std::string_view(id)},
+                      {"cancel", waiting == &cancellers_ ? 1 : 0},
+                      {"leader_age_ms", leadership_.leaderAge(now).count_}});
+            answerAll(*waiting, id,
+                      offered ? errorReply(Unknown, Code::Unconfirmed, "outcome unknown, ask again")
+                              : errorReply(Unavailable, Code::NotReady, "not run: no leader", startRetryAfter));
+            if (ephemeral) {
                 jobs_.erase(job);
                 sendTo(leadership_.lead().leader_, CancelFrame{id, true});
             }
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -12,9 +12,13 @@
 
 namespace {
 
-constexpr Millis beatPeriod{200};
+constexpr Millis beatPeriod{100};
 constexpr Millis entriesPeriod{700};
 constexpr std::size_t maxOffers = 64;
+// Time between the leader's turning a job away and the caller's giving up.
+constexpr Millis leaderReserve{60};
+// Time without a path after which the leader takes an entry out of the roster; longer than a restart.
+constexpr Millis deadEntry{6000};
 
 std::string formatEntry(const Address &address, std::int64_t incarnation)
 {
@@ -85,6 +89,20 @@
     }
 }
 
+// For how long the callers of a job wait for a word of the leader: a little less than for the answer.
+Millis EntryNode::patienceFor(const std::string &id) const
+{
+    const auto found = submitters_.find(id);
+    if (found == submitters_.end() || found->second.empty()) {
+        return {0};
+    }
+    Millis last;
+    for (const Caller &caller : found->second) {
+        last = {std::max(last.count_, caller.giveUpAt_.count_)};
+    }
+    return {std::max<std::int64_t>((last - bootClock() - leaderReserve).count_, 1)};
+}
+
 void EntryNode::offerAll()
 {
     for (const auto &[id, job] : jobs_) {
@@ -110,7 +128,7 @@
             continue;
         }
         KnownJob &job = found->second;
-        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredTo_ == 0, {}});
+        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredTo_ == 0, {}, patienceFor(id)});
         job.offeredTo_ = epoch;
         if (frame.offers_.size() == maxOffers) {
             send();
@@ -325,6 +343,30 @@
     });
 }
 
+// The leader takes entries out of the roster that it has not reached for long. One that lives puts itself back.
+void EntryNode::removeDeadEntries(Span<const platform::Item> items)
+{
+    const Millis now = bootClock();
+    for (const platform::Item &item : items) {
+        const std::string name = keys::nameOf(item.key_, keys::entries);
+        Millis &reached = entryReachedAt_[name];
+        if (name == self_.name_ || mesh_.isReachable(name) || reached == Millis{0}) {
+            reached = now;
+        }
+        if (!duty_ || now < reached + deadEntry) {
+            continue;
+        }
+        logEvent("entry.removed", {{"entry", std::string_view(name)}, {"unreached_ms", (now - reached).count_}});
+        platform::Transaction transaction;
+        transaction.conditions_.push_back({item.key_, item.revision_});
+        transaction.removals_.push_back(item.key_);
+        store_.commit(transaction, [](const platform::StoreAnswer &) {
+            // Read again with the roster; a removal that failed is tried again then.
+        });
+        reached = now;
+    }
+}
+
 void EntryNode::readEntries()
 {
     const Millis now = bootClock();
@@ -347,6 +389,7 @@
         entries_ = entries;
         entriesKnown_ = true;
         mesh_.setEntries(entries);
+        removeDeadEntries(answer.items_);
     });
 }
 
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -72,6 +72,7 @@
     bool sendTo(const std::string &name, const Frame &frame);
     void tellEntries(const Frame &frame);
     void offerLater(const std::string &id);
+    Millis patienceFor(const std::string &id) const;
     void offerAll();
     void flushOffers();
     void peerUp(const Peer &peer);
@@ -84,6 +85,7 @@
     void onLeadChanged();
     void readEntries();
     void publishEntry();
+    void removeDeadEntries(Span<const platform::Item> items);
 
     // Configuration (entryconfig.cpp).
     void readConfig();
@@ -130,6 +132,8 @@
     /// Other entries; not set before the first read.
     std::map<std::string, Address> entries_;
     bool entriesKnown_ = false;
+    /// When each entry of the roster was last known to be reachable.
+    std::map<std::string, Millis> entryReachedAt_;
     Millis entriesReadAt_;
     bool readingEntries_ = false;
     bool entryPublished_ = false;
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -103,8 +103,9 @@
     for (const auto &[run, forRoom] : frame.report_.refused_) {
         refused.push_back(Json::array({toJson(run), forRoom}));
     }
-    return Json::array({frame.epoch_, frame.report_.whole_, frame.report_.info_ ? toJson(*frame.report_.info_) : Json(),
-                        frame.report_.born_, std::move(running), std::move(ends), std::move(refused)});
+    return Json::array({frame.epoch_, frame.report_.whole_ ? Json(frame.report_.number_) : Json(),
+                        frame.report_.info_ ? toJson(*frame.report_.info_) : Json(), frame.report_.born_, std::move(running),
+                        std::move(ends), std::move(refused)});
 }
 
 // Tasks of one job often go to the same agent together, so each payload is sent once.
@@ -118,13 +119,13 @@
         if (added) {
             payloads.push_back(start.payload_);
         }
-        starts.push_back(Json::array({toJson(start.run_), place->second, start.checkpoint_}));
+        starts.push_back(Json::array({toJson(start.run_), place->second, start.checkpoint_, start.ephemeral_}));
     }
     Json stops = Json::array();
     for (const cell::StopOrder &stop : frame.stops_) {
         stops.push_back(toJson(stop.run_));
     }
-    return Json::array({frame.epoch_, std::move(payloads), std::move(starts), std::move(stops), frame.acknowledged_});
+    return Json::array({frame.epoch_, std::move(payloads), std::move(starts), std::move(stops), frame.acknowledged_, frame.report_});
 }
 
 Json body(const BeatFrame &frame)
@@ -137,7 +138,8 @@
 {
     Json offers = Json::array();
     for (const cell::JobOffer &offer : frame.offers_) {
-        offers.push_back(Json::array({offer.id_, binary(formatRecord(offer.record_)), offer.revision_, offer.fresh_}));
+        offers.push_back(
+            Json::array({offer.id_, binary(formatRecord(offer.record_)), offer.revision_, offer.fresh_, offer.patience_.count_}));
     }
     return offers;
 }
@@ -169,7 +171,8 @@
     ReportFrame frame;
     frame.epoch_ = json.at(0).get<std::uint64_t>();
     cell::AgentReport &report = frame.report_;
-    report.whole_ = json.at(1).get<bool>();
+    report.whole_ = !json.at(1).is_null();
+    report.number_ = report.whole_ ? json.at(1).get<std::int64_t>() : 0;
     if (!json.at(2).is_null()) {
         report.info_ = parseInfo(json.at(2));
     }
@@ -193,13 +196,17 @@
     frame.epoch_ = json.at(0).get<std::uint64_t>();
     const Json &payloads = json.at(1);
     for (const Json &each : json.at(2)) {
-        frame.starts_.push_back(
-            {{}, parseRun(each.at(0)), payloads.at(each.at(1).get<std::size_t>()).get<std::string>(), each.at(2).get<std::string>()});
+        frame.starts_.push_back({{},
+                                 parseRun(each.at(0)),
+                                 payloads.at(each.at(1).get<std::size_t>()).get<std::string>(),
+                                 each.at(2).get<std::string>(),
+                                 each.at(3).get<bool>()});
     }
     for (const Json &each : json.at(3)) {
         frame.stops_.push_back({{}, parseRun(each)});
     }
     frame.acknowledged_ = json.at(acknowledgedAt).get<std::uint64_t>();
+    frame.report_ = json.at(acknowledgedAt + 1).get<std::int64_t>();
     return frame;
 }
 
@@ -227,8 +234,12 @@
         if (record.has_error()) {
             throw std::out_of_range(record.error().text_);
         }
-        frame.offers_.push_back(
-            {each.at(0).get<std::string>(), std::move(record.value()), each.at(2).get<std::int64_t>(), each.at(3).get<bool>(), {}});
+        frame.offers_.push_back({each.at(0).get<std::string>(),
+                                 std::move(record.value()),
+                                 each.at(2).get<std::int64_t>(),
+                                 each.at(3).get<bool>(),
+                                 {},
+                                 {each.at(4).get<std::int64_t>()}});
     }
     return frame;
 }
@@ -238,7 +249,7 @@
     NoticesFrame frame;
     for (const Json &each : json) {
         const int state = each.at(1).get<int>();
-        if (state < 0 || state > static_cast<int>(cell::JobState::Cancelled)) {
+        if (state < 0 || state > static_cast<int>(cell::JobState::Refused)) {
             throw std::out_of_range("unknown state of a job");
         }
         frame.notices_.push_back({each.at(0).get<std::string>(), static_cast<cell::JobState>(state), {}});
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -40,6 +40,8 @@
 struct OrdersFrame
 {
     std::uint64_t epoch_ = 0;
+    /// Number of the latest whole report of the agent that the leader has taken in.
+    std::int64_t report_ = 0;
     std::vector<cell::StartOrder> starts_;
     std::vector<cell::StopOrder> stops_;
     /// Ends up to this number need not be listed again; 0 for no news.
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -15,17 +15,17 @@
 struct LeadershipSettings
 {
     /// A leader not heard of for this long, on any path, is taken for gone.
-    Millis silence_{700};
+    Millis silence_{450};
     /// Added for each live entry whose name comes first, so that not all try at once.
-    Millis turn_{200};
+    Millis turn_{150};
     /// A leader whose latest word from the store is older than this lets go ...
     Millis storeLost_{1300};
     /// ... when another entry's latest word from it is not older than this.
     Millis storeFresh_{800};
     /// How long an entry that has just heard the leader does not try for the lead; less than silence_.
-    Millis promise_{650};
+    Millis promise_{400};
     /// Time that a new leader has to make itself heard.
-    Millis settle_{1000};
+    Millis settle_{800};
 };
 
 /// What an entry knows of the lead.
