--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -96,6 +96,10 @@
         respond(jsonReply(Fine, {}));
         return;
     }
+    if (closingSince_ && submitters_.count(id) == 0) {
+        respond(errorReply(Unavailable, Code::Draining, {}, startRetryAfter));
+        return;
+    }
     if (request.body_.size() > config_.maxBody_) {
         respond(errorReply(TooLarge, Code::TooLarge, {}));
         return;
@@ -280,6 +284,19 @@
     respond(jsonReply(Fine, platform::formatQueueLength(std::max(own, found == waiting_.end() ? std::size_t{0} : found->second))));
 }
 
+// Answers everybody who still waits when the process has to end.
+void EntryNode::answerRest()
+{
+    for (Callers *waiting : {&submitters_, &cancellers_}) {
+        for (auto &[id, callers] : *waiting) {
+            for (Caller &caller : callers) {
+                caller.giveUpAt_ = {0};
+            }
+        }
+    }
+    giveUp(bootClock());
+}
+
 // Answers callers whose deadline is near and whose request is still unsettled.
 void EntryNode::giveUp(Millis now)
 {
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -15,8 +15,11 @@
 constexpr Millis storeTimeout{1000};
 // The balancer notices within two of its checks, a second each, that the entry takes no more connections.
 constexpr Millis balancerDelay{2200};
-// Time kept free at the end of the grace for what is in progress.
-constexpr Millis stopReserve{500};
+// Time kept free before the end of the grace for jobs in progress, when callers have nowhere else to go until then.
+constexpr Millis drainReserve{2200};
+// Time kept free at the end of the grace for the last answers.
+constexpr Millis stopReserve{400};
+constexpr Millis lastAnswers{100};
 
 HttpLimits callerLimits()
 {
@@ -48,7 +51,7 @@
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
     , ready_(io,
              {},
-             [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(configured_ && !stoppingSince_ ? 200 : 503, "{}")); })
+             [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(isReady() ? 200 : 503, "{}")); })
     , timer_(io)
     , configTimer_(io)
     , signals_(io, SIGTERM, SIGINT)
@@ -105,6 +108,12 @@
     });
 }
 
+// Without another entry that stays, callers have nowhere else to go, so this one goes on for them.
+bool EntryNode::isReady() const
+{
+    return configured_ && !closingSince_ && (!stoppingSince_ || !leadership_.hasHeir(bootClock()));
+}
+
 // Callers go on until the balancer sends them elsewhere; another entry takes the lead meanwhile.
 void EntryNode::stop()
 {
@@ -123,13 +132,23 @@
 
 void EntryNode::finishStop()
 {
-    const Millis passed = bootClock() - *stoppingSince_;
-    if (passed < balancerDelay) {
+    const Millis now = bootClock();
+    const Millis passed = now - *stoppingSince_;
+    if (!closingSince_) {
+        const bool elsewhere = passed >= balancerDelay && leadership_.hasHeir(now);
+        if (elsewhere || passed + drainReserve > settings_.grace_) {
+            logEvent("process.closing", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"heir", elsewhere ? 1 : 0}});
+            closingSince_ = now;
+        }
         return;
     }
     callers_.closeIdle();
+    const bool over = passed + stopReserve > settings_.grace_;
+    if (over) {
+        answerRest();
+    }
     const bool done = callers_.pending() == 0 && acceptor_.pending() == 0 && !duty_;
-    if (done || passed > settings_.grace_ - stopReserve) {
+    if (done || passed + stopReserve > settings_.grace_ + lastAnswers) {
         logEvent("process.stopped", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"leading", duty_ ? 1 : 0}});
         io_.stop();
     }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -94,8 +94,10 @@
     void configChanged();
 
     void tick();
+    bool isReady() const;
     void stop();
     void finishStop();
+    void answerRest();
 
     boost::asio::io_context &io_;
     CellEntrySettings settings_;
@@ -142,6 +144,8 @@
     std::uint64_t nextNonce_ = 1;
     /// Set once the process has been told to stop.
     std::optional<Millis> stoppingSince_;
+    /// Set once callers are sent elsewhere: connections close after their answers, and new jobs are refused.
+    std::optional<Millis> closingSince_;
 };
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -91,6 +91,11 @@
     return from + settings_.promise_;
 }
 
+bool Leadership::hasHeir(Millis now) const
+{
+    return std::any_of(others_.begin(), others_.end(), [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_; });
+}
+
 bool Leadership::shouldLetGo(Millis storeAge, bool leaving, Millis now) const
 {
     return (leaving || storeAge > settings_.storeLost_)
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -68,6 +68,9 @@
     /// @param entries names of all other entries
     Millis promisedUntil(const std::set<std::string> &entries) const;
 
+    /// Whether another entry is alive and stays, so that callers have somewhere to go.
+    bool hasHeir(Millis now) const;
+
     /// At the leader: whether to let go, since it is leaving or does not reach the store, and another entry can take over.
     bool shouldLetGo(Millis storeAge, bool leaving, Millis now) const;
 
--- a/src/ibiswall/node/run.cpp
+++ b/src/ibiswall/node/run.cpp
@@ -4,6 +4,7 @@
 #include "entrynode.hpp"
 #include "settingswatch.hpp"
 #include <csignal>
+#include <cstdlib>
 #include <ibiswall/log/eventlog.hpp>
 #include <ibiswall/node.hpp>
 
@@ -30,7 +31,8 @@
     });
     watch.start();
     io.run();
-    return Exit::Ok;
+    // Nothing outlives the process, and the peers are to see it end at once: what is pending is not taken apart.
+    std::_Exit(static_cast<int>(Exit::Ok));
 }
 
 } // namespace
