--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -155,6 +155,9 @@
     /// Number of the latest whole report.
     std::int64_t reports() const;
 
+    /// Whether the target has answered its latest calls.
+    bool isAnswering() const;
+
     /// Whether the target can take starts as far as the agent knows.
     bool isReady(Millis now) const;
 
--- a/include/ibiswall/net/httpcall.hpp
+++ b/include/ibiswall/net/httpcall.hpp
@@ -16,6 +16,8 @@
     std::string authorization_;
     /// The whole call must end within this time.
     Millis timeout_{5000};
+    /// Sent as the Host header; empty for the address.
+    std::string host_ = {};
 };
 
 /// A reply received.
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -430,6 +430,11 @@
     return runs_.size();
 }
 
+bool Attendant::isAnswering() const
+{
+    return answering_;
+}
+
 std::int64_t Attendant::reports() const
 {
     return reports_;
--- a/src/ibiswall/net/httpcall.cpp
+++ b/src/ibiswall/net/httpcall.cpp
@@ -25,7 +25,7 @@
 http::request<http::string_body> makeRequest(const Address &address, const HttpCall &call)
 {
     http::request<http::string_body> request(http::string_to_verb(call.method_), call.target_, httpVersion11);
-    request.set(http::field::host, format(address));
+    request.set(http::field::host, call.host_.empty() ? format(address) : call.host_);
     request.set(http::field::content_type, "application/json");
     if (!call.authorization_.empty()) {
         request.set(http::field::authorization, call.authorization_);
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -21,6 +21,12 @@
 // Time kept free at the end of the grace.
 constexpr Millis stopReserve{500};
 
+const char *outcomeName(cell::CallOutcome outcome)
+{
+    constexpr const char *names[] = {"ok", "no_room", "rejected", "not_sent", "unknown"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 cell::AttendantSettings attendantSettings(const CellAgentSettings &settings)
 {
     cell::AttendantSettings out;
@@ -51,6 +57,7 @@
              }})
     , attendant_(attendantSettings(settings), self_.incarnation_)
     , announcements_(io, {}, [this](const HttpRequest &request, const Respond &respond) { serve(request, respond); })
+    , metrics_(io)
     , timer_(io)
     , signals_(io, SIGTERM, SIGINT)
 {
@@ -59,6 +66,8 @@
 Result<void> AgentNode::start()
 {
     BOOST_OUTCOME_TRY(announcements_.listen(settings_.announcements_));
+    BOOST_OUTCOME_TRY(metrics_.listen(settings_.metrics_));
+    store_.setObserver(observeStore);
     logEvent("process.started", {{"role", "agent"}, {"incarnation", self_.incarnation_}});
     signals_.async_wait([this](boost::system::error_code error, int) {
         if (!error) {
@@ -209,12 +218,16 @@
         return;
     }
     target_.order(made, [this, made](cell::CallOutcome outcome) {
+        if (made.kind_ == cell::TargetCall::Kind::Start) {
+            count("ibiswall_starts_total", outcomeName(outcome));
+            observe("ibiswall_start_seconds", bootClock() - made.sentAt_);
+        }
         if (outcome != cell::CallOutcome::Ok) {
             logEvent(made.kind_ == cell::TargetCall::Kind::Start ? "start.failed" : "stop.failed",
                      {{"job", std::string_view(made.run_.task_.job_)},
                       {"task", made.run_.task_.index_},
                       {"run", static_cast<std::int64_t>(made.run_.number_)},
-                      {"outcome", static_cast<std::int64_t>(outcome)},
+                      {"outcome", outcomeName(outcome)},
                       {"after_ms", (bootClock() - made.sentAt_).count_}});
         }
         if (made.kind_ == cell::TargetCall::Kind::Start) {
@@ -253,6 +266,8 @@
 {
     readEntries();
     ping();
+    gauge("ibiswall_runs", static_cast<double>(attendant_.runs()));
+    gauge("ibiswall_target_answering", attendant_.isAnswering() ? 1 : 0);
     attendant_.tick(bootClock());
     act();
     if (stoppingSince_ && (attendant_.runs() == 0 || bootClock() > *stoppingSince_ + settings_.grace_ - stopReserve)) {
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -6,6 +6,7 @@
 #include "../../../platform/targetclient.hpp"
 #include "frames.hpp"
 #include "mesh.hpp"
+#include "metrics.hpp"
 #include <boost/asio/signal_set.hpp>
 #include <ibiswall/settings.hpp>
 
@@ -43,6 +44,7 @@
     Mesh mesh_;
     cell::Attendant attendant_;
     HttpServer announcements_;
+    MetricsServer metrics_;
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
     /// Entry whose orders are followed; empty before the first.
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -3,6 +3,7 @@
 #include "dispatchduty.hpp"
 
 #include "keys.hpp"
+#include "metrics.hpp"
 #include <boost/asio/post.hpp>
 #include <ibiswall/log/eventlog.hpp>
 
@@ -15,6 +16,12 @@
 // A write whose answer was lost may take effect this late; jobs of a lost entry are looked for again then.
 constexpr Millis lateWrites{7000};
 
+const char *endName(cell::EndKind kind)
+{
+    constexpr const char *names[] = {"done", "failed", "stopped", "lapsed", "lost"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
 std::int64_t number(std::uint64_t value)
 {
     return static_cast<std::int64_t>(value);
@@ -45,6 +52,7 @@
 
 void DispatchDuty::start()
 {
+    count("ibiswall_lead_taken_total");
     logEvent("lead.taken", {{"epoch", number(epoch_)}});
     load();
     tick();
@@ -228,17 +236,19 @@
         outlets_.send_(from, PongFrame{epoch_, {}, {}});
     } else if (agent.reported_) {
         for (const cell::End &end : report.ends_) {
+            count("ibiswall_ends_total", endName(end.kind_));
             if (end.kind_ != cell::EndKind::Done) {
                 logEvent("run.ended",
                          {{"job", std::string_view(end.run_.task_.job_)},
                           {"task", end.run_.task_.index_},
                           {"run", number(end.run_.number_)},
                           {"agent", std::string_view(from)},
-                          {"how", static_cast<std::int64_t>(end.kind_)}});
+                          {"how", endName(end.kind_)}});
             }
             dispatcher_.ended(from, end, now);
         }
         for (const auto &[run, forRoom] : report.refused_) {
+            count("ibiswall_rejections_total", forRoom ? "room" : "other");
             logEvent("run.refused",
                      {{"job", std::string_view(run.task_.job_)},
                       {"task", run.task_.index_},
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatchduty.hpp"
 #include "keys.hpp"
+#include "metrics.hpp"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <ibiswall/log/eventlog.hpp>
@@ -59,6 +60,7 @@
 {
     std::map<std::string, OrdersFrame> orders;
     for (cell::StartOrder &start : effects.starts_) {
+        count("ibiswall_placements_total");
         logEvent("run.placed",
                  {{"job", std::string_view(start.run_.task_.job_)},
                   {"task", start.run_.task_.index_},
@@ -220,6 +222,7 @@
 void DispatchDuty::depose()
 {
     if (!stopped_) {
+        count("ibiswall_lead_lost_total");
         logEvent("lead.lost", {{"epoch", static_cast<std::int64_t>(epoch_)}, {"proof_age_ms", proofAge().count_}});
         stop();
         outlets_.deposed_();
@@ -241,6 +244,7 @@
 {
     for (auto &[name, agent] : agents_) {
         if (agent.trusted_ && now > agent.grantedAt_ + rights_.agent_ + rights_.slack_) {
+            count("ibiswall_agents_lost_total");
             logEvent("agent.lost", {{"agent", std::string_view(name)}, {"granted_ms_ago", (now - agent.grantedAt_).count_}});
             agent.reported_ = false;
             agent.trusted_ = false;
@@ -291,6 +295,7 @@
     for (const std::string &job : std::exchange(lookUpAgain_, {})) {
         lookUpForeign(job);
     }
+    gauge("ibiswall_open_jobs", static_cast<double>(dispatcher_.openJobs()));
     act();
     timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
     timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -62,6 +62,7 @@
 
 void EntryNode::serve(HttpRequest &&request, Respond respond)
 {
+    count("ibiswall_requests_total", request.method_);
     if (!configured_) {
         respond(errorReply(Unavailable, Code::NotReady, {}, startRetryAfter));
         return;
@@ -116,6 +117,7 @@
         return;
     }
     if (!acceptor_.isPending(id) && isStoreLost()) {
+        count("ibiswall_refusals_total", "store_lost");
         logEvent("job.refused",
                  {{"job", std::string_view(id)},
                   {"reason", "store lost"},
@@ -123,7 +125,7 @@
         respond(errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
         return;
     }
-    submitters_[id].push_back({std::move(respond), deadlineOf(request), nextCaller_++});
+    submitters_[id].push_back({std::move(respond), deadlineOf(request), nextCaller_++, bootClock()});
     cell::JobRecord record;
     record.spec_ = std::move(spec.value());
     record.nonce_ = std::to_string(self_.incarnation_) + '.' + std::to_string(nextNonce_++);
@@ -139,7 +141,7 @@
             callerLeft(id, number);
         };
     }
-    submitters_[id].push_back({std::move(respond), deadlineOf(request), number});
+    submitters_[id].push_back({std::move(respond), deadlineOf(request), number, bootClock()});
     KnownJob &job = jobs_[id];
     if (job.record_) {
         return;
@@ -177,7 +179,10 @@
     }
     const std::vector<Caller> callers = std::move(found->second);
     waiting.erase(found);
+    const std::string outcome = std::to_string(reply.status_);
     for (const Caller &caller : callers) {
+        count("ibiswall_jobs_total", outcome);
+        observe("ibiswall_job_seconds", bootClock() - caller.since_, outcome);
         caller.respond_(reply);
     }
 }
@@ -185,6 +190,7 @@
 void EntryNode::onAccepted(const std::string &id, const AcceptedJob &job)
 {
     if (job.acceptance_ == Acceptance::NotStored) {
+        count("ibiswall_refusals_total", "store_refused");
         logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", "store refused"}});
         answerAll(submitters_, id, errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
         return;
@@ -238,7 +244,7 @@
         respond(jsonReply(Fine, platform::formatState(known->second.state_)));
         return;
     }
-    cancellers_[id].push_back({std::move(respond), giveUpAt});
+    cancellers_[id].push_back({std::move(respond), giveUpAt, nextCaller_++, bootClock()});
     flushOffers();
     sendTo(leadership_.lead().leader_, CancelFrame{id});
 }
@@ -253,7 +259,10 @@
     if (!isFinal(notice.state_)) {
         return;
     }
-    logEvent("job.ended", {{"job", std::string_view(notice.job_)}, {"state", static_cast<std::int64_t>(notice.state_)}});
+    if (notice.state_ == cell::JobState::Refused) {
+        count("ibiswall_refusals_total", "no_room_in_time");
+    }
+    logEvent("job.ended", {{"job", std::string_view(notice.job_)}, {"state", platform::stateName(notice.state_)}});
     const bool ephemeral = job.isEphemeral();
     job.record_.reset();
     job.endedAt_ = bootClock();
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -49,9 +49,8 @@
     , leadership_(settings.name_, {})
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
-    , ready_(io,
-             {},
-             [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(isReady() ? 200 : 503, "{}")); })
+    , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(isReady() ? 200 : 503, "{}")); })
+    , metrics_(io)
     , timer_(io)
     , configTimer_(io)
     , signals_(io, SIGTERM, SIGINT)
@@ -62,7 +61,9 @@
 {
     BOOST_OUTCOME_TRY(callers_.listen(settings_.callers_));
     BOOST_OUTCOME_TRY(ready_.listen(settings_.ready_));
+    BOOST_OUTCOME_TRY(metrics_.listen(settings_.metrics_));
     BOOST_OUTCOME_TRY(mesh_.listen());
+    store_.setObserver(observeStore);
     logEvent("process.started", {{"role", "entry"}, {"incarnation", self_.incarnation_}});
     signals_.async_wait([this](boost::system::error_code error, int) {
         if (!error) {
@@ -97,6 +98,7 @@
     considerLead();
     readEntries();
     giveUp(now);
+    gauge("ibiswall_leading", duty_ && leadership_.isMine() ? 1 : 0);
     if (stoppingSince_) {
         finishStop();
     }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -6,6 +6,7 @@
 #include "dispatchduty.hpp"
 #include "leadership.hpp"
 #include "mesh.hpp"
+#include "metrics.hpp"
 #include <boost/asio/signal_set.hpp>
 #include <ibiswall/settings.hpp>
 
@@ -47,6 +48,7 @@
         Respond respond_;
         Millis giveUpAt_;
         std::uint64_t number_ = 0;
+        Millis since_;
     };
 
     using Callers = std::unordered_map<std::string, std::vector<Caller>>;
@@ -108,6 +110,7 @@
     Acceptor acceptor_;
     HttpServer callers_;
     HttpServer ready_;
+    MetricsServer metrics_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer configTimer_;
     boost::asio::signal_set signals_;
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -93,7 +93,8 @@
 
 bool Leadership::hasHeir(Millis now) const
 {
-    return std::any_of(others_.begin(), others_.end(), [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_; });
+    return std::any_of(others_.begin(), others_.end(),
+                       [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_; });
 }
 
 bool Leadership::shouldLetGo(Millis storeAge, bool leaving, Millis now) const
--- /dev/null
+++ b/src/ibiswall/node/metrics.cpp
@@ -0,0 +1,146 @@
+// Metrics on prometheus-cpp.
+
+#include "metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <unordered_map>
+
+namespace ibiswall::node {
+
+namespace {
+
+constexpr double millisPerSecond = 1000;
+
+struct Description
+{
+    const char *help_;
+    /// Name of the one label; empty for none.
+    const char *label_;
+};
+
+const std::map<std::string, Description> &table()
+{
+    static const std::map<std::string, Description> descriptions{
+        {"ibiswall_requests_total", {"Callers' requests by method", "method"}},
+        {"ibiswall_jobs_total", {"Jobs by how they ended for their callers", "outcome"}},
+        {"ibiswall_job_seconds", {"Time from a submission to its answer, by outcome", "outcome"}},
+        {"ibiswall_refusals_total", {"Jobs refused as not run, by reason", "reason"}},
+        {"ibiswall_accept_seconds", {"Time from a submission to its being stored", ""}},
+        {"ibiswall_lead_taken_total", {"Times that this entry took the lead", ""}},
+        {"ibiswall_lead_lost_total", {"Times that this entry lost the lead", ""}},
+        {"ibiswall_leading", {"1 while this entry leads", ""}},
+        {"ibiswall_agents_lost_total", {"Agents whose right ran out", ""}},
+        {"ibiswall_placements_total", {"Runs placed by this leader", ""}},
+        {"ibiswall_ends_total", {"Ends of runs told to this leader, by kind", "how"}},
+        {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
+        {"ibiswall_open_jobs", {"Jobs of this leader that have not ended", ""}},
+        {"ibiswall_store_calls_total", {"Calls to the store by outcome", "outcome"}},
+        {"ibiswall_store_seconds", {"Time of calls to the store, by kind", "kind"}},
+        {"ibiswall_starts_total", {"Starts sent to the target, by outcome", "outcome"}},
+        {"ibiswall_start_seconds", {"Time of starts sent to the target", ""}},
+        {"ibiswall_runs", {"Runs on the target that go on", ""}},
+        {"ibiswall_target_answering", {"1 while the target answers", ""}},
+    };
+    return descriptions;
+}
+
+// Upper bounds in seconds, round the length of sub-second tasks.
+prometheus::Histogram::BucketBoundaries bounds()
+{
+    return {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
+}
+
+struct Metrics
+{
+    prometheus::Registry registry_;
+    std::unordered_map<std::string, prometheus::Counter *> counters_;
+    std::unordered_map<std::string, prometheus::Histogram *> histograms_;
+    std::unordered_map<std::string, prometheus::Gauge *> gauges_;
+};
+
+Metrics &metrics()
+{
+    static Metrics instance;
+    return instance;
+}
+
+prometheus::Labels labelsOf(const Description &description, const std::string &label)
+{
+    return *description.label_ == '\0' ? prometheus::Labels{} : prometheus::Labels{{description.label_, label}};
+}
+
+// Finds a series by its name and label; built on its first use.
+template<typename Series, typename Build>
+Series &find(std::unordered_map<std::string, Series *> &known, const std::string &name, const std::string &label, Build build)
+{
+    const std::string key = name + '\0' + label;
+    const auto found = known.find(key);
+    if (found != known.end()) {
+        return *found->second;
+    }
+    const Description &description = table().at(name);
+    Series &series = build(description, labelsOf(description, label));
+    known[key] = &series;
+    return series;
+}
+
+} // namespace
+
+void count(const std::string &name, const std::string &label)
+{
+    find(metrics().counters_, name, label, [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Counter & {
+        return prometheus::BuildCounter().Name(name).Help(description.help_).Register(metrics().registry_).Add(labels);
+    }).Increment();
+}
+
+void observe(const std::string &name, Millis length, const std::string &label)
+{
+    find(metrics().histograms_, name, label,
+         [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Histogram & {
+             return prometheus::BuildHistogram().Name(name).Help(description.help_).Register(metrics().registry_).Add(labels, bounds());
+         })
+        .Observe(static_cast<double>(length.count_) / millisPerSecond);
+}
+
+void gauge(const std::string &name, double value)
+{
+    find(metrics().gauges_, name, {}, [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Gauge & {
+        return prometheus::BuildGauge().Name(name).Help(description.help_).Register(metrics().registry_).Add(labels);
+    }).Set(value);
+}
+
+std::string metricsText()
+{
+    return prometheus::TextSerializer().Serialize(metrics().registry_.Collect());
+}
+
+void observeStore(const char *kind, const char *outcome, Millis length)
+{
+    count("ibiswall_store_calls_total", outcome);
+    observe("ibiswall_store_seconds", length, kind);
+}
+
+MetricsServer::MetricsServer(boost::asio::io_context &io)
+    : server_(io, {}, [](const HttpRequest &request, const Respond &respond) {
+        constexpr int fine = 200;
+        constexpr int notFound = 404;
+        HttpReply reply = jsonReply(request.path_ == "/metrics" ? fine : notFound, {});
+        if (reply.status_ == fine) {
+            reply.contentType_ = "text/plain; version=0.0.4";
+            reply.body_ = metricsText();
+        }
+        respond(std::move(reply));
+    })
+{
+}
+
+Result<std::uint16_t> MetricsServer::listen(const Address &address)
+{
+    return server_.listen(address);
+}
+
+} // namespace ibiswall::node
--- /dev/null
+++ b/src/ibiswall/node/metrics.hpp
@@ -0,0 +1,40 @@
+// Counters and latency histograms of one process of a cell, served as text.
+
+#pragma once
+
+#include <ibiswall/net.hpp>
+#include <map>
+#include <string>
+
+namespace ibiswall::node {
+
+/// Adds one to a counter.
+/// @param name known to the table in metrics.cpp
+/// @param label value of the counter's one label; empty for counters without
+void count(const std::string &name, const std::string &label = {});
+
+/// Notes a length of time.
+void observe(const std::string &name, Millis length, const std::string &label = {});
+
+/// Sets a gauge.
+void gauge(const std::string &name, double value);
+
+/// All metrics in the Prometheus text format.
+std::string metricsText();
+
+/// Notes a call to the store.
+void observeStore(const char *kind, const char *outcome, Millis length);
+
+/// Serves the text under /metrics.
+class MetricsServer
+{
+public:
+    explicit MetricsServer(boost::asio::io_context &io);
+
+    Result<std::uint16_t> listen(const Address &address);
+
+private:
+    HttpServer server_;
+};
+
+} // namespace ibiswall::node
