--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -143,9 +143,13 @@
     /// Forgets final states older than the given ages.
     void forgetEnded(Millis ephemeralBefore, Millis storedBefore);
 
-    /// Places waiting tasks.
+    /// Places waiting tasks: by priority, then jobs that can still meet their objective, then by the time at which
+    /// they are due. Answers loads that exceed the room for a while: what is late already makes nothing else late.
     void schedule(Millis now);
 
+    /// Whether nothing runs on an agent's target, which does not answer or takes no starts.
+    bool isIdle(const std::string &agent) const;
+
     Effects takeEffects();
 
     /// Takes records that are due to be stored, most urgent first. Each job has one write in progress at most.
@@ -218,6 +222,8 @@
         JobState state_ = JobState::Pending;
         std::uint32_t priority_ = 0;
         Millis due_;
+        /// A job of which nothing was started by then will most likely end after its objective.
+        Millis latestStart_;
         /// When its caller gives up; 0 for never.
         Millis giveUpAt_;
         std::uint64_t sequence_ = 0;
@@ -264,6 +270,7 @@
     void adopt(Job &job, Task &task, const std::string &agent, const Run &run, Millis now);
     void keepRun(const std::string &agent, const Run &run, std::set<TaskId> &kept, Millis now);
     void endSaved(const EndRef &end);
+    bool isLate(const Job &job, Millis now) const;
     bool placeTasks(Job &job, Millis now);
     bool isStepReady(const Job &job, std::size_t step) const;
     void place(Job &job, std::size_t step, std::uint32_t index, Target &target, Millis now);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/cell/dispatcher.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace ibiswall::cell {
 
@@ -22,11 +23,9 @@
 // Room for run numbers within one epoch: epochs are store revisions, and the product stays below 2^53.
 constexpr std::uint64_t runsPerEpoch = 1U << 20U;
 
-Millis objective(const JobSpec &spec, const Queue *queue)
+// Run time of the longest chain of steps, by the caller's guess.
+Millis longestChain(const JobSpec &spec)
 {
-    if (queue == nullptr) {
-        return unknownObjective;
-    }
     std::vector<std::int64_t> ends;
     std::int64_t longest = 0;
     for (const Step &step : spec.steps_) {
@@ -37,7 +36,15 @@
         ends.push_back(begin + step.estimate_.count_);
         longest = std::max(longest, ends.back());
     }
-    return {static_cast<std::int64_t>(static_cast<double>(longest) * queue->stretch_) + queue->allowance_.count_};
+    return {longest};
+}
+
+Millis objective(Millis chain, const Queue *queue)
+{
+    if (queue == nullptr) {
+        return unknownObjective;
+    }
+    return {static_cast<std::int64_t>(static_cast<double>(chain.count_) * queue->stretch_) + queue->allowance_.count_};
 }
 
 } // namespace
@@ -94,7 +101,9 @@
     job.sequence_ = nextSequence_++;
     const Queue *queue = queueOf(job);
     job.priority_ = queue == nullptr ? 0 : queue->priority_;
-    job.due_ = now + objective(job.record_.spec_, queue);
+    const Millis chain = longestChain(job.record_.spec_);
+    job.due_ = now + objective(chain, queue);
+    job.latestStart_ = job.due_ - chain;
     const JobProgress &progress = job.record_.progress_;
     for (const Step &step : job.record_.spec_.steps_) {
         job.offsets_.push_back(static_cast<std::uint32_t>(job.tasks_.size()));
@@ -523,15 +532,48 @@
     return std::all_of(after.begin(), after.end(), [&job](std::uint32_t before) { return job.openInStep_[before] == 0; });
 }
 
+bool Dispatcher::isLate(const Job &job, Millis now) const
+{
+    return job.state_ == JobState::Pending && now > job.latestStart_;
+}
+
 void Dispatcher::schedule(Millis now)
 {
-    int misses = 0;
-    for (auto next = ready_.begin(); next != ready_.end() && misses < maxMisses;) {
-        Job &job = *(next++)->second;
-        if (!placeTasks(job, now)) {
-            ++misses;
+    for (auto begin = ready_.begin(); begin != ready_.end();) {
+        const std::uint32_t priority = std::get<0>(begin->first);
+        int misses = 0;
+        std::vector<Job *> late;
+        auto next = begin;
+        while (next != ready_.end() && std::get<0>(next->first) == priority && misses < maxMisses) {
+            Job &job = *(next++)->second;
+            if (isLate(job, now)) {
+                late.push_back(&job);
+            } else if (!placeTasks(job, now)) {
+                ++misses;
+            }
+        }
+        for (Job *job : late) {
+            if (misses >= maxMisses) {
+                break;
+            }
+            misses += placeTasks(*job, now) ? 0 : 1;
         }
+        if (misses >= maxMisses) {
+            // What is less urgent does not overtake what waits.
+            return;
+        }
+        begin = ready_.lower_bound({priority + 1, std::numeric_limits<std::int64_t>::min(), 0});
+    }
+}
+
+bool Dispatcher::isIdle(const std::string &agent) const
+{
+    const auto found = targets_.find(agent);
+    if (found == targets_.end()) {
+        return true;
     }
+    const TargetInfo &info = found->second.info_;
+    return found->second.runs_.empty() && (info.id_.empty() || info.draining_ || !info.answering_);
 }
 
 // Places what it can. Returns false when a task that may start found no target.
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -113,7 +113,9 @@
         return;
     }
     for (const platform::Item &item : agents.items_) {
-        agents_[keys::nameOf(item.key_, keys::agents)].registered_ = true;
+        AgentState &agent = agents_[keys::nameOf(item.key_, keys::agents)];
+        agent.registered_ = true;
+        agent.revision_ = item.revision_;
     }
     loaded_ = true;
     takeOver();
@@ -187,6 +189,9 @@
     const auto found = agents_.find(from);
     const Millis now = bootClock();
     const Millis left = rightUntil() - now;
+    if (found != agents_.end() && found->second.forgotten_) {
+        return;
+    }
     const bool known = found != agents_.end() && found->second.registered_ && found->second.reported_;
     if (!known) {
         // The agent thinks that it has reported, but the report was lost or its right has been given up.
@@ -206,6 +211,15 @@
         return;
     }
     AgentState &agent = agents_[from];
+    const bool usable = frame.report_.info_ && frame.report_.info_->answering_ && !frame.report_.info_->draining_;
+    if (agent.forgotten_ && !usable) {
+        return;
+    }
+    if (agent.forgotten_ && !frame.report_.whole_) {
+        // Its target is back: all is to be reported anew.
+        outlets_.send_(from, LeadFrame{epoch_});
+        return;
+    }
     if (!agent.registered_) {
         const bool asked = !agent.waiting_.empty();
         agent.waiting_.push_back(std::move(frame));
@@ -285,6 +299,8 @@
         } else if (answer.outcome_ == platform::StoreOutcome::Ok) {
             self->proved(sentAt);
             state.registered_ = true;
+            state.revision_ = answer.revision_;
+            state.forgotten_ = false;
             for (const ReportFrame &report : std::exchange(state.waiting_, {})) {
                 self->applyReport(agent, report);
             }
@@ -294,6 +310,28 @@
     });
 }
 
+// The target takes and runs nothing, so the next leader need not wait for this agent.
+void DispatchDuty::forgetAgent(const std::string &agent)
+{
+    AgentState &state = agents_[agent];
+    platform::Transaction transaction = conditional();
+    // A removal that arrives late must not undo a later registration.
+    transaction.conditions_.push_back({keys::agents + agent, state.revision_});
+    transaction.removals_.push_back(keys::agents + agent);
+    // Without a right from here on, whatever becomes of the call.
+    state.registered_ = false;
+    state.reported_ = false;
+    state.trusted_ = false;
+    state.forgotten_ = true;
+    dispatcher_.pause(agent);
+    logEvent("agent.idle", {{"agent", std::string_view(agent)}});
+    store_.commit(transaction, [self = shared_from_this()](const platform::StoreAnswer &answer) {
+        if (!self->stopped_ && answer.outcome_ == platform::StoreOutcome::Conflict) {
+            self->prove();
+        }
+    });
+}
+
 void DispatchDuty::onCancel(const std::string &from, const CancelFrame &frame)
 {
     const Millis now = bootClock();
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -78,6 +78,10 @@
     {
         /// Known to the store as one that may hold runs.
         bool registered_ = false;
+        /// Revision of its key in the store.
+        std::int64_t revision_ = 0;
+        /// Taken out of the store since its target took and ran nothing; it comes back with the target.
+        bool forgotten_ = false;
         /// Has reported in this epoch over the present path.
         bool reported_ = false;
         /// Whether it may hold a right, or runs that go on.
@@ -86,6 +90,8 @@
         std::int64_t report_ = 0;
         /// When the latest answer that gave a right went out.
         Millis grantedAt_;
+        /// Since when its target has taken nothing and run nothing; 0 while it has.
+        Millis idleSince_;
         /// Reports that wait for the registration.
         std::vector<ReportFrame> waiting_;
     };
@@ -101,6 +107,7 @@
     void onCancel(const std::string &from, const CancelFrame &frame);
     void applyReport(const std::string &from, const ReportFrame &frame);
     void registerAgent(const std::string &agent);
+    void forgetAgent(const std::string &agent);
     void lookUp(const std::string &job, std::function<void(bool)> then);
     void lookUpForeign(const std::string &job);
     void sweep();
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t maxRecords = (platform::maxTransaction - 1) / 2;
 // Least time between two transactions, so that ends gather: a call to the store costs more than this wait.
 constexpr Millis gather{12};
+// Time for which a target takes and runs nothing before its agent is taken out of the store; longer than any lease.
+constexpr Millis idleAgent{3000};
 // How long the end of an ephemeral job is kept for a caller who lost the answer and asks again.
 constexpr Millis keepEphemeral{10000};
 // Wait before a transaction without a known outcome is repeated.
@@ -242,7 +244,15 @@
 
 void DispatchDuty::checkAgents(Millis now)
 {
+    std::vector<std::string> idle;
     for (auto &[name, agent] : agents_) {
+        if (!agent.registered_ || !agent.reported_ || !dispatcher_.isIdle(name)) {
+            agent.idleSince_ = {};
+        } else if (agent.idleSince_ == Millis{0}) {
+            agent.idleSince_ = now;
+        } else if (now > agent.idleSince_ + idleAgent) {
+            idle.push_back(name);
+        }
         if (agent.trusted_ && now > agent.grantedAt_ + rights_.agent_ + rights_.slack_) {
             count("ibiswall_agents_lost_total");
             logEvent("agent.lost", {{"agent", std::string_view(name)}, {"granted_ms_ago", (now - agent.grantedAt_).count_}});
@@ -253,6 +263,9 @@
             prove();
         }
     }
+    for (const std::string &name : idle) {
+        forgetAgent(name);
+    }
 }
 
 void DispatchDuty::sweep()
