A new leader takes offers once the agents that it reaches have reported

Ruled out: the registry of agents (conditional on the lead), orders of the older leader (the agent follows one link). Not seen to fail in a test of its own: the model offers each job once.

--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -118,6 +118,7 @@
         agent.revision_ = item.revision_;
     }
     loaded_ = true;
+    loadedAt_ = bootClock();
     takeOver();
 }
 
@@ -164,6 +165,10 @@
 
 void DispatchDuty::onOffers(const std::string &from, OffersFrame &&frame)
 {
+    if (!settled_) {
+        earlyOffers_.emplace_back(from, std::move(frame));
+        return;
+    }
     NoticesFrame ended;
     for (cell::JobOffer &offer : frame.offers_) {
         const std::string id = offer.id_;
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -120,6 +120,7 @@
     void tick();
     void checkAgents(Millis now);
     bool isGathered(Millis now) const;
+    bool isSettled(Millis now) const;
     platform::Transaction conditional() const;
     void proved(Millis sentAt);
     Millis rightUntil() const;
@@ -142,6 +143,11 @@
     bool proving_ = false;
     bool loaded_ = false;
     bool gathered_ = false;
+    /// Set once the agents that can be reached have reported. Offers wait for it: a caller who lost its connection may
+    /// offer through another entry, as new, what an agent still runs for the former leader.
+    bool settled_ = false;
+    std::vector<std::pair<std::string, OffersFrame>> earlyOffers_;
+    Millis loadedAt_;
     bool stopped_ = false;
     bool yielded_ = false;
     bool acting_ = false;
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -19,6 +19,8 @@
 constexpr Millis gather{12};
 // Time for which a target takes and runs nothing before its agent is taken out of the store; longer than any lease.
 constexpr Millis idleAgent{3000};
+// Longest wait for agents that can be reached but do not report, before new jobs are taken.
+constexpr Millis settleLimit{300};
 // How long the end of an ephemeral job is kept for a caller who lost the answer and asks again.
 constexpr Millis keepEphemeral{10000};
 // Wait before a transaction without a known outcome is repeated.
@@ -43,6 +45,12 @@
         return;
     }
     const Millis now = bootClock();
+    if (!settled_ && isSettled(now)) {
+        settled_ = true;
+        for (auto &[from, frame] : std::exchange(earlyOffers_, {})) {
+            onOffers(from, std::move(frame));
+        }
+    }
     if (!gathered_ && isGathered(now)) {
         gathered_ = true;
         logEvent("lead.gathered", {{"epoch", static_cast<std::int64_t>(epoch_)}, {"after_ms", (now - tookOverAt_).count_}});
@@ -231,6 +239,18 @@
     }
 }
 
+bool DispatchDuty::isSettled(Millis now) const
+{
+    if (first_ || now > loadedAt_ + settleLimit) {
+        return true;
+    }
+    const std::vector<std::string> reachable = outlets_.agents_();
+    return std::all_of(reachable.begin(), reachable.end(), [this](const std::string &name) {
+        const auto found = agents_.find(name);
+        return found == agents_.end() || !found->second.registered_ || found->second.reported_;
+    });
+}
+
 bool DispatchDuty::isGathered(Millis now) const
 {
     // After the wait for agents that cannot be reached, the lead has to be proved once more: under a later leader they
