--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -61,7 +61,7 @@
     std::vector<End> ends_;
 };
 
-/// What the dispatcher is told.
+/// What the dispatcher is told. The info is to be taken in before the ends, which belong to the life that it names.
 struct AgentReport
 {
     /// True when the lists are all that the agent knows; false when they add to what was told.
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -86,6 +86,10 @@
 // The target lives anew: nothing of the earlier life runs, and its numbers and clock begin again.
 void Attendant::reborn(std::int64_t born)
 {
+    for (End &end : report_.ends_) {
+        // The report will be read as one of the new life, whose numbers begin again.
+        end.number_ = 0;
+    }
     loseAll();
     answering_ = true;
     born_ = born;
--- a/src/ibiswall/cell/attendant_test.cpp
+++ b/src/ibiswall/cell/attendant_test.cpp
@@ -172,6 +172,22 @@
     BOOST_TEST(isLost(bench.attendant_.takeReport(), 1));
 }
 
+BOOST_AUTO_TEST_CASE(ends_of_an_earlier_life_lose_their_numbers_when_they_are_told_with_a_new_one)
+{
+    Bench bench;
+    bench.start("j1", 1);
+    bench.attendant_.started(bench.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, bench.now_);
+    bench.pass(10);
+    bench.answerHolds({}, {{7, {{"j1", 0, 0}, 1}, EndKind::Done, {}}});
+    TargetInfo reborn = testTarget("t");
+    reborn.born_ = 2;
+    bench.attendant_.announced(reborn, 0, bench.now_);
+    const AgentReport report = bench.attendant_.takeReport();
+    BOOST_REQUIRE(report.ends_.size() == 1U);
+    BOOST_TEST((report.ends_[0].kind_ == EndKind::Done));
+    BOOST_TEST(report.ends_[0].number_ == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_word_of_an_earlier_life_changes_nothing)
 {
     Bench bench;
--- a/src/ibiswall/cell/modelworld_test.cpp
+++ b/src/ibiswall/cell/modelworld_test.cpp
@@ -446,15 +446,15 @@
             known.report_ = report.number_;
             leader.dispatcher_.report(name, report.info_, report.born_, report.running_, report.ends_, {now_});
         } else if (known.reported_) {
+            if (report.info_) {
+                leader.dispatcher_.targetChanged(name, *report.info_);
+            }
             for (const End &end : report.ends_) {
                 leader.dispatcher_.ended(name, end, {now_});
             }
             for (const auto &[run, forRoom] : report.refused_) {
                 leader.dispatcher_.refused(name, run, forRoom, {now_});
             }
-            if (report.info_) {
-                leader.dispatcher_.targetChanged(name, *report.info_);
-            }
         }
     }
 
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -254,6 +254,15 @@
         dispatcher_.report(from, report.info_, report.born_, report.running_, report.ends_, now);
         outlets_.send_(from, PongFrame{epoch_, {}, {}});
     } else if (agent.reported_) {
+        // First, for the ends may be numbered by a new life of the target.
+        if (report.info_) {
+            logEvent("target.changed",
+                     {{"agent", std::string_view(from)},
+                      {"target", std::string_view(report.info_->id_)},
+                      {"born", report.info_->born_},
+                      {"draining", report.info_->draining_ ? 1 : 0}});
+            dispatcher_.targetChanged(from, *report.info_);
+        }
         for (const cell::End &end : report.ends_) {
             count("ibiswall_ends_total", endName(end.kind_));
             if (end.kind_ != cell::EndKind::Done) {
@@ -276,14 +285,6 @@
                       {"for_room", forRoom ? 1 : 0}});
             dispatcher_.refused(from, run, forRoom, now);
         }
-        if (report.info_) {
-            logEvent("target.changed",
-                     {{"agent", std::string_view(from)},
-                      {"target", std::string_view(report.info_->id_)},
-                      {"born", report.info_->born_},
-                      {"draining", report.info_->draining_ ? 1 : 0}});
-            dispatcher_.targetChanged(from, *report.info_);
-        }
     }
     actLater();
 }
