--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -262,7 +262,8 @@
         };
 
         std::vector<Running> running_;
-        std::vector<std::pair<std::string, End>> ends_;
+        /// Ends with the life of the target that numbered them.
+        std::vector<std::pair<EndRef, End>> ends_;
     };
 
     using ReadyKey = std::tuple<std::uint32_t, std::int64_t, std::uint64_t>;
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -92,6 +92,11 @@
     }
     loseAll();
     answering_ = true;
+    if (info_ && info_->born_ != born) {
+        // The new life has not announced itself yet.
+        info_.reset();
+        report_.info_.reset();
+    }
     born_ = born;
     clock_.reset();
     leaseUntil_ = {};
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -133,9 +133,15 @@
         const Foreign known = std::move(foreign->second);
         foreign_.erase(foreign);
         std::set<TaskId> ignored;
-        for (const auto &[agent, end] : known.ends_) {
-            targets_[agent].unsavedEnds_.erase(end.number_);
-            ended(agent, end, now);
+        for (const auto &[ref, end] : known.ends_) {
+            End told = end;
+            if (targets_[ref.agent_].info_.born_ == ref.born_) {
+                targets_[ref.agent_].unsavedEnds_.erase(ref.number_);
+            } else {
+                // The target has forgotten it, and numbers others so.
+                told.number_ = 0;
+            }
+            ended(ref.agent_, told, now);
         }
         for (const Foreign::Running &each : known.running_) {
             keepRun(each.agent_, each.run_, ignored, now);
@@ -153,8 +159,8 @@
     if (foreign == foreign_.end()) {
         return;
     }
-    for (const auto &[agent, end] : foreign->second.ends_) {
-        endSaved({agent, targets_[agent].info_.born_, end.number_});
+    for (const auto &[ref, end] : foreign->second.ends_) {
+        endSaved(ref);
     }
     foreign->second.ends_.clear();
     for (const Foreign::Running &each : foreign->second.running_) {
@@ -408,7 +414,7 @@
     });
     const bool counts = end.kind_ == EndKind::Done || end.kind_ == EndKind::Failed;
     if (end.number_ != 0 && counts) {
-        foreign_[end.run_.task_.job_].ends_.emplace_back(target.agent_, end);
+        foreign_[end.run_.task_.job_].ends_.push_back({{target.agent_, target.info_.born_, end.number_}, end});
         target.unsavedEnds_.insert(end.number_);
         effects_.lookups_.push_back(end.run_.task_.job_);
     }
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -335,6 +335,22 @@
     BOOST_TEST((writes[0].record_.progress_.state_ == JobState::Completed));
 }
 
+BOOST_AUTO_TEST_CASE(an_end_of_an_earlier_life_that_is_taken_in_late_takes_no_number_of_the_present_one)
+{
+    Bench bench(false);
+    const std::vector<End> ends{{68, {{"j1", 0, 0}, 2}, EndKind::Done, {}}};
+    bench.dispatcher_.report("a", testTarget("t-a"), 1, {}, ends, bench.now_);
+    TargetInfo reborn = testTarget("t-a");
+    reborn.born_ = 2;
+    bench.dispatcher_.targetChanged("a", reborn);
+    bench.dispatcher_.gathered(bench.now_);
+    bench.dispatcher_.addJob(testJob("j1", {testStep(2)}), bench.now_);
+    const Effects effects = bench.schedule();
+    BOOST_REQUIRE(effects.starts_.size() == 1U);
+    bench.dispatcher_.ended("a", {1, effects.starts_[0].run_, EndKind::Done, {}}, bench.now_);
+    BOOST_TEST((bench.dispatcher_.finalState("j1") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(a_life_that_reports_before_it_announces_itself_is_the_same_life)
 {
     Bench bench(false);
