--- a/src/ibiswall/cli/cli.cpp
+++ b/src/ibiswall/cli/cli.cpp
@@ -21,6 +21,7 @@
     {"agent", "run an agent beside its target", runAgentCommand},
     {"cell-entry", "run an entry of a cell, whose jobs are stored", runCellEntryCommand},
     {"cell-agent", "run an agent of a cell beside its target", runCellAgentCommand},
+    {"explain", "print the story of a job from the logs of a cell", runExplain},
     {"check-settings", "check a settings file", runCheckSettings},
     {"submit", "submit a job and print its whole answer", runSubmit},
     {"cancel", "give up the tasks of a job that have not been sent", runCancel},
--- a/src/ibiswall/cli/commands.hpp
+++ b/src/ibiswall/cli/commands.hpp
@@ -19,6 +19,7 @@
 Exit runAgentCommand(const CommandLine &line);
 Exit runCellEntryCommand(const CommandLine &line);
 Exit runCellAgentCommand(const CommandLine &line);
+Exit runExplain(const CommandLine &line);
 Exit runCheckSettings(const CommandLine &line);
 Exit runSubmit(const CommandLine &line);
 Exit runCancel(const CommandLine &line);
--- a/src/ibiswall/cli/processes.cpp
+++ b/src/ibiswall/cli/processes.cpp
@@ -72,7 +72,7 @@
     }
     file = settingsFile(parsed);
     if (file.empty()) {
-        std::cerr << "ibiswall " << line.command_ << ": no settings file is named\n";
+        std::cerr << "ibiswall " << line.command_ << ": --settings is missing, and IBISWALL_SETTINGS names no file\n";
         ended = Exit::Usage;
         return Error{Code::BadUsage, {}};
     }
@@ -158,7 +158,7 @@
     }
     const std::string file = settingsFile(parsed);
     if (file.empty()) {
-        std::cerr << "ibiswall " << line.command_ << ": no settings file is named\n";
+        std::cerr << "ibiswall " << line.command_ << ": --settings is missing, and IBISWALL_SETTINGS names no file\n";
         return Exit::Usage;
     }
     const auto settings = loadSettings(file);
