--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -171,9 +171,6 @@
     /// Jobs of each queue with no task started.
     std::map<std::string, std::size_t> waitingJobs() const;
 
-    /// Seconds of work that wait, over the cores in service: how long a new task of the priority waits for room.
-    Millis backlog(std::uint32_t priority) const;
-
     /// Jobs that are not final.
     std::size_t openJobs() const;
 
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -42,8 +42,6 @@
     const std::set<std::string> &domainsOut_;
     /// Runs of the same step on each agent; null when the step has no limit.
     const std::map<std::string, std::uint32_t> *sameStep_ = nullptr;
-    /// Agent to avoid where another will do: the task failed there last. May be empty.
-    std::string_view avoid_;
 };
 
 /// Chooses the target for a task under load that fills about half of the fleet and more: the one with the largest
@@ -51,9 +49,6 @@
 /// @return null when no target can take the task now
 Target *chooseTarget(Targets &targets, const Placement &placement, Millis now);
 
-/// Tells whether any target, however loaded, could ever run a task of the step.
-bool isRunnable(const Targets &targets, const Step &step, std::string_view service);
-
 /// Takes in a run that ended as done or failed.
 /// @param ratio run time over the usual run time; ignored for failed runs
 void noteRun(Target &target, bool failed, double ratio);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -3,7 +3,6 @@
 #include <ibiswall/cell/dispatcher.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace ibiswall::cell {
 
@@ -16,13 +15,8 @@
 // Pause of a target after a start that it rejected for another reason; doubles with each in a row.
 constexpr Millis firstPause{10};
 constexpr Millis maxPause{500};
-// Jobs in a row that could not be placed, after which the rest is taken not to fit either.
-constexpr int maxMisses = 4;
 // Objective of a job whose queue is no longer configured.
 constexpr Millis unknownObjective{1000};
-// Room for run numbers within one epoch: epochs are store revisions, and the product stays below 2^53.
-constexpr std::uint64_t runsPerEpoch = 1U << 20U;
-
 // Run time of the longest chain of steps, by the caller's guess.
 Millis longestChain(const JobSpec &spec)
 {
@@ -505,20 +499,6 @@
     }
 }
 
-void Dispatcher::turnAway(Millis now)
-{
-    std::vector<Job *> over;
-    for (const auto &[key, job] : ready_) {
-        const bool untouched = job->state_ == JobState::Pending && job->waiting_ == job->tasks_.size();
-        if (job->isEphemeral() && untouched && job->giveUpAt_ != Millis{0} && now >= job->giveUpAt_) {
-            over.push_back(job);
-        }
-    }
-    for (Job *job : over) {
-        finish(*job, JobState::Refused, now);
-    }
-}
-
 void Dispatcher::forgetEnded(Millis ephemeralBefore, Millis storedBefore)
 {
     for (auto each = ended_.begin(); each != ended_.end();) {
@@ -575,118 +555,6 @@
     return CancelOutcome::Accepted;
 }
 
-bool Dispatcher::isStepReady(const Job &job, std::size_t step) const
-{
-    const auto &after = job.record_.spec_.steps_[step].after_;
-    return std::all_of(after.begin(), after.end(), [&job](std::uint32_t before) { return job.openInStep_[before] == 0; });
-}
-
-bool Dispatcher::isLate(const Job &job, Millis now) const
-{
-    return job.state_ == JobState::Pending && now > job.latestStart_;
-}
-
-void Dispatcher::schedule(Millis now)
-{
-    for (auto begin = ready_.begin(); begin != ready_.end();) {
-        const std::uint32_t priority = std::get<0>(begin->first);
-        int misses = 0;
-        std::vector<Job *> late;
-        auto next = begin;
-        while (next != ready_.end() && std::get<0>(next->first) == priority && misses < maxMisses) {
-            Job &job = *(next++)->second;
-            if (isLate(job, now)) {
-                late.push_back(&job);
-            } else if (!placeTasks(job, now)) {
-                ++misses;
-            }
-        }
-        for (Job *job : late) {
-            if (misses >= maxMisses) {
-                break;
-            }
-            misses += placeTasks(*job, now) ? 0 : 1;
-        }
-        if (misses >= maxMisses) {
-            // What is less urgent does not overtake what waits.
-            return;
-        }
-        begin = ready_.lower_bound({priority + 1, std::numeric_limits<std::int64_t>::min(), 0});
-    }
-}
-
-bool Dispatcher::isIdle(const std::string &agent) const
-{
-    const auto found = targets_.find(agent);
-    if (found == targets_.end()) {
-        return true;
-    }
-    const TargetInfo &info = found->second.info_;
-    return found->second.runs_.empty() && (info.id_.empty() || info.draining_ || !info.answering_);
-}
-
-// Places what it can. Returns false when a task that may start found no target.
-bool Dispatcher::placeTasks(Job &job, Millis now)
-{
-    const Queue *queue = queueOf(job);
-    if (queue == nullptr) {
-        return true;
-    }
-    for (std::uint32_t step = 0; step < job.offsets_.size(); ++step) {
-        if (job.openInStep_[step] == 0 || !isStepReady(job, step)) {
-            continue;
-        }
-        const Step &shape = job.record_.spec_.steps_[step];
-        std::map<std::string, std::uint32_t> onAgent;
-        for (std::uint32_t i = 0; i < shape.count_ && shape.maxPerTarget_ > 0; ++i) {
-            const Task &task = job.tasks_[job.offsets_[step] + i];
-            if (task.phase_ == Phase::Placed) {
-                ++onAgent[task.agent_];
-            }
-        }
-        for (std::uint32_t i = 0; i < shape.count_; ++i) {
-            const Task &task = job.tasks_[job.offsets_[step] + i];
-            if (task.phase_ != Phase::Waiting) {
-                continue;
-            }
-            const Placement placement{shape, queue->service_, domainsOut_, shape.maxPerTarget_ > 0 ? &onAgent : nullptr, {}};
-            Target *target = chooseTarget(targets_, placement, now);
-            if (target == nullptr) {
-                return false;
-            }
-            ++onAgent[target->agent_];
-            place(job, step, i, *target, now);
-            if (job.waiting_ == 0) {
-                return true;
-            }
-        }
-    }
-    return true;
-}
-
-void Dispatcher::place(Job &job, std::size_t step, std::uint32_t index, Target &target, Millis now)
-{
-    Task &task = job.tasks_[job.offsets_[step] + index];
-    const TaskId id{job.id_, static_cast<std::uint32_t>(step), index};
-    task.phase_ = Phase::Placed;
-    task.run_ = epoch_ * runsPerEpoch + ++runsGiven_;
-    task.agent_ = target.agent_;
-    task.placedAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[step].need_;
-    target.used_ = target.used_ + need;
-    target.runs_[id] = need;
-    if (--job.waiting_ == 0) {
-        ready_.erase(keyOf(job));
-    }
-    if (job.state_ == JobState::Pending) {
-        job.state_ = JobState::Running;
-        if (!job.isEphemeral()) {
-            effects_.notices_.push_back({job.id_, JobState::Running, {}});
-        }
-    }
-    effects_.starts_.push_back({target.agent_, {id, task.run_}, job.record_.spec_.payload_, task.checkpoint_, job.isEphemeral()});
-}
-
 Effects Dispatcher::takeEffects()
 {
     return std::exchange(effects_, {});
@@ -714,27 +582,6 @@
     return waiting;
 }
 
-Millis Dispatcher::backlog(std::uint32_t priority) const
-{
-    std::int64_t cores = 0;
-    for (const auto &[agent, target] : targets_) {
-        if (target.present_ && !target.info_.draining_ && domainsOut_.count(target.info_.failureDomain_) == 0) {
-            cores += target.info_.room_.cpu_;
-        }
-    }
-    std::int64_t work = 0;
-    for (const auto &[key, job] : ready_) {
-        if (std::get<0>(key) > priority) {
-            break;
-        }
-        for (std::size_t step = 0; step < job->offsets_.size(); ++step) {
-            const Step &shape = job->record_.spec_.steps_[step];
-            work += std::min(job->waiting_, job->openInStep_[step]) * shape.need_.cpu_ * shape.estimate_.count_;
-        }
-    }
-    return {cores == 0 ? 0 : work / cores};
-}
-
 std::size_t Dispatcher::openJobs() const
 {
     return jobs_.size();
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -18,8 +18,6 @@
 constexpr double failingWeight = 2.0;
 // Share of a target's room that running away from the data is worth.
 constexpr double farWeight = 0.4;
-// Share of a target's room that the last failure of the same task is worth.
-constexpr double avoidWeight = 1.0;
 
 bool hasLabel(const TargetInfo &info, std::string_view label)
 {
@@ -54,9 +52,6 @@
     if (!placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_)) {
         score -= farWeight;
     }
-    if (!placement.avoid_.empty() && placement.avoid_ == target.agent_) {
-        score -= avoidWeight;
-    }
     return score;
 }
 
@@ -79,15 +74,6 @@
     return best;
 }
 
-bool isRunnable(const Targets &targets, const Step &step, std::string_view service)
-{
-    return std::any_of(targets.begin(), targets.end(), [&](const auto &each) {
-        const TargetInfo &info = each.second.info_;
-        return info.service_ == service && fits(step.need_, info.room_)
-            && (step.requiredLabel_.empty() || hasLabel(info, step.requiredLabel_));
-    });
-}
-
 void noteRun(Target &target, bool failed, double ratio)
 {
     target.failing_ += recentWeight * ((failed ? 1.0 : 0.0) - target.failing_);
--- a/src/ibiswall/net/httpserver.cpp
+++ b/src/ibiswall/net/httpserver.cpp
@@ -36,7 +36,7 @@
 struct HttpServer::State
 {
     State(asio::io_context &io, HttpLimits limits, HttpHandler handler)
-        : limits_(limits)
+        : limits_(std::move(limits))
         , handler_(std::move(handler))
         , acceptor_(io)
         , acceptPause_(io)
@@ -337,7 +337,7 @@
 }
 
 HttpServer::HttpServer(asio::io_context &io, HttpLimits limits, HttpHandler handler)
-    : state_(std::make_shared<State>(io, limits, std::move(handler)))
+    : state_(std::make_shared<State>(io, std::move(limits), std::move(handler)))
 {
 }
 
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -436,14 +436,4 @@
     return dispatcher_.waitingJobs();
 }
 
-Millis DispatchDuty::backlog(std::uint32_t priority) const
-{
-    return dispatcher_.backlog(priority);
-}
-
-bool DispatchDuty::isServing() const
-{
-    return loaded_ && !stopped_;
-}
-
 } // namespace ibiswall::node
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -70,8 +70,6 @@
     Millis proofAge() const;
 
     std::map<std::string, std::size_t> waitingJobs() const;
-    Millis backlog(std::uint32_t priority) const;
-    bool isServing() const;
 
 private:
     struct AgentState
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -48,7 +48,6 @@
         }
         if (from == leadership_.lead().leader_) {
             waiting_ = beat->waiting_;
-            waitingAt_ = bootClock();
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -204,7 +203,6 @@
     if (duty_) {
         frame.waiting_ = duty_->waitingJobs();
         waiting_ = frame.waiting_;
-        waitingAt_ = now;
     }
     const std::string bytes = formatFrame(frame);
     for (const Peer &peer : mesh_.reachable()) {
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -131,9 +131,8 @@
     Callers cancellers_;
     std::uint64_t nextCaller_ = 1;
     std::vector<std::string> toOffer_;
-    /// The leader's count of jobs with no task started, by queue, and when it came.
+    /// The leader's count of jobs with no task started, by queue.
     std::map<std::string, std::size_t> waiting_;
-    Millis waitingAt_;
     /// Other entries; not set before the first read.
     std::map<std::string, Address> entries_;
     bool entriesKnown_ = false;
