--- a/src/ibiswall/settings/settings_test.cpp
+++ b/src/ibiswall/settings/settings_test.cpp
@@ -62,7 +62,7 @@
     {goodAgent, R"({"entry_addresses": ["127.0.0.1:0"]})", "entry_addresses[0]: 127.0.0.1:0: port 0"},
     {goodAgent, R"({"entry_addresses": "127.0.0.1:7"})", "entry_addresses: an array is required"},
     {goodAgent, R"({"slots": 1.5})", "slots: a whole number from 1"},
-    {goodAgent, R"({"role": "cook"})", "role: \"entry\" or \"agent\" is required"},
+    {goodAgent, R"({"role": "cook"})", "role: \"entry\", \"agent\", \"cell-entry\" or \"cell-agent\" is required"},
 };
 
 } // namespace
