Do not refuse a job as not run that an earlier leader may have started

Ruled out: late orders (none was carried out then), two leaders at once (one lead at a time in the logs). Change: a job offered to an earlier leader, or of which a target has reported any end or run, is not turned away; ends of an ephemeral job are acknowledged only when it has ended, so a new leader does not run its tasks again. Acknowledgements name the life of the target and travel with orders, at least every 400 ms.

--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -152,8 +152,8 @@
     void start(const Run &run, const std::string &payload, const std::string &checkpoint, bool ephemeral, std::int64_t report, Millis now);
     void stop(const Run &run, Millis now);
 
-    /// The dispatcher needs to hear no more of ends up to this number.
-    void acknowledge(std::uint64_t through);
+    /// The dispatcher needs to hear no more of ends up to this number of a life of the target.
+    void acknowledge(std::int64_t born, std::uint64_t through);
 
     void started(const TargetCall &call, CallOutcome outcome, Millis now);
     void stopped(const TargetCall &call, CallOutcome outcome, Millis now);
--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -33,6 +33,8 @@
 struct AckOrder
 {
     std::string agent_;
+    /// Life of the target that numbered the ends.
+    std::int64_t born_ = 0;
     std::uint64_t through_ = 0;
 };
 
@@ -138,7 +140,8 @@
     /// The last caller at an entry who waited for an ephemeral job has gone. Without another one the job is cancelled.
     void abandon(const std::string &job, const std::string &origin, Millis now);
 
-    /// Turns away the ephemeral jobs of which no task can have been started and whose callers are about to give up.
+    /// Turns away the ephemeral jobs of which no task can have been started by any dispatcher, and whose callers are about
+    /// to give up.
     void turnAway(Millis now);
 
     /// Forgets final states older than the given ages.
@@ -233,6 +236,8 @@
         std::vector<EndRef> saving_;
         /// Entries that have offered it.
         std::set<std::string> origins_;
+        /// Whether an earlier dispatcher may have started any of its tasks, so that nobody can say that it has not run.
+        bool mayHaveStarted_ = false;
 
         bool isEphemeral() const
         {
@@ -259,7 +264,7 @@
         };
 
         std::vector<Running> running_;
-        /// Ends with the life of the target that numbered them.
+        /// Ends with the life of the target that numbered them, also those that change nothing: they tell that it started.
         std::vector<std::pair<EndRef, End>> ends_;
     };
 
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -220,8 +220,11 @@
     calls_.push_back(makeCall(TargetCall::Kind::Stop, {task, run.number_}, now));
 }
 
-void Attendant::acknowledge(std::uint64_t through)
+void Attendant::acknowledge(std::int64_t born, std::uint64_t through)
 {
+    if (born != born_) {
+        return;
+    }
     kept_.erase(kept_.begin(), kept_.upper_bound(through));
 }
 
--- a/src/ibiswall/cell/attendant_test.cpp
+++ b/src/ibiswall/cell/attendant_test.cpp
@@ -266,12 +266,29 @@
     bench.attendant_.follow(2, bench.now_);
     bench.answerHolds({}, {});
     BOOST_TEST(bench.attendant_.takeReport().ends_.size() == 1U);
-    bench.attendant_.acknowledge(1);
+    bench.attendant_.acknowledge(1, 1);
     bench.attendant_.reportAll();
     bench.answerHolds({}, {});
     BOOST_TEST(bench.attendant_.takeReport().ends_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_acknowledgement_for_an_earlier_life_of_the_target_says_nothing_about_the_present_one)
+{
+    Bench bench;
+    TargetInfo reborn = testTarget("t");
+    reborn.born_ = 2;
+    bench.attendant_.announced(reborn, 0, bench.now_);
+    bench.start("j1", 1);
+    bench.attendant_.started(bench.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, bench.now_);
+    bench.pass(10);
+    bench.answerHolds({}, {{1, {{"j1", 0, 0}, 1}, EndKind::Done, {}}}, 2);
+    bench.attendant_.takeReport();
+    bench.attendant_.acknowledge(1, 7);
+    bench.attendant_.reportAll();
+    bench.answerHolds({}, {}, 2);
+    BOOST_TEST(bench.attendant_.takeReport().ends_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ends_of_durable_jobs_stay_listed_until_they_are_stored)
 {
     Bench bench;
@@ -282,7 +299,7 @@
     bench.answerHolds({}, ends);
     bench.attendant_.tick(bench.now_);
     BOOST_TEST(bench.calls(TargetCall::Kind::Hold).empty());
-    bench.attendant_.acknowledge(1);
+    bench.attendant_.acknowledge(1, 1);
     bench.attendant_.tick(bench.now_);
     const auto holds = bench.calls(TargetCall::Kind::Hold);
     BOOST_REQUIRE(holds.size() == 1U);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -86,6 +86,7 @@
     if (offer.patience_ > Millis{0}) {
         job.giveUpAt_ = now + offer.patience_;
     }
+    job.mayHaveStarted_ = job.mayHaveStarted_ || !offer.fresh_;
     if (!added) {
         return std::nullopt;
     }
@@ -126,6 +127,7 @@
     if (const auto foreign = foreign_.find(job.id_); foreign != foreign_.end()) {
         const Foreign known = std::move(foreign->second);
         foreign_.erase(foreign);
+        job.mayHaveStarted_ = true;
         std::set<TaskId> ignored;
         for (const auto &[ref, end] : known.ends_) {
             End told = end;
@@ -406,8 +408,7 @@
     dropForeign([&](const Foreign::Running &each) {
         return each.agent_ == target.agent_ && each.run_.task_ == end.run_.task_ && each.run_.number_ == end.run_.number_;
     });
-    const bool counts = end.kind_ == EndKind::Done || end.kind_ == EndKind::Failed;
-    if (end.number_ != 0 && counts) {
+    if (end.number_ != 0) {
         foreign_[end.run_.task_.job_].ends_.push_back({{target.agent_, target.info_.born_, end.number_}, end});
         target.unsavedEnds_.insert(end.number_);
         effects_.lookups_.push_back(end.run_.task_.job_);
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -428,6 +428,58 @@
     BOOST_TEST(bench.dispatcher_.takeEffects().notices_.empty());
 }
 
+// Seen on the bench: the former leader had run some tasks of a job, the next one knew nothing of it, and told the caller
+// that it had not run.
+BOOST_AUTO_TEST_CASE(a_job_that_an_earlier_leader_may_have_started_is_never_turned_away)
+{
+    Bench bench;
+    JobOffer offer = testJob("j1", {testStep(4)});
+    offer.fresh_ = false;
+    offer.patience_ = {500};
+    bench.dispatcher_.addJob(offer, bench.now_);
+    JobOffer again = testJob("j2", {testStep(4)});
+    again.patience_ = {500};
+    bench.dispatcher_.addJob(again, bench.now_);
+    again.fresh_ = false;
+    bench.dispatcher_.addJob(again, bench.now_);
+    bench.now_ = {1500};
+    bench.dispatcher_.turnAway(bench.now_);
+    BOOST_TEST(bench.dispatcher_.takeEffects().notices_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_job_of_which_a_target_reported_any_end_is_never_turned_away)
+{
+    for (const EndKind kind : {EndKind::Done, EndKind::Failed, EndKind::Stopped, EndKind::Lapsed}) {
+        Bench bench;
+        const std::vector<End> ends{{1, {{"j1", 0, 0}, 3}, kind, {}}};
+        bench.dispatcher_.report("a", testTarget("t-a", 100), 1, {}, ends, bench.now_);
+        JobOffer offer = testJob("j1", {testStep(4)});
+        offer.patience_ = {500};
+        bench.dispatcher_.addJob(offer, bench.now_);
+        bench.now_ = {1500};
+        bench.dispatcher_.turnAway(bench.now_);
+        BOOST_TEST(bench.dispatcher_.takeEffects().notices_.empty());
+    }
+}
+
+// Otherwise the next leader would run the tasks that are done once more.
+BOOST_AUTO_TEST_CASE(ends_of_an_ephemeral_job_are_acknowledged_once_it_has_ended)
+{
+    Bench bench;
+    bench.add("a");
+    bench.dispatcher_.addJob(testJob("j1", {testStep(2)}), bench.now_);
+    const Effects effects = bench.schedule();
+    BOOST_REQUIRE(effects.starts_.size() == 2U);
+    bench.end(effects.starts_[0]);
+    bench.now_ = {9000};
+    bench.dispatcher_.takeWrites(10, bench.now_);
+    BOOST_TEST(bench.dispatcher_.takeEffects().acks_.empty());
+    bench.end(effects.starts_[1]);
+    const Effects after = bench.dispatcher_.takeEffects();
+    BOOST_REQUIRE(!after.acks_.empty());
+    BOOST_TEST(after.acks_.back().through_ == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_durable_job_is_stored_and_its_runs_are_stopped)
 {
     Bench bench;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -132,7 +132,7 @@
 {
     std::vector<Job *> over;
     for (const auto &[key, job] : ready_) {
-        const bool untouched = job->state_ == JobState::Pending && job->waiting_ == job->tasks_.size();
+        const bool untouched = !job->mayHaveStarted_ && job->state_ == JobState::Pending && job->waiting_ == job->tasks_.size();
         if (job->isEphemeral() && untouched && job->giveUpAt_ != Millis{0} && now >= job->giveUpAt_) {
             over.push_back(job);
         }
--- a/src/ibiswall/cell/dispatcherwrites.cpp
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -12,7 +12,8 @@
         job.unsaved_.push_back({agent, targets_[agent].info_.born_, end.number_});
         targets_[agent].unsavedEnds_.insert(end.number_);
     }
-    if (!job.writeDue_ || due < *job.writeDue_) {
+    // Ends of an ephemeral job are kept by the agents until it ends, so that a later dispatcher does not run its tasks again.
+    if (!job.isEphemeral() && (!job.writeDue_ || due < *job.writeDue_)) {
         job.writeDue_ = due;
         dirty_.insert(job.id_);
     }
@@ -21,24 +22,12 @@
 std::vector<JobWrite> Dispatcher::takeWrites(std::size_t most, Millis now)
 {
     std::vector<std::pair<std::int64_t, Job *>> due;
-    std::vector<Job *> forgettable;
     for (const std::string &id : dirty_) {
         Job &job = jobs_.at(id);
-        if (job.isEphemeral()) {
-            if (*job.writeDue_ <= now) {
-                forgettable.push_back(&job);
-            }
-        } else if (!job.writing_ && *job.writeDue_ <= now) {
+        if (!job.writing_ && *job.writeDue_ <= now) {
             due.emplace_back(isFinal(job.state_) ? 0 : 1, &job);
         }
     }
-    for (Job *job : forgettable) {
-        job->writeDue_.reset();
-        dirty_.erase(job->id_);
-        for (const EndRef &end : std::exchange(job->unsaved_, {})) {
-            endSaved(end);
-        }
-    }
     std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
         return std::tuple(a.first, a.second->writeDue_->count_, a.second->sequence_)
             < std::tuple(b.first, b.second->writeDue_->count_, b.second->sequence_);
@@ -115,7 +104,7 @@
     const std::uint64_t through = target.unsavedEnds_.empty() ? target.highestEnd_ : *target.unsavedEnds_.begin() - 1;
     if (through > target.acknowledged_) {
         target.acknowledged_ = through;
-        effects_.acks_.push_back({target.agent_, through});
+        effects_.acks_.push_back({target.agent_, target.info_.born_, through});
     }
 }
 
--- a/src/ibiswall/cell/modelworld_test.cpp
+++ b/src/ibiswall/cell/modelworld_test.cpp
@@ -585,7 +585,7 @@
         }
         for (const AckOrder &ack : effects.acks_) {
             if (ack.agent_ == name) {
-                orders.emplace_back([ack](Attendant &attendant) { attendant.acknowledge(ack.through_); });
+                orders.emplace_back([ack](Attendant &attendant) { attendant.acknowledge(ack.born_, ack.through_); });
             }
         }
         if (orders.empty() || !connected(leader, i)) {
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -177,7 +177,7 @@
         attendant_.start(start.run_, start.payload_, start.checkpoint_, start.ephemeral_, frame.report_, now);
     }
     if (frame.acknowledged_ > 0) {
-        attendant_.acknowledge(frame.acknowledged_);
+        attendant_.acknowledge(frame.acknowledgedBorn_, frame.acknowledged_);
     }
     attendant_.tick(now);
 }
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -86,6 +86,8 @@
         bool trusted_ = false;
         /// Its latest report.
         cell::ReportPlace report_;
+        /// What is to be acknowledged with the next orders.
+        std::optional<cell::AckOrder> acknowledge_;
         /// When the latest answer that gave a right went out.
         Millis grantedAt_;
         /// Since when its target has taken nothing and run nothing; 0 while it has.
@@ -151,6 +153,8 @@
     bool acting_ = false;
     bool storing_ = false;
     Millis storedAt_;
+    /// When acknowledgements last went out to all agents that had some.
+    Millis acknowledgedAt_;
     std::vector<Millis> sweeps_;
     bool sweeping_ = false;
     std::set<std::string> lookingUp_;
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -26,6 +26,8 @@
 constexpr Millis settleLimit{1200};
 // How long the end of an ephemeral job is kept for a caller who lost the answer and asks again.
 constexpr Millis keepEphemeral{10000};
+// Longest time for which an acknowledgement waits for orders to travel with.
+constexpr Millis ackPeriod{400};
 // Wait before a transaction without a known outcome is repeated.
 constexpr Millis repeat{50};
 
@@ -87,11 +89,25 @@
         orders[std::move(agent)].stops_.push_back(std::move(stop));
     }
     for (const cell::AckOrder &ack : effects.acks_) {
-        orders[ack.agent_].acknowledged_ = ack.through_;
+        agents_[ack.agent_].acknowledge_ = ack;
+    }
+    const Millis now = bootClock();
+    if (now > acknowledgedAt_ + ackPeriod) {
+        acknowledgedAt_ = now;
+        for (const auto &[name, agent] : agents_) {
+            if (agent.acknowledge_) {
+                orders.try_emplace(name);
+            }
+        }
     }
     for (auto &[agent, frame] : orders) {
+        AgentState &state = agents_[agent];
         frame.epoch_ = epoch_;
-        frame.report_ = agents_[agent].report_.number_;
+        frame.report_ = state.report_.number_;
+        if (const auto ack = std::exchange(state.acknowledge_, std::nullopt)) {
+            frame.acknowledged_ = ack->through_;
+            frame.acknowledgedBorn_ = ack->born_;
+        }
         outlets_.send_(agent, frame);
     }
     NoticesFrame forAll;
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -125,7 +125,8 @@
     for (const cell::StopOrder &stop : frame.stops_) {
         stops.push_back(toJson(stop.run_));
     }
-    return Json::array({frame.epoch_, std::move(payloads), std::move(starts), std::move(stops), frame.acknowledged_, frame.report_});
+    return Json::array({frame.epoch_, std::move(payloads), std::move(starts), std::move(stops), frame.acknowledged_,
+                        frame.acknowledgedBorn_, frame.report_});
 }
 
 Json body(const BeatFrame &frame)
@@ -190,22 +191,23 @@
 
 OrdersFrame parseOrders(const Json &json)
 {
-    constexpr std::size_t acknowledgedAt = 4;
+    std::size_t at = 0;
     OrdersFrame frame;
-    frame.epoch_ = json.at(0).get<std::uint64_t>();
-    const Json &payloads = json.at(1);
-    for (const Json &each : json.at(2)) {
+    frame.epoch_ = json.at(at++).get<std::uint64_t>();
+    const Json &payloads = json.at(at++);
+    for (const Json &each : json.at(at++)) {
         frame.starts_.push_back({{},
                                  parseRun(each.at(0)),
                                  payloads.at(each.at(1).get<std::size_t>()).get<std::string>(),
                                  each.at(2).get<std::string>(),
                                  each.at(3).get<bool>()});
     }
-    for (const Json &each : json.at(3)) {
+    for (const Json &each : json.at(at++)) {
         frame.stops_.push_back({{}, parseRun(each)});
     }
-    frame.acknowledged_ = json.at(acknowledgedAt).get<std::uint64_t>();
-    frame.report_ = json.at(acknowledgedAt + 1).get<std::int64_t>();
+    frame.acknowledged_ = json.at(at++).get<std::uint64_t>();
+    frame.acknowledgedBorn_ = json.at(at++).get<std::int64_t>();
+    frame.report_ = json.at(at++).get<std::int64_t>();
     return frame;
 }
 
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -46,6 +46,8 @@
     std::vector<cell::StopOrder> stops_;
     /// Ends up to this number need not be listed again; 0 for no news.
     std::uint64_t acknowledged_ = 0;
+    /// Life of the target that numbered them.
+    std::int64_t acknowledgedBorn_ = 0;
 };
 
 /// An entry's word to another about the dispatcher and the store.
