Keep two short holds out while a target loses answers, and repeat unanswered orders sooner

Ruled out: the starts alone (5 % late by 80 ms), the leader's queue (room was free at the targets, as their lists tell). Change: a call to the target counts as lost after 30 ms (it answers in 0.3 to 3 ms on the same machine); for 2 s after a loss two holds of 30 ms are out at a time; lists of an older hold that arrive late change nothing.

--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -35,6 +35,8 @@
     Millis sentAt_;
     /// Local moment of the lease end.
     Millis leaseUntil_;
+    /// Numbers the holds, so that of two answers the older one is known.
+    std::uint64_t serial_ = 0;
 };
 
 /// How a call ended.
@@ -100,17 +102,29 @@
     return report.whole_ || (report.number_ == last.number_ && report.part_ == last.part_ + 1);
 }
 
+/// A call that the target has not answered by then is taken for lost: a target on the same machine answers within a few
+/// milliseconds. Late answers do no harm, since calls may be repeated.
+constexpr Millis unansweredOrder{30};
+
 /// Bounds of an attendant.
 struct AttendantSettings
 {
     /// Longest lease of a target.
     Millis maxLease_{1000};
-    /// Longest wait of a hold for an end; bounds how late a lost answer is noticed.
+    /// Longest wait of a hold for an end.
     Millis holdWait_{120};
-    /// Pause before a call without an answer is repeated.
+    /// The same while the target loses answers; bounds how late an end is told whose answer was lost.
+    Millis shortHoldWait_{30};
+    /// Holds at a time while the target loses answers, so that one lost answer delays nothing.
+    int holdsAtOnce_ = 2;
+    /// Time for which a target counts as one that loses answers after a call that it did not answer.
+    Millis lossMemory_{2000};
+    /// Pause before a call that failed is repeated.
     Millis retryPause_{40};
+    /// Pause after a hold without an answer: the time-out was a pause already, but a closed connection is none.
+    Millis lossPause_{5};
     /// How often a start without an answer is sent again before it is stopped.
-    int startRepeats_ = 2;
+    int startRepeats_ = 4;
     /// A target that has answered nothing for this long gets no further lease, so that what it runs is soon known to be
     /// over. Several calls fall into it, so that single lost answers do no harm.
     Millis silence_{700};
@@ -208,6 +222,7 @@
 
     void answered(const TargetCall &call, CallOutcome outcome, Millis now);
     void setAnswering(bool answering);
+    bool losesAnswers(Millis now) const;
     bool mayLease(Millis now) const;
     TargetCall makeCall(TargetCall::Kind kind, const Run &run, Millis now) const;
     void lease(TargetCall &call, Millis now);
@@ -234,6 +249,12 @@
     int leasesInFlight_ = 0;
     /// Whether the target has answered its latest calls.
     bool answering_ = true;
+    /// When a call was last left without an answer, 0 for never.
+    Millis unansweredAt_;
+    /// Holds sent so far.
+    std::uint64_t holds_ = 0;
+    /// The latest hold whose lists were taken in; lists asked for earlier are older.
+    std::uint64_t listedBy_ = 0;
     /// When the target last answered or announced itself.
     Millis heardAt_;
     std::map<TaskId, LocalRun> runs_;
--- a/src/ibiswall/cell/attendant.cpp
+++ b/src/ibiswall/cell/attendant.cpp
@@ -124,6 +124,11 @@
     return info_ && !leaving_ && !info_->draining_ && clock_ && now + minLease < grantUntil_ && !reportDue_;
 }
 
+bool Attendant::losesAnswers(Millis now) const
+{
+    return unansweredAt_ != Millis{0} && now < unansweredAt_ + settings_.lossMemory_;
+}
+
 bool Attendant::mayLease(Millis now) const
 {
     return clock_ && now + minLease < grantUntil_ && answering_ && (runs_.empty() || now <= heardAt_ + settings_.silence_);
@@ -157,6 +162,9 @@
             leaseUntil_ = {std::max(leaseUntil_.count_, call.leaseUntil_.count_)};
         }
     }
+    if (outcome == CallOutcome::Unknown) {
+        unansweredAt_ = now;
+    }
     if (outcome == CallOutcome::NotSent || outcome == CallOutcome::Unknown) {
         if (outcome == CallOutcome::NotSent || now > heardAt_ + settings_.silence_) {
             setAnswering(false);
@@ -315,7 +323,8 @@
     --holdsInFlight_;
     answered(call, answer.outcome_, now);
     if (answer.outcome_ != CallOutcome::Ok) {
-        holdRetryAt_ = now + (answering_ ? settings_.retryPause_ : settings_.probePause_);
+        const bool waited = answer.outcome_ == CallOutcome::Unknown;
+        holdRetryAt_ = now + (!answering_ ? settings_.probePause_ : waited ? settings_.lossPause_ : settings_.retryPause_);
         reportHoldSent_ = false;
         tick(now);
         return;
@@ -340,6 +349,10 @@
     for (const End &end : answer.ends_) {
         keepEnd(end);
     }
+    if (call.serial_ < listedBy_) {
+        return;
+    }
+    listedBy_ = call.serial_;
     std::set<TaskId> running;
     for (const Run &run : answer.running_) {
         running.insert(run.task_);
@@ -385,6 +398,7 @@
 {
     ++holdsInFlight_;
     TargetCall call = makeCall(TargetCall::Kind::Hold, {}, now);
+    call.serial_ = ++holds_;
     call.acknowledged_ = forgettable();
     call.wait_ = wait;
     if (mayLease(now)) {
@@ -412,14 +426,19 @@
         hold({}, now);
         return;
     }
-    if (holdsInFlight_ > 0) {
+    const bool lossy = answering_ && losesAnswers(now);
+    if (holdsInFlight_ >= (lossy ? settings_.holdsAtOnce_ : 1)) {
         return;
     }
     const bool settling = std::any_of(runs_.begin(), runs_.end(), [](const auto &each) { return each.second.phase_ == Phase::Stopped; });
     if (settling) {
         hold({}, now);
     } else if (!runs_.empty() || forgettable() > forgotten_ || !answering_) {
-        hold(runs_.empty() || !answering_ ? Millis{} : settings_.holdWait_, now);
+        const Millis wait = lossy ? settings_.shortHoldWait_ : settings_.holdWait_;
+        hold(runs_.empty() || !answering_ ? Millis{} : wait, now);
+        if (lossy && !runs_.empty() && holdsInFlight_ < settings_.holdsAtOnce_) {
+            hold(wait, now);
+        }
     }
 }
 
--- a/src/ibiswall/cell/attendant_test.cpp
+++ b/src/ibiswall/cell/attendant_test.cpp
@@ -2,8 +2,11 @@
 
 #include "testparts.hpp"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <ibiswall/cell/attendant.hpp>
+#include <map>
+#include <random>
 
 namespace ibiswall::cell {
 
@@ -120,7 +123,7 @@
 {
     Bench bench;
     bench.start("j1", 1);
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 5; ++i) {
         const auto calls = bench.calls(TargetCall::Kind::Start);
         BOOST_REQUIRE(calls.size() == 1U);
         BOOST_TEST(calls[0].run_.number_ == 1U);
@@ -344,6 +347,107 @@
     BOOST_TEST(bench.calls(TargetCall::Kind::Start).empty());
 }
 
+// A target that loses one answer in twenty, as seen on the bench for tens of seconds on end, where a new run of 50 ms starts
+// every 20 ms. An end is of use to its caller only once it is told.
+BOOST_AUTO_TEST_CASE(ends_are_told_soon_while_single_answers_are_lost)
+{
+    constexpr std::int64_t runTime = 50;
+    constexpr std::int64_t startEvery = 20;
+    constexpr int runs = 400;
+    std::mt19937 noise(7);
+    Bench bench;
+    std::map<std::uint64_t, std::int64_t> endedAt;
+    std::vector<std::int64_t> delays;
+    std::vector<Run> running;
+    std::vector<End> ends;
+    std::vector<std::pair<std::int64_t, TargetCall>> holds;
+    std::vector<std::pair<std::int64_t, TargetCall>> starts;
+    const auto lost = [&noise] {
+        return noise() % 20 == 0;
+    };
+    const std::int64_t began = bench.now_.count_;
+    while (delays.size() < runs) {
+        bench.pass(1);
+        const std::int64_t now = bench.now_.count_;
+        BOOST_REQUIRE(now < began + 2 * runs * startEvery);
+        const std::int64_t passed = now - began;
+        if (passed % startEvery == 0 && passed / startEvery <= runs) {
+            bench.start("j" + std::to_string(passed / startEvery), static_cast<std::uint64_t>(passed / startEvery));
+        }
+        for (auto each = running.begin(); each != running.end();) {
+            // Run numbers tell when each was started.
+            if (now < began + static_cast<std::int64_t>(each->number_) * startEvery + runTime) {
+                ++each;
+                continue;
+            }
+            ends.push_back({ends.size() + 1, *each, EndKind::Done, {}});
+            endedAt[each->number_] = now;
+            each = running.erase(each);
+        }
+        bench.attendant_.tick(bench.now_);
+        for (const TargetCall &call : bench.attendant_.takeCalls()) {
+            if (call.kind_ == TargetCall::Kind::Hold) {
+                holds.emplace_back(lost() ? -1 : 1, call);
+            } else if (lost()) {
+                starts.emplace_back(now + unansweredOrder.count_, call);
+            } else {
+                running.push_back(call.run_);
+                bench.attendant_.started(call, CallOutcome::Ok, bench.now_);
+            }
+        }
+        for (std::size_t i = 0; i < starts.size(); ++i) {
+            if (starts[i].first == now) {
+                const TargetCall call = starts[i].second;
+                bench.attendant_.started(call, CallOutcome::Unknown, bench.now_);
+            }
+        }
+        std::vector<std::pair<std::int64_t, TargetCall>> waiting;
+        for (const auto &[answered, call] : std::exchange(holds, {})) {
+            const bool news = !ends.empty() && ends.back().number_ > call.acknowledged_;
+            if (answered < 0 && now >= (call.sentAt_ + call.wait_ + unansweredOrder).count_) {
+                bench.attendant_.held(call, {}, bench.now_);
+            } else if (answered > 0 && (news || now >= (call.sentAt_ + call.wait_).count_)) {
+                std::vector<End> listed;
+                std::copy_if(ends.begin(), ends.end(), std::back_inserter(listed),
+                             [&call](const End &end) { return end.number_ > call.acknowledged_; });
+                bench.attendant_.held(call, {CallOutcome::Ok, now, 1, running, listed}, bench.now_);
+            } else {
+                waiting.emplace_back(answered, call);
+            }
+        }
+        holds.insert(holds.end(), waiting.begin(), waiting.end());
+        for (const End &end : bench.attendant_.takeReport().ends_) {
+            BOOST_REQUIRE((end.kind_ == EndKind::Done));
+            delays.push_back(now - endedAt.at(end.run_.number_));
+        }
+    }
+    std::sort(delays.begin(), delays.end());
+    // The objective of the shortest jobs leaves some 90 ms beside their work.
+    BOOST_TEST(delays[delays.size() * 9 / 10] <= 15);
+    BOOST_TEST(delays[delays.size() * 99 / 100] <= 90);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_list_of_runs_that_arrives_late_stops_nothing)
+{
+    Bench bench;
+    bench.start("j1", 1);
+    bench.attendant_.started(bench.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, bench.now_);
+    bench.pass(10);
+    bench.attendant_.tick(bench.now_);
+    auto lost = bench.calls(TargetCall::Kind::Hold);
+    BOOST_REQUIRE(lost.size() == 1U);
+    bench.attendant_.held(lost[0], {}, bench.now_);
+    bench.pass(50);
+    bench.attendant_.tick(bench.now_);
+    const auto holds = bench.calls(TargetCall::Kind::Hold);
+    BOOST_REQUIRE(holds.size() == 2U);
+    const std::vector<End> ends{{1, {{"j1", 0, 0}, 1}, EndKind::Done, {}}};
+    bench.attendant_.held(holds[1], {CallOutcome::Ok, bench.now_.count_, 1, {}, ends}, bench.now_);
+    bench.attendant_.held(holds[0], {CallOutcome::Ok, bench.now_.count_, 1, {{{"j1", 0, 0}, 1}}, {}}, bench.now_);
+    BOOST_TEST(bench.calls(TargetCall::Kind::Stop).empty());
+    BOOST_TEST(bench.attendant_.runs() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
