Let the strongest entry lead

Ruled out: the room of the targets (half free), the store (slow answers only after the collapse). Change: beats tell the processor that an entry may use (setting cores); entries try for the lead in the order of it, and a weak leader lets go to one with 1.5 times its processor that has stayed up for 2 s. The next one takes a lead that the strongest leaves lying.

--- a/include/ibiswall/settings.hpp
+++ b/include/ibiswall/settings.hpp
@@ -84,6 +84,8 @@
     Address links_;
     Address metrics_;
     Address store_;
+    /// Processor that the entry may use, in cores; the strongest entry leads. Entries that do not say are alike.
+    double cores_ = 1;
     std::string logLevel_ = "info";
     /// Time between the signal to stop and the end of the process.
     Millis grace_{6000};
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -198,6 +198,7 @@
     }
     frame.leaving_ = stoppingSince_.has_value();
     frame.yielded_ = duty_ && duty_->hasYielded();
+    frame.power_ = leadership_.power();
     frame.sentAt_ = now;
     frame.promisedFrom_ = takingLead_ ? Millis{0} : leadership_.promisedFrom();
     if (duty_) {
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -33,6 +33,13 @@
     return limits;
 }
 
+// Processor that the entry may use, in thousandths of a core.
+std::int64_t powerOf(const CellEntrySettings &settings)
+{
+    constexpr double thousandths = 1000;
+    return static_cast<std::int64_t>(settings.cores_ * thousandths);
+}
+
 } // namespace
 
 EntryNode::EntryNode(boost::asio::io_context &io, const CellEntrySettings &settings)
@@ -46,7 +53,7 @@
              [this](const std::string &from, std::string_view bytes) {
                  receive(from, bytes);
              }})
-    , leadership_(settings.name_, {})
+    , leadership_(settings.name_, powerOf(settings), {})
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
     , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(isReady() ? 200 : 503, "{}")); })
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -132,7 +132,7 @@
 Json body(const BeatFrame &frame)
 {
     return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.yielded_,
-                        frame.sentAt_.count_, frame.promisedFrom_.count_, Json(frame.waiting_)});
+                        frame.power_, frame.sentAt_.count_, frame.promisedFrom_.count_, Json(frame.waiting_)});
 }
 
 Json body(const OffersFrame &frame)
@@ -221,6 +221,7 @@
     frame.storeAge_ = {json.at(at++).get<std::int64_t>()};
     frame.leaving_ = json.at(at++).get<bool>();
     frame.yielded_ = json.at(at++).get<bool>();
+    frame.power_ = json.at(at++).get<std::int64_t>();
     frame.sentAt_ = {json.at(at++).get<std::int64_t>()};
     frame.promisedFrom_ = {json.at(at++).get<std::int64_t>()};
     frame.waiting_ = json.at(at++).get<std::map<std::string, std::size_t>>();
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -63,6 +63,8 @@
     bool leaving_ = false;
     /// The sender leads, and has stopped to place tasks so that another entry can take over.
     bool yielded_ = false;
+    /// Processor that the sender may use, in thousandths of a core.
+    std::int64_t power_ = 0;
     /// The sender's clock.
     Millis sentAt_;
     /// The leader's clock in the latest beat of this epoch that the sender has received from it: the sender has not
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -7,8 +7,9 @@
 
 namespace ibiswall::node {
 
-Leadership::Leadership(std::string self, LeadershipSettings settings)
+Leadership::Leadership(std::string self, std::int64_t power, LeadershipSettings settings)
     : self_(std::move(self))
+    , power_(power)
     , settings_(settings)
 {
 }
@@ -26,7 +27,19 @@
 
 void Leadership::heard(const std::string &from, const BeatFrame &beat, Millis now)
 {
-    others_[from] = {now, beat.storeAge_, beat.leaving_, beat.yielded_, beat.promisedFrom_, beat.epoch_};
+    Other &other = others_[from];
+    if (!isAlive(other, now)) {
+        other.upSince_ = now;
+    }
+    const bool yieldedBefore = other.yielded_ && other.epoch_ == beat.epoch_;
+    other.yieldedAt_ = !beat.yielded_ ? Millis{0} : yieldedBefore ? other.yieldedAt_ : now;
+    other.heardAt_ = now;
+    other.storeAge_ = beat.storeAge_;
+    other.leaving_ = beat.leaving_;
+    other.yielded_ = beat.yielded_;
+    other.power_ = beat.power_;
+    other.promisedFrom_ = beat.promisedFrom_;
+    other.epoch_ = beat.epoch_;
     learn({beat.epoch_, beat.leader_}, now);
     if (beat.epoch_ != lead_.epoch_) {
         return;
@@ -61,7 +74,7 @@
         if (leaving) {
             return false;
         }
-        rank += name < self_ ? 1 : 0;
+        rank += std::pair(-other.power_, name) < std::pair(-power_, self_) ? 1 : 0;
     }
     const Millis turn{settings_.turn_.count_ * rank};
     if (lead_.epoch_ == 0) {
@@ -74,7 +87,7 @@
     const auto leader = others_.find(lead_.leader_);
     if (leader != others_.end() && isAlive(leader->second, now)) {
         if (leader->second.yielded_) {
-            return rank == 0;
+            return now >= leader->second.yieldedAt_ + turn;
         }
     }
     return now > heardAt_ + settings_.silence_ + turn;
@@ -99,8 +112,12 @@
 
 bool Leadership::shouldLetGo(Millis storeAge, bool leaving, Millis now) const
 {
-    return (leaving || storeAge > settings_.storeLost_)
-        && std::any_of(others_.begin(), others_.end(), [&](const auto &each) { return isAble(each.second, now); });
+    const bool unfit = leaving || storeAge > settings_.storeLost_;
+    return std::any_of(others_.begin(), others_.end(), [&](const auto &each) {
+        const Other &other = each.second;
+        const bool stronger = static_cast<double>(other.power_) >= settings_.stronger_ * static_cast<double>(power_);
+        return isAble(other, now) && (unfit || (stronger && now >= other.upSince_ + settings_.steady_));
+    });
 }
 
 Millis Leadership::promisedFrom() const
@@ -108,6 +125,11 @@
     return leaderClock_;
 }
 
+std::int64_t Leadership::power() const
+{
+    return power_;
+}
+
 bool Leadership::isMine() const
 {
     return taken_ != 0 && taken_ == lead_.epoch_;
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -26,6 +26,10 @@
     Millis promise_{400};
     /// Time that a new leader has to make itself heard.
     Millis settle_{800};
+    /// A leader lets go to an entry with at least this many times its processor ...
+    double stronger_ = 1.5;
+    /// ... that has been heard without a break for this long, so that one that keeps restarting gets no lead.
+    Millis steady_{2000};
 };
 
 /// What an entry knows of the lead.
@@ -40,7 +44,8 @@
 class Leadership
 {
 public:
-    Leadership(std::string self, LeadershipSettings settings);
+    /// @param power processor that this entry may use, in thousandths of a core
+    Leadership(std::string self, std::int64_t power, LeadershipSettings settings);
 
     /// The stored lead as read from the store, or as a beat tells it.
     /// @return true when it is newer than what was known
@@ -57,6 +62,8 @@
     /// This process lets go of the lead that it had.
     void release();
 
+    std::int64_t power() const;
+
     bool isMine() const;
     const Lead &lead() const;
 
@@ -71,7 +78,8 @@
     /// Whether another entry is alive and stays, so that callers have somewhere to go.
     bool hasHeir(Millis now) const;
 
-    /// At the leader: whether to let go, since it is leaving or does not reach the store, and another entry can take over.
+    /// At the leader: whether to let go, since it is leaving or does not reach the store, and another entry can take over;
+    /// or since a much stronger one can. All tasks of the cell pass through the leader, which a weak VM does not bear.
     bool shouldLetGo(Millis storeAge, bool leaving, Millis now) const;
 
     /// What to promise the leader in a beat.
@@ -84,6 +92,11 @@
         Millis storeAge_;
         bool leaving_ = false;
         bool yielded_ = false;
+        std::int64_t power_ = 0;
+        /// Since when it has been heard without a break.
+        Millis upSince_;
+        /// When it was first heard to have yielded in this epoch, 0 while it has not.
+        Millis yieldedAt_;
         /// Latest promise to this leader in this epoch, 0 for none.
         Millis promisedFrom_;
         std::uint64_t epoch_ = 0;
@@ -93,6 +106,7 @@
     bool isAble(const Other &other, Millis now) const;
 
     std::string self_;
+    std::int64_t power_;
     LeadershipSettings settings_;
     Lead lead_;
     /// Epoch that this process has won, 0 for none.
--- a/src/ibiswall/node/leadership_test.cpp
+++ b/src/ibiswall/node/leadership_test.cpp
@@ -18,6 +18,7 @@
     beat.leader_ = leader;
     beat.leaderAge_ = leaderAge;
     beat.storeAge_ = fresh;
+    beat.power_ = 500;
     beat.sentAt_ = {1};
     return beat;
 }
@@ -28,14 +29,14 @@
 
 BOOST_AUTO_TEST_CASE(the_first_entry_takes_a_lead_that_nobody_has)
 {
-    const Leadership one("e1", {});
+    const Leadership one("e1", 500, {});
     BOOST_TEST(one.shouldTake(fresh, false, {1000}));
     BOOST_TEST(!one.shouldTake(lost, false, {1000}));
 }
 
 BOOST_AUTO_TEST_CASE(a_leader_that_is_heard_stays)
 {
-    Leadership one("e2", {});
+    Leadership one("e2", 500, {});
     one.heard("e1", beatOf(5, "e1"), {1000});
     BOOST_TEST(!one.shouldTake(fresh, false, {1300}));
     BOOST_TEST(one.shouldTake(fresh, false, {10000}));
@@ -43,7 +44,7 @@
 
 BOOST_AUTO_TEST_CASE(a_leader_that_another_entry_hears_stays)
 {
-    Leadership one("e3", {});
+    Leadership one("e3", 500, {});
     one.heard("e1", beatOf(5, "e1"), {1000});
     for (std::int64_t now = 1100; now < 5000; now += 100) {
         one.heard("e2", beatOf(5, "e1", {100}), {now});
@@ -54,8 +55,8 @@
 BOOST_AUTO_TEST_CASE(entries_try_in_turn)
 {
     const LeadershipSettings settings;
-    Leadership two("e2", settings);
-    Leadership three("e3", settings);
+    Leadership two("e2", 500, settings);
+    Leadership three("e3", 500, settings);
     two.heard("e1", beatOf(5, "e1"), {1000});
     three.heard("e1", beatOf(5, "e1"), {1000});
     const Millis silent = Millis{1001} + settings.settle_;
@@ -68,7 +69,7 @@
 
 BOOST_AUTO_TEST_CASE(a_yielding_leader_is_followed_at_once_and_only_by_one_that_stays)
 {
-    Leadership two("e2", {});
+    Leadership two("e2", 500, {});
     BeatFrame beat = beatOf(5, "e1");
     beat.leaving_ = true;
     two.heard("e1", beat, {1000});
@@ -82,7 +83,7 @@
 
 BOOST_AUTO_TEST_CASE(where_all_are_leaving_one_of_them_leads)
 {
-    Leadership two("e2", {});
+    Leadership two("e2", 500, {});
     BeatFrame beat = beatOf(5, "e1");
     beat.leaving_ = true;
     two.heard("e1", beat, {1000});
@@ -91,7 +92,7 @@
 
 BOOST_AUTO_TEST_CASE(a_leader_lets_go_only_to_an_entry_that_can_take_over)
 {
-    Leadership one("e1", {});
+    Leadership one("e1", 500, {});
     one.take(5, {1000});
     BOOST_TEST(one.isMine());
     BOOST_TEST(!one.shouldLetGo(lost, true, {1000}));
@@ -108,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(the_leader_may_rely_on_promises_of_all_others_and_no_longer_than_they_hold)
 {
     const LeadershipSettings settings;
-    Leadership one("e1", settings);
+    Leadership one("e1", 500, settings);
     one.take(5, {1000});
     BeatFrame beat = beatOf(5, "e1");
     beat.promisedFrom_ = {2000};
@@ -124,7 +125,7 @@
 {
     const LeadershipSettings settings;
     BOOST_TEST((settings.promise_ < settings.silence_));
-    Leadership two("e2", settings);
+    Leadership two("e2", 500, settings);
     two.heard("e1", beatOf(5, "e1"), {1000});
     BOOST_TEST((two.promisedFrom() == Millis{1}));
     BOOST_TEST(!two.shouldTake(fresh, false, Millis{1000} + settings.promise_));
@@ -132,7 +133,7 @@
 
 BOOST_AUTO_TEST_CASE(the_lead_of_an_earlier_life_is_taken_anew)
 {
-    Leadership one("e1", {});
+    Leadership one("e1", 500, {});
     one.learn({5, "e1"}, {1000});
     BOOST_TEST(!one.isMine());
     BOOST_TEST(one.shouldTake(fresh, false, {1001}));
@@ -140,12 +141,70 @@
 
 BOOST_AUTO_TEST_CASE(an_older_lead_is_not_learnt)
 {
-    Leadership one("e3", {});
+    Leadership one("e3", 500, {});
     BOOST_TEST(one.learn({5, "e1"}, {1000}));
     BOOST_TEST(!one.learn({4, "e2"}, {1000}));
     BOOST_TEST(one.lead().leader_ == "e1");
 }
 
+// All tasks pass through the leader. On the bench a leader with an eighth of a core served one job in ten.
+BOOST_AUTO_TEST_CASE(the_strongest_entry_tries_first)
+{
+    const LeadershipSettings settings;
+    Leadership weak("e2", 120, settings);
+    Leadership strong("e3", 500, settings);
+    BeatFrame ofWeak = beatOf(5, "e1", {9999});
+    ofWeak.power_ = 120;
+    weak.heard("e1", beatOf(5, "e1"), {1000});
+    strong.heard("e1", beatOf(5, "e1"), {1000});
+    const Millis silent = Millis{1001} + settings.settle_;
+    weak.heard("e3", beatOf(5, "e1", {9999}), silent);
+    strong.heard("e2", ofWeak, silent);
+    BOOST_TEST(!weak.shouldTake(fresh, false, silent));
+    BOOST_TEST(strong.shouldTake(fresh, false, silent));
+}
+
+BOOST_AUTO_TEST_CASE(a_weak_leader_lets_go_to_a_strong_entry_that_stays_up)
+{
+    const LeadershipSettings settings;
+    Leadership weak("e1", 120, settings);
+    weak.take(5, {1000});
+    Millis now{1000};
+    for (; now < Millis{1000} + settings.steady_; now = now + Millis{100}) {
+        weak.heard("e2", beatOf(5, "e1"), now);
+        BOOST_TEST(!weak.shouldLetGo(fresh, false, now));
+    }
+    weak.heard("e2", beatOf(5, "e1"), now);
+    BOOST_TEST(weak.shouldLetGo(fresh, false, now));
+    // A break counts from anew.
+    now = now + settings.silence_ + Millis{100};
+    weak.heard("e2", beatOf(5, "e1"), now);
+    BOOST_TEST(!weak.shouldLetGo(fresh, false, now));
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_are_alike_keep_their_leader)
+{
+    Leadership one("e2", 500, {});
+    one.take(5, {1000});
+    for (Millis now{1000}; now < Millis{9000}; now = now + Millis{100}) {
+        one.heard("e1", beatOf(5, "e2"), now);
+        BOOST_TEST(!one.shouldLetGo(fresh, false, now));
+    }
+}
+
+// The strongest one may be cut off from the leader, so that it does not learn of it.
+BOOST_AUTO_TEST_CASE(the_next_one_takes_a_lead_that_the_strongest_leaves_lying)
+{
+    const LeadershipSettings settings;
+    Leadership weak("e2", 120, settings);
+    BeatFrame beat = beatOf(5, "e1");
+    beat.yielded_ = true;
+    weak.heard("e1", beat, {1000});
+    weak.heard("e3", beatOf(5, "e1"), {1000});
+    BOOST_TEST(!weak.shouldTake(fresh, false, {1001}));
+    BOOST_TEST(weak.shouldTake(fresh, false, Millis{1000} + settings.turn_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::node
--- a/src/ibiswall/settings/checker.cpp
+++ b/src/ibiswall/settings/checker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <sstream>
 
 namespace ibiswall {
 
@@ -114,6 +115,22 @@
     return value->get<std::int64_t>();
 }
 
+double Checker::fraction(const char *key, double least, double most, double fallback)
+{
+    const nlohmann::json *value = find(key, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    // Written so that a value that is not a number is refused as well.
+    if (!value->is_number() || !(value->get<double>() >= least && value->get<double>() <= most)) {
+        std::ostringstream bounds;
+        bounds << "a number from " << least << " to " << most << " is required";
+        problem(key, bounds.str());
+        return fallback;
+    }
+    return value->get<double>();
+}
+
 std::int64_t Checker::requiredNumber(const char *key, std::int64_t least, std::int64_t most)
 {
     find(key, true);
--- a/src/ibiswall/settings/checker.hpp
+++ b/src/ibiswall/settings/checker.hpp
@@ -27,6 +27,9 @@
     /// Reads a whole number, or the fallback when the key is absent.
     std::int64_t number(const char *key, std::int64_t least, std::int64_t most, std::int64_t fallback);
 
+    /// Reads a number that need not be whole, or the fallback when the key is absent.
+    double fraction(const char *key, double least, double most, double fallback);
+
     /// Reads a required whole number.
     std::int64_t requiredNumber(const char *key, std::int64_t least, std::int64_t most);
 
--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t maxKeep = 86400000;
 // A shorter lease could not be renewed in time.
 constexpr std::int64_t minLease = 200;
+constexpr double minCores = 0.01;
+constexpr double maxCores = 1024;
 constexpr std::int64_t maxBytes = 1 << 30;
 constexpr std::size_t minToken = 8;
 constexpr std::size_t maxToken = 256;
@@ -214,6 +216,7 @@
     settings.links_ = in.address("links");
     settings.metrics_ = in.address("metrics");
     settings.store_ = in.address("store");
+    settings.cores_ = in.fraction("cores", minCores, maxCores, settings.cores_);
     settings.logLevel_ = readLogLevel(in);
     settings.grace_ = {in.number("grace_ms", 0, maxDelay, settings.grace_.count_)};
     settings.keepStates_ = {in.number("keep_states_ms", 0, maxKeep, settings.keepStates_.count_)};
--- a/src/ibiswall/settings/settings_test.cpp
+++ b/src/ibiswall/settings/settings_test.cpp
@@ -109,6 +109,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_power_of_a_cell_entry_is_a_number_within_bounds)
+{
+    const Json good = Json::parse(R"({"role": "cell-entry", "name": "e1", "domain": "fd-1", "callers": "127.0.0.1:1",
+        "ready": "127.0.0.1:2", "links": "127.0.0.1:3", "metrics": "127.0.0.1:4", "store": "127.0.0.1:5", "cores": 0.12})");
+    const auto parsed = parseSettings("e.json", good.dump());
+    BOOST_REQUIRE_MESSAGE(parsed.has_value(), (parsed.has_error() ? parsed.error().text_ : ""));
+    BOOST_TEST(std::get<CellEntrySettings>(parsed.value()).cores_ == 0.12);
+    for (const Json &cores : {Json(0), Json(-1), Json("much"), Json(1e9), Json(true)}) {
+        Json bad = good;
+        bad["cores"] = cores;
+        const auto refused = parseSettings("e.json", bad.dump());
+        BOOST_REQUIRE(refused.has_error());
+        BOOST_TEST(refused.error().text_.find("e.json: cores: a number from 0.01 to 1024 is required") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(examples_are_good)
 {
     std::size_t files = 0;
