Judge the order of an agent's reports in one place, and ask anew when one overtook its whole report

Change: ReportOrder in the core is used by the leading entry and by the model world; it remembers a report that came early.

--- a/include/ibiswall/cell/attendant.hpp
+++ b/include/ibiswall/cell/attendant.hpp
@@ -88,27 +88,6 @@
     }
 };
 
-/// The latest report of an agent that a dispatcher has taken in.
-struct ReportPlace
-{
-    std::int64_t number_ = 0;
-    std::uint32_t part_ = 0;
-};
-
-/// Tells whether a report is older than what was taken in: it came over a slower path than a later one. Taken in, it would
-/// make runs that were started since seem lost.
-inline bool isStale(const AgentReport &report, const ReportPlace &last)
-{
-    return report.number_ < last.number_ || (report.number_ == last.number_ && report.part_ <= last.part_);
-}
-
-/// Tells whether nothing that the agent told before is missing. Without it an end could be acknowledged unseen, since
-/// acknowledging one end covers all with lower numbers.
-inline bool follows(const AgentReport &report, const ReportPlace &last)
-{
-    return report.whole_ || (report.number_ == last.number_ && report.part_ == last.part_ + 1);
-}
-
 /// A call that the target has not answered by then is taken for lost: a target on the same machine answers within a few
 /// milliseconds. Late answers do no harm, since calls may be repeated.
 constexpr Millis unansweredOrder{30};
--- /dev/null
+++ b/include/ibiswall/cell/reports.hpp
@@ -0,0 +1,51 @@
+// Which reports of an agent a dispatcher may take in, when some are lost or overtake others on their way.
+
+#pragma once
+
+#include <ibiswall/cell/attendant.hpp>
+
+namespace ibiswall::cell {
+
+enum class ReportVerdict : std::uint8_t {
+    TakeIn,
+    /// Older than what was taken in: it came over a slower path. Taken in, it would make runs that were started since
+    /// seem lost.
+    Stale,
+    /// Nothing can be concluded from it before the next whole report.
+    TooEarly,
+    /// A report is missing, and the agent has to report all anew. Otherwise an end could be acknowledged unseen, since
+    /// acknowledging one end covers all with lower numbers.
+    Incomplete,
+};
+
+/// Names a report of an agent: the number of the latest whole one, and the count of those that added to it.
+struct ReportPlace
+{
+    std::int64_t number_ = 0;
+    std::uint32_t part_ = 0;
+};
+
+/// The order of one agent's reports at one dispatcher.
+class ReportOrder
+{
+public:
+    /// Judges a report, and takes note of it.
+    ReportVerdict judge(const AgentReport &report);
+
+    /// Frames may have been lost: only a whole report tells where the agent stands.
+    void restart();
+
+    /// Whether all that the agent has told is known.
+    bool isComplete() const;
+
+    /// The latest report that was taken in.
+    const ReportPlace &last() const;
+
+private:
+    ReportPlace last_;
+    /// A report that came before the whole one that it adds to.
+    ReportPlace early_;
+    bool complete_ = false;
+};
+
+} // namespace ibiswall::cell
--- a/src/ibiswall/cell/attendant_test.cpp
+++ b/src/ibiswall/cell/attendant_test.cpp
@@ -458,9 +458,7 @@
     }
     const AgentReport report = attendant.takeReport();
     BOOST_TEST(report.whole_);
-    BOOST_TEST(!isStale(report, {5000, 3}));
-    BOOST_TEST(isStale(report, {report.number_, 0}));
-    BOOST_TEST(isStale(report, {report.number_ + 1, 0}));
+    BOOST_TEST(report.number_ > 5000);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/ibiswall/cell/modelworld.hpp
+++ b/src/ibiswall/cell/modelworld.hpp
@@ -8,7 +8,7 @@
 #include "testparts.hpp"
 
 #include <functional>
-#include <ibiswall/cell/attendant.hpp>
+#include <ibiswall/cell/reports.hpp>
 #include <queue>
 #include <random>
 
--- a/src/ibiswall/cell/modelworld_test.cpp
+++ b/src/ibiswall/cell/modelworld_test.cpp
@@ -73,10 +73,9 @@
 {
     struct Known
     {
-        bool reported_ = false;
         bool trusted_ = false;
         std::int64_t grantedAt_ = 0;
-        ReportPlace report_;
+        ReportOrder reports_;
     };
 
     explicit ModelLeader(std::uint64_t epoch)
@@ -292,7 +291,7 @@
     {
         for (const auto &leader : leaders_) {
             if (connected(*leader, i)) {
-                leader->known_[i].reported_ = false;
+                leader->known_[i].reports_.restart();
                 leader->dispatcher_.pause(agent(i).name_);
                 sendLead(leader, i);
             }
@@ -311,7 +310,7 @@
         const std::uint64_t path = agent(i).path_;
         after(1 + pick(3), [this, leader, i, path] {
             if (agent(i).path_ == path && connected(*leader, i)) {
-                agent(i).attendant_->follow(leader->epoch_, leader->known_[i].report_.number_, {now_});
+                agent(i).attendant_->follow(leader->epoch_, leader->known_[i].reports_.last().number_, {now_});
                 flushAgent(i);
             }
         });
@@ -357,7 +356,7 @@
             if (!leader->alive_ || !connected(*leader, i)) {
                 return;
             }
-            if (!known.reported_) {
+            if (!known.reports_.isComplete()) {
                 sendLead(leader, i);
                 return;
             }
@@ -442,20 +441,14 @@
     {
         ModelLeader::Known &known = leader.known_[i];
         const std::string &name = agent(i).name_;
-        if (!settings_.withoutStaleReports_ && isStale(report, known.report_)) {
-            return;
-        }
-        if (known.reported_ && !follows(report, known.report_)) {
-            known.reported_ = false;
+        const ReportVerdict verdict = known.reports_.judge(report);
+        if (verdict == ReportVerdict::Incomplete) {
             leader.dispatcher_.pause(name);
-            return;
         }
-        if (!report.whole_ && !known.reported_) {
+        if (verdict != ReportVerdict::TakeIn && (!settings_.withoutStaleReports_ || verdict != ReportVerdict::Stale)) {
             return;
         }
-        known.report_ = {report.number_, report.part_};
         if (report.whole_) {
-            known.reported_ = true;
             known.trusted_ = true;
             known.grantedAt_ = now_;
             leader.dispatcher_.report(name, report.info_, report.born_, report.running_, report.ends_, {now_});
@@ -484,7 +477,7 @@
         }
         for (auto &[i, known] : leader.known_) {
             if (known.trusted_ && now_ > known.grantedAt_ + agentRight + slack) {
-                known.reported_ = false;
+                known.reports_.restart();
                 known.trusted_ = false;
                 leader.dispatcher_.targetLost(agent(i).name_, {now_});
                 reach(i);
@@ -516,7 +509,7 @@
         }
         for (int i = 0; i < settings_.agents_; ++i) {
             const auto known = leader.known_.find(i);
-            if (connected(leader, i) && (known == leader.known_.end() || !known->second.reported_)) {
+            if (connected(leader, i) && (known == leader.known_.end() || !known->second.reports_.isComplete())) {
                 return false;
             }
         }
@@ -540,7 +533,7 @@
         }
         for (int i = 0; i < settings_.agents_; ++i) {
             const auto known = leader.known_.find(i);
-            if (known == leader.known_.end() || !known->second.reported_) {
+            if (known == leader.known_.end() || !known->second.reports_.isComplete()) {
                 return false;
             }
         }
@@ -577,7 +570,7 @@
     {
         const std::string &name = agent(i).name_;
         const auto self = leaderOf(leader.epoch_);
-        const std::int64_t report = leader.known_[i].report_.number_;
+        const std::int64_t report = leader.known_[i].reports_.last().number_;
         std::vector<std::function<void(Attendant &)>> orders;
         for (const StopOrder &stop : effects.stops_) {
             if (stop.agent_ == name) {
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -141,12 +141,12 @@
 // Asks an agent to report all that it knows.
 void DispatchDuty::introduce(const std::string &agent)
 {
-    outlets_.send_(agent, LeadFrame{epoch_, agents_[agent].report_.number_});
+    outlets_.send_(agent, LeadFrame{epoch_, agents_[agent].reports_.last().number_});
 }
 
 void DispatchDuty::agentUp(const std::string &agent)
 {
-    agents_[agent].reported_ = false;
+    agents_[agent].reports_.restart();
     dispatcher_.pause(agent);
     if (loaded_) {
         introduce(agent);
@@ -203,7 +203,7 @@
     if (found != agents_.end() && found->second.forgotten_) {
         return;
     }
-    const bool known = found != agents_.end() && found->second.registered_ && found->second.reported_;
+    const bool known = found != agents_.end() && found->second.registered_ && found->second.reports_.isComplete();
     if (!known) {
         // The agent thinks that it has reported, but the report was lost or its right has been given up.
         introduce(from);
@@ -247,36 +247,26 @@
     const cell::AgentReport &report = frame.report_;
     const Millis now = bootClock();
     AgentState &agent = agents_[from];
-    if (cell::isStale(report, agent.report_)) {
-        logEvent("agent.report_stale",
+    const cell::ReportPlace last = agent.reports_.last();
+    const cell::ReportVerdict verdict = agent.reports_.judge(report);
+    if (verdict != cell::ReportVerdict::TakeIn) {
+        logEvent(verdict == cell::ReportVerdict::Incomplete ? "agent.report_lost" : "agent.report_stale",
                  {{"agent", std::string_view(from)},
                   {"report", report.number_},
                   {"part", report.part_},
-                  {"last_report", agent.report_.number_},
-                  {"last_part", agent.report_.part_}});
-        return;
-    }
-    if (agent.reported_ && !cell::follows(report, agent.report_)) {
-        logEvent("agent.report_lost",
-                 {{"agent", std::string_view(from)},
-                  {"report", report.number_},
-                  {"part", report.part_},
-                  {"last_report", agent.report_.number_},
-                  {"last_part", agent.report_.part_}});
-        agentUp(from);
-        return;
-    }
-    if (!report.whole_ && !agent.reported_) {
+                  {"last_report", last.number_},
+                  {"last_part", last.part_}});
+        if (verdict == cell::ReportVerdict::Incomplete) {
+            agentUp(from);
+        }
         return;
     }
-    agent.report_ = {report.number_, report.part_};
     if (report.whole_) {
         logEvent("agent.reported",
                  {{"agent", std::string_view(from)},
                   {"epoch", number(epoch_)},
                   {"running", number(report.running_.size())},
                   {"ends", number(report.ends_.size())}});
-        agent.reported_ = true;
         agent.trusted_ = true;
         agent.grantedAt_ = now;
         dispatcher_.report(from, report.info_, report.born_, report.running_, report.ends_, now);
@@ -354,7 +344,7 @@
     transaction.removals_.push_back(keys::agents + agent);
     // Without a right from here on, whatever becomes of the call.
     state.registered_ = false;
-    state.reported_ = false;
+    state.reports_.restart();
     state.trusted_ = false;
     state.forgotten_ = true;
     dispatcher_.pause(agent);
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -5,6 +5,7 @@
 #include "../../../platform/store.hpp"
 #include "frames.hpp"
 #include <boost/asio/steady_timer.hpp>
+#include <ibiswall/cell/reports.hpp>
 
 namespace ibiswall::node {
 
@@ -80,12 +81,10 @@
         std::int64_t revision_ = 0;
         /// Taken out of the store since its target took and ran nothing; it comes back with the target.
         bool forgotten_ = false;
-        /// Has reported in this epoch over the present path.
-        bool reported_ = false;
         /// Whether it may hold a right, or runs that go on.
         bool trusted_ = false;
-        /// Its latest report.
-        cell::ReportPlace report_;
+        /// Complete once it has reported in this epoch over the present path.
+        cell::ReportOrder reports_;
         /// What is to be acknowledged with the next orders.
         std::optional<cell::AckOrder> acknowledge_;
         /// When the latest answer that gave a right went out.
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -103,7 +103,7 @@
     for (auto &[agent, frame] : orders) {
         AgentState &state = agents_[agent];
         frame.epoch_ = epoch_;
-        frame.report_ = state.report_.number_;
+        frame.report_ = state.reports_.last().number_;
         if (const auto ack = std::exchange(state.acknowledge_, std::nullopt)) {
             frame.acknowledged_ = ack->through_;
             frame.acknowledgedBorn_ = ack->born_;
@@ -266,7 +266,7 @@
     const std::vector<std::string> reachable = outlets_.agents_();
     return std::all_of(reachable.begin(), reachable.end(), [this](const std::string &name) {
         const auto found = agents_.find(name);
-        return found == agents_.end() || !found->second.registered_ || found->second.reported_;
+        return found == agents_.end() || !found->second.registered_ || found->second.reports_.isComplete();
     });
 }
 
@@ -278,14 +278,15 @@
     if (first_ || provedAt_ > waited || (now > waited && now < outlets_.promisedUntil_())) {
         return true;
     }
-    return std::all_of(agents_.begin(), agents_.end(), [](const auto &each) { return !each.second.registered_ || each.second.reported_; });
+    return std::all_of(agents_.begin(), agents_.end(),
+                       [](const auto &each) { return !each.second.registered_ || each.second.reports_.isComplete(); });
 }
 
 void DispatchDuty::checkAgents(Millis now)
 {
     std::vector<std::string> idle;
     for (auto &[name, agent] : agents_) {
-        if (!agent.registered_ || !agent.reported_ || !dispatcher_.isIdle(name)) {
+        if (!agent.registered_ || !agent.reports_.isComplete() || !dispatcher_.isIdle(name)) {
             agent.idleSince_ = {};
         } else if (agent.idleSince_ == Millis{0}) {
             agent.idleSince_ = now;
@@ -295,7 +296,7 @@
         if (agent.trusted_ && now > agent.grantedAt_ + rights_.agent_ + rights_.slack_) {
             count("ibiswall_agents_lost_total");
             logEvent("agent.lost", {{"agent", std::string_view(name)}, {"granted_ms_ago", (now - agent.grantedAt_).count_}});
-            agent.reported_ = false;
+            agent.reports_.restart();
             agent.trusted_ = false;
             dispatcher_.targetLost(name, now);
             outlets_.drop_(name);
