Refuse jobs that can only end too late to be of use, and do not scan late jobs on every event

Ruled out: the choice of a target (3 us a task by count), the frames (about ten a job, linear in the load). Change: a late job moves behind those of its priority once; one that can end only after three times its objective, and of which nothing was started, is refused at once as not run; the time that a caller has waited goes with the offer, so a new leader neither forgets it nor runs the oldest first.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -78,6 +78,8 @@
     std::string origin_;
     /// For how long its caller waits; 0 when nobody waits.
     Millis patience_;
+    /// For how long its caller has waited already.
+    Millis age_;
 };
 
 enum class CancelOutcome {
@@ -87,6 +89,9 @@
     Unknown,
 };
 
+/// A job that takes more than this many times its objective is of no use to its caller; the users count it as not served.
+constexpr std::int64_t usefulObjectives = 3;
+
 /// Owns the jobs of a cell during one epoch. Not thread-safe, no input or output.
 class Dispatcher
 {
@@ -140,8 +145,9 @@
     /// The last caller at an entry who waited for an ephemeral job has gone. Without another one the job is cancelled.
     void abandon(const std::string &job, const std::string &origin, Millis now);
 
-    /// Turns away the ephemeral jobs of which no task can have been started by any dispatcher, and whose callers are about
-    /// to give up.
+    /// Turns away the ephemeral jobs of which no task can have been started by any dispatcher, once they can end only after
+    /// usefulObjectives times their objective, or when their callers are about to give up. Answers loads that exceed the
+    /// room: the caller learns at once, and the room serves jobs that can still be of use.
     void turnAway(Millis now);
 
     /// Forgets final states older than the given ages.
@@ -225,6 +231,10 @@
         Millis due_;
         /// A job of which nothing was started by then will most likely end after its objective.
         Millis latestStart_;
+        /// A job of which nothing was started by then will most likely end too late to be of use to its caller.
+        Millis lastUsefulStart_;
+        /// Whether it was found to have missed latestStart_ with nothing started; such jobs are placed last.
+        bool late_ = false;
         /// When its caller gives up; 0 for never.
         Millis giveUpAt_;
         std::uint64_t sequence_ = 0;
@@ -268,7 +278,8 @@
         std::vector<std::pair<EndRef, End>> ends_;
     };
 
-    using ReadyKey = std::tuple<std::uint32_t, std::int64_t, std::uint64_t>;
+    /// Priority, late or not, due time, order of arrival.
+    using ReadyKey = std::tuple<std::uint32_t, bool, std::int64_t, std::uint64_t>;
 
     static ReadyKey keyOf(const Job &job);
     Task *findTask(const TaskId &id, Job *&job);
@@ -287,6 +298,7 @@
     void dropForeign(Predicate drop);
     void endSaved(const EndRef &end);
     bool isLate(const Job &job, Millis now) const;
+    bool isHopeless(const Job &job, Millis now) const;
     bool placeTasks(Job &job, Millis now);
     bool isStepReady(const Job &job, std::size_t step) const;
     void place(Job &job, std::size_t step, std::uint32_t index, Target &target, Millis now);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -62,7 +62,7 @@
 
 Dispatcher::ReadyKey Dispatcher::keyOf(const Job &job)
 {
-    return {job.priority_, job.due_.count_, job.sequence_};
+    return {job.priority_, job.late_, job.due_.count_, job.sequence_};
 }
 
 std::optional<JobState> Dispatcher::addJob(JobOffer offer, Millis now)
@@ -97,8 +97,11 @@
     const Queue *queue = queueOf(job);
     job.priority_ = queue == nullptr ? 0 : queue->priority_;
     const Millis chain = longestChain(job.record_.spec_);
-    job.due_ = now + objective(chain, queue);
+    const Millis aim = objective(chain, queue);
+    const Millis handedIn = now - offer.age_;
+    job.due_ = handedIn + aim;
     job.latestStart_ = job.due_ - chain;
+    job.lastUsefulStart_ = handedIn + Millis{usefulObjectives * aim.count_} - chain;
     const JobProgress &progress = job.record_.progress_;
     for (const Step &step : job.record_.spec_.steps_) {
         job.offsets_.push_back(static_cast<std::uint32_t>(job.tasks_.size()));
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -230,7 +230,7 @@
     BOOST_REQUIRE(writes.size() == 1U);
 
     Bench second(false);
-    JobOffer loaded{"j1", writes[0].record_, 8, false, {}, {}};
+    JobOffer loaded{"j1", writes[0].record_, 8, false, {}, {}, {}};
     second.dispatcher_.addJob(loaded, second.now_);
     const std::vector<End> listed{{1, start.run_, EndKind::Failed, {}}};
     second.dispatcher_.report("a", testTarget("t-a"), 1, {}, listed, second.now_);
@@ -480,6 +480,91 @@
     BOOST_TEST(after.acks_.back().through_ == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_job_that_can_only_end_too_late_to_be_of_use_is_turned_away_at_once)
+{
+    Bench bench;
+    JobOffer offer = testJob("j1", {testStep(1)});
+    offer.patience_ = {5000};
+    bench.dispatcher_.addJob(offer, bench.now_);
+    // The objective is 1.6 times 100 ms and 60 ms, of which three times may pass, with 100 ms of work at the end.
+    bench.dispatcher_.turnAway(bench.now_ + Millis{560});
+    BOOST_TEST(bench.dispatcher_.takeEffects().notices_.empty());
+    bench.dispatcher_.turnAway(bench.now_ + Millis{561});
+    const Effects effects = bench.dispatcher_.takeEffects();
+    BOOST_REQUIRE(effects.notices_.size() == 1U);
+    BOOST_TEST((effects.notices_[0].state_ == JobState::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(the_time_that_a_caller_has_waited_counts_also_at_a_new_leader)
+{
+    Bench bench;
+    JobOffer offer = testJob("j1", {testStep(1)});
+    offer.patience_ = {5000};
+    offer.age_ = {600};
+    bench.dispatcher_.addJob(offer, bench.now_);
+    bench.dispatcher_.turnAway(bench.now_ + Millis{1});
+    BOOST_TEST(bench.dispatcher_.takeEffects().notices_.size() == 1U);
+}
+
+// A target that bears 100 jobs a second meets 160 for three seconds, then 60. What callers get: nobody is told later than
+// three times the objective, and after the burst new jobs are in time again at once.
+BOOST_AUTO_TEST_CASE(a_burst_makes_no_job_late_that_comes_after_it)
+{
+    constexpr std::int64_t length = 6000;
+    constexpr std::int64_t burst = 3000;
+    Bench bench;
+    bench.add("a", 10000);
+    struct Told
+    {
+        std::int64_t handedIn_ = 0;
+        std::int64_t after_ = -1;
+        JobState state_ = JobState::Pending;
+    };
+    std::map<std::string, Told> told;
+    std::multimap<std::int64_t, StartOrder> running;
+    double owed = 0;
+    for (std::int64_t now = 0; now < length + 1000; ++now) {
+        bench.now_ = {1000 + now};
+        owed += now < burst ? 0.16 : now < length ? 0.06 : 0;
+        for (; owed >= 1; owed -= 1) {
+            const std::string id = "j" + std::to_string(told.size());
+            JobOffer offer = testJob(id, {testStep(1)});
+            offer.patience_ = {3000};
+            bench.dispatcher_.addJob(offer, bench.now_);
+            told[id].handedIn_ = now;
+        }
+        while (!running.empty() && running.begin()->first <= now) {
+            bench.end(running.begin()->second);
+            running.erase(running.begin());
+        }
+        bench.dispatcher_.schedule(bench.now_);
+        if (now % 50 == 0) {
+            bench.dispatcher_.turnAway(bench.now_);
+        }
+        const Effects effects = bench.dispatcher_.takeEffects();
+        for (const StartOrder &start : effects.starts_) {
+            running.emplace(now + 100, start);
+        }
+        for (const Notice &notice : effects.notices_) {
+            told[notice.job_].after_ = now - told[notice.job_].handedIn_;
+            told[notice.job_].state_ = notice.state_;
+        }
+    }
+    int inTime = 0;
+    constexpr std::int64_t objective = 220;
+    for (const auto &[id, job] : told) {
+        BOOST_TEST(job.after_ >= 0);
+        BOOST_TEST(job.after_ <= usefulObjectives * objective);
+        const bool served = job.state_ == JobState::Completed && job.after_ <= objective;
+        inTime += served ? 1 : 0;
+        if (job.handedIn_ > burst + objective) {
+            BOOST_TEST(served);
+        }
+    }
+    // The room bears 300 jobs of the burst, and all 180 after it.
+    BOOST_TEST(inTime >= 430);
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_durable_job_is_stored_and_its_runs_are_stopped)
 {
     Bench bench;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -3,7 +3,6 @@
 #include <ibiswall/cell/dispatcher.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace ibiswall::cell {
 
@@ -29,30 +28,26 @@
 
 void Dispatcher::schedule(Millis now)
 {
-    for (auto begin = ready_.begin(); begin != ready_.end();) {
-        const std::uint32_t priority = std::get<0>(begin->first);
-        int misses = 0;
-        std::vector<Job *> late;
-        auto next = begin;
-        while (next != ready_.end() && std::get<0>(next->first) == priority && misses < maxMisses) {
-            Job &job = *(next++)->second;
-            if (isLate(job, now)) {
-                late.push_back(&job);
-            } else if (!placeTasks(job, now)) {
-                ++misses;
-            }
+    std::uint32_t priority = 0;
+    int misses = 0;
+    for (auto next = ready_.begin(); next != ready_.end();) {
+        Job &job = *(next++)->second;
+        if (job.priority_ != priority) {
+            priority = job.priority_;
+            misses = 0;
         }
-        for (Job *job : late) {
-            if (misses >= maxMisses) {
-                break;
+        if (!job.late_ && isLate(job, now)) {
+            // Met again further on, after those of its priority that are in time.
+            ready_.erase(keyOf(job));
+            job.late_ = true;
+            const auto moved = ready_.emplace(keyOf(job), &job).first;
+            if (next == ready_.end() || moved->first < next->first) {
+                next = moved;
             }
-            misses += placeTasks(*job, now) ? 0 : 1;
-        }
-        if (misses >= maxMisses) {
+        } else if (!isHopeless(job, now) && !placeTasks(job, now) && ++misses == maxMisses) {
             // What is less urgent does not overtake what waits.
             return;
         }
-        begin = ready_.lower_bound({priority + 1, std::numeric_limits<std::int64_t>::min(), 0});
     }
 }
 
@@ -128,16 +123,23 @@
     effects_.starts_.push_back({target.agent_, {id, task.run_}, job.record_.spec_.payload_, task.checkpoint_, job.isEphemeral()});
 }
 
+// Whether a job is to be turned away: nothing of it has run, and running it now would be of no use to its caller.
+bool Dispatcher::isHopeless(const Job &job, Millis now) const
+{
+    const bool untouched = !job.mayHaveStarted_ && job.state_ == JobState::Pending && job.waiting_ == job.tasks_.size();
+    const bool waitedFor = job.isEphemeral() && job.giveUpAt_ != Millis{0};
+    return waitedFor && untouched && (now > job.lastUsefulStart_ || now >= job.giveUpAt_);
+}
+
 void Dispatcher::turnAway(Millis now)
 {
-    std::vector<Job *> over;
+    std::vector<Job *> hopeless;
     for (const auto &[key, job] : ready_) {
-        const bool untouched = !job->mayHaveStarted_ && job->state_ == JobState::Pending && job->waiting_ == job->tasks_.size();
-        if (job->isEphemeral() && untouched && job->giveUpAt_ != Millis{0} && now >= job->giveUpAt_) {
-            over.push_back(job);
+        if (isHopeless(*job, now)) {
+            hopeless.push_back(job);
         }
     }
-    for (Job *job : over) {
+    for (Job *job : hopeless) {
         finish(*job, JobState::Refused, now);
     }
 }
--- a/src/ibiswall/cell/modelworld_test.cpp
+++ b/src/ibiswall/cell/modelworld_test.cpp
@@ -554,7 +554,7 @@
         for (const std::string &job : effects.lookups_) {
             const auto stored = store_.find(job);
             if (stored != store_.end()) {
-                leader.dispatcher_.addJob({job, stored->second.first, stored->second.second, false, {}, {}}, {now_});
+                leader.dispatcher_.addJob({job, stored->second.first, stored->second.second, false, {}, {}, {}}, {now_});
             } else {
                 const auto self = leaderOf(leader.epoch_);
                 after(2500, [self, job] {
@@ -650,7 +650,7 @@
             cut_[static_cast<std::size_t>(pick(settings_.agents_))] = now_ + 6000;
         }
         for (const auto &[id, stored] : store_) {
-            leader->dispatcher_.addJob({id, stored.first, stored.second, false, {}, {}}, {now_});
+            leader->dispatcher_.addJob({id, stored.first, stored.second, false, {}, {}, {}}, {now_});
         }
         const bool alone = std::none_of(leaders_.begin(), leaders_.end() - 1, [this](const auto &each) {
             return each->alive_ && now_ < each->provedAt_ + leaderRight + agentRight + slack;
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -100,7 +100,7 @@
         logEvent("job.unreadable", {{"key", std::string_view(item.key_)}, {"reason", std::string_view(record.error().text_)}});
         return;
     }
-    dispatcher_.addJob({keys::nameOf(item.key_, keys::jobs), std::move(record.value()), item.revision_, false, {}, {}}, bootClock());
+    dispatcher_.addJob({keys::nameOf(item.key_, keys::jobs), std::move(record.value()), item.revision_, false, {}, {}, {}}, bootClock());
 }
 
 void DispatchDuty::onAgentsLoaded(const platform::StoreAnswer &agents)
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -65,7 +65,6 @@
     // Without a fresh proof of the lead another entry may be placing the same tasks.
     if (now < rightUntil()) {
         dispatcher_.schedule(now);
-        dispatcher_.turnAway(now);
     }
     send(dispatcher_.takeEffects());
     store();
@@ -359,6 +358,9 @@
     for (const std::string &job : std::exchange(lookUpAgain_, {})) {
         lookUpForeign(job);
     }
+    if (now < rightUntil()) {
+        dispatcher_.turnAway(now);
+    }
     gauge("ibiswall_open_jobs", static_cast<double>(dispatcher_.openJobs()));
     act();
     timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -102,6 +102,20 @@
     return {std::max<std::int64_t>((last - bootClock() - leaderReserve).count_, 1)};
 }
 
+// For how long the first of the callers of a job has waited.
+Millis EntryNode::ageOf(const std::string &id) const
+{
+    const Millis now = bootClock();
+    const auto found = submitters_.find(id);
+    Millis age;
+    if (found != submitters_.end()) {
+        for (const Caller &caller : found->second) {
+            age = {std::max(age.count_, (now - caller.since_).count_)};
+        }
+    }
+    return age;
+}
+
 void EntryNode::offerAll()
 {
     for (const auto &[id, job] : jobs_) {
@@ -127,7 +141,7 @@
             continue;
         }
         KnownJob &job = found->second;
-        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredTo_ == 0, {}, patienceFor(id)});
+        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredTo_ == 0, {}, patienceFor(id), ageOf(id)});
         job.offeredTo_ = epoch;
         if (frame.offers_.size() == maxOffers) {
             send();
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -75,6 +75,7 @@
     void tellEntries(const Frame &frame);
     void offerLater(const std::string &id);
     Millis patienceFor(const std::string &id) const;
+    Millis ageOf(const std::string &id) const;
     void offerAll();
     void flushOffers();
     void peerUp(const Peer &peer);
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -139,8 +139,8 @@
 {
     Json offers = Json::array();
     for (const cell::JobOffer &offer : frame.offers_) {
-        offers.push_back(
-            Json::array({offer.id_, binary(formatRecord(offer.record_)), offer.revision_, offer.fresh_, offer.patience_.count_}));
+        offers.push_back(Json::array(
+            {offer.id_, binary(formatRecord(offer.record_)), offer.revision_, offer.fresh_, offer.patience_.count_, offer.age_.count_}));
     }
     return offers;
 }
@@ -241,7 +241,8 @@
                                  each.at(2).get<std::int64_t>(),
                                  each.at(3).get<bool>(),
                                  {},
-                                 {each.at(4).get<std::int64_t>()}});
+                                 {each.at(4).get<std::int64_t>()},
+                                 {each.at(5).get<std::int64_t>()}});
     }
     return frame;
 }
