A leader lets go only to an entry that the store has answered since, and goes on when nobody follows

Change: the leader compares the other's latest answer with its own oldest open call; a client without an answer counts as silent; a leader that has let go resumes after 500 ms without a successor. Two tests of the lead fail before.

--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -426,19 +426,38 @@
 
 void DispatchDuty::yield()
 {
-    if (!std::exchange(yielded_, true)) {
+    if (!hasYielded()) {
+        yieldedAt_ = bootClock();
         logEvent("lead.yielded", {{"epoch", number(epoch_)}, {"proof_age_ms", proofAge().count_}});
     }
 }
 
+void DispatchDuty::resume()
+{
+    logEvent("lead.resumed",
+             {{"epoch", number(epoch_)}, {"proof_age_ms", proofAge().count_}, {"yielded_ms", (bootClock() - yieldedAt_).count_}});
+    yieldedAt_ = {};
+    actLater();
+}
+
 bool DispatchDuty::hasYielded() const
 {
-    return yielded_;
+    return yieldedAt_ != Millis{0};
+}
+
+Millis DispatchDuty::yieldedAt() const
+{
+    return yieldedAt_;
+}
+
+StoreContact DispatchDuty::storeContact() const
+{
+    return {proofAge(), unansweredSince_};
 }
 
 Millis DispatchDuty::rightUntil() const
 {
-    if (yielded_) {
+    if (hasYielded()) {
         return {0};
     }
     return {std::max((provedAt_ + rights_.leader_).count_, outlets_.promisedUntil_().count_)};
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -4,6 +4,7 @@
 
 #include "../../../platform/store.hpp"
 #include "frames.hpp"
+#include "leadership.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <ibiswall/cell/reports.hpp>
 
@@ -59,6 +60,12 @@
     void yield();
     bool hasYielded() const;
 
+    /// When it began to yield.
+    Millis yieldedAt() const;
+
+    /// Goes on after a yield that nobody has answered.
+    void resume();
+
     void setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut);
 
     void agentUp(const std::string &agent);
@@ -67,8 +74,8 @@
     /// Reads the jobs again, in case an entry died before it could offer one.
     void sweepLater();
 
-    /// Age of the latest proof that this process leads.
-    Millis proofAge() const;
+    /// Age of the latest proof that this process leads, and what is open with the store.
+    StoreContact storeContact() const;
 
     std::map<std::string, std::size_t> waitingJobs() const;
 
@@ -124,6 +131,7 @@
     platform::Transaction conditional() const;
     void proved(Millis sentAt);
     Millis rightUntil() const;
+    Millis proofAge() const;
     void depose();
 
     boost::asio::io_context &io_;
@@ -141,6 +149,8 @@
     /// When the latest call that proved the lead had been sent.
     Millis provedAt_;
     bool proving_ = false;
+    /// When the first call for a proof was sent that has had no answer, 0 for none.
+    Millis unansweredSince_;
     bool loaded_ = false;
     bool gathered_ = false;
     /// Set once the agents that can be reached have reported. Offers wait for it: a caller who lost its connection may
@@ -149,7 +159,8 @@
     std::vector<std::pair<std::string, OffersFrame>> earlyOffers_;
     Millis loadedAt_;
     bool stopped_ = false;
-    bool yielded_ = false;
+    /// Since when it yields, 0 while it does not.
+    Millis yieldedAt_;
     bool acting_ = false;
     bool storing_ = false;
     Millis storedAt_;
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -224,6 +224,7 @@
 void DispatchDuty::proved(Millis sentAt)
 {
     provedAt_ = {std::max(provedAt_.count_, sentAt.count_)};
+    unansweredSince_ = {};
 }
 
 void DispatchDuty::prove()
@@ -233,6 +234,9 @@
     }
     proving_ = true;
     const Millis sentAt = bootClock();
+    if (unansweredSince_ == Millis{0}) {
+        unansweredSince_ = sentAt;
+    }
     store_.get(keys::leader, [self = shared_from_this(), sentAt](const platform::StoreAnswer &answer) {
         self->proving_ = false;
         if (self->stopped_ || answer.outcome_ != platform::StoreOutcome::Ok || answer.items_.empty()) {
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -206,8 +206,12 @@
     frame.epoch_ = leadership_.lead().epoch_;
     frame.leader_ = leadership_.lead().leader_;
     frame.leaderAge_ = leadership_.leaderAge(now);
-    frame.storeAge_ = duty_ ? duty_->proofAge() : now - store_.health().answeredSentAt_;
-    if (duty_ && leadership_.shouldLetGo(duty_->proofAge(), stoppingSince_.has_value(), now)) {
+    frame.storeAge_ = duty_ ? duty_->storeContact().age_ : now - store_.health().answeredSentAt_;
+    if (duty_ && duty_->hasYielded()) {
+        if (leadership_.shouldResume(duty_->yieldedAt(), now)) {
+            duty_->resume();
+        }
+    } else if (duty_ && leadership_.shouldLetGo(duty_->storeContact(), stoppingSince_.has_value(), now)) {
         duty_->yield();
     }
     frame.leaving_ = stoppingSince_.has_value();
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -110,16 +110,26 @@
                        [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_; });
 }
 
-bool Leadership::shouldLetGo(Millis storeAge, bool leaving, Millis now) const
+bool Leadership::shouldLetGo(const StoreContact &store, bool leaving, Millis now) const
 {
-    const bool unfit = leaving || storeAge > settings_.storeLost_;
+    const bool lost = store.age_ > settings_.storeLost_ && store.unansweredSince_ != Millis{0};
     return std::any_of(others_.begin(), others_.end(), [&](const auto &each) {
         const Other &other = each.second;
+        if (!isAble(other, now)) {
+            return false;
+        }
+        // In an outage for all the others merely look as if they reached the store until their last answers have aged.
+        const bool reaches = other.heardAt_ - other.storeAge_ > store.unansweredSince_ + settings_.transit_;
         const bool stronger = static_cast<double>(other.power_) >= settings_.stronger_ * static_cast<double>(power_);
-        return isAble(other, now) && (unfit || (stronger && now >= other.upSince_ + settings_.steady_));
+        return leaving || (lost && reaches) || (stronger && now >= other.upSince_ + settings_.steady_);
     });
 }
 
+bool Leadership::shouldResume(Millis yieldedAt, Millis now) const
+{
+    return isMine() && now > yieldedAt + settings_.resume_;
+}
+
 Millis Leadership::promisedFrom() const
 {
     return leaderClock_;
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -18,10 +18,15 @@
     Millis silence_{450};
     /// Added for each live entry whose name comes first, so that not all try at once.
     Millis turn_{150};
-    /// A leader whose latest word from the store is older than this lets go ...
+    /// A leader whose latest word from the store is older than this lets go, if another entry has had one since.
     Millis storeLost_{1300};
-    /// ... when another entry's latest word from it is not older than this.
+    /// An entry whose latest word from the store is older than this does not try for the lead.
     Millis storeFresh_{800};
+    /// What beats may take on their way, and clocks may differ in pace while one is compared with another's.
+    Millis transit_{150};
+    /// A leader that has let go and has no successor after this time goes on: shorter than the right of an agent, whose
+    /// runs would lapse.
+    Millis resume_{500};
     /// How long an entry that has just heard the leader does not try for the lead; less than silence_.
     Millis promise_{400};
     /// Time that a new leader has to make itself heard.
@@ -32,6 +37,15 @@
     Millis steady_{2000};
 };
 
+/// How a leader stands with the store.
+struct StoreContact
+{
+    /// Age of its latest proof that it leads.
+    Millis age_;
+    /// When the first call since then was sent that has had no answer; 0 for none.
+    Millis unansweredSince_;
+};
+
 /// What an entry knows of the lead.
 struct Lead
 {
@@ -78,9 +92,13 @@
     /// Whether another entry is alive and stays, so that callers have somewhere to go.
     bool hasHeir(Millis now) const;
 
-    /// At the leader: whether to let go, since it is leaving or does not reach the store, and another entry can take over;
-    /// or since a much stronger one can. All tasks of the cell pass through the leader, which a weak VM does not bear.
-    bool shouldLetGo(Millis storeAge, bool leaving, Millis now) const;
+    /// At the leader: whether to let go, since it is leaving and another entry can take over; since the store has answered
+    /// another entry but not a call that this one had sent before; or since a much stronger entry is there. All tasks of
+    /// the cell pass through the leader, which a weak VM does not bear.
+    bool shouldLetGo(const StoreContact &store, bool leaving, Millis now) const;
+
+    /// At a leader that has let go: whether to go on, since nobody has taken the lead. In an outage nobody can.
+    bool shouldResume(Millis yieldedAt, Millis now) const;
 
     /// What to promise the leader in a beat.
     Millis promisedFrom() const;
--- a/src/ibiswall/node/leadership_test.cpp
+++ b/src/ibiswall/node/leadership_test.cpp
@@ -10,6 +10,9 @@
 
 constexpr Millis fresh{100};
 constexpr Millis lost{5000};
+constexpr StoreContact answered{fresh, {}};
+// A call that was sent at 500 ms is still open.
+constexpr StoreContact unanswered{lost, {500}};
 
 BeatFrame beatOf(std::uint64_t epoch, const std::string &leader, Millis leaderAge = {0})
 {
@@ -95,15 +98,15 @@
     Leadership one("e1", 500, {});
     one.take(5, {1000});
     BOOST_TEST(one.isMine());
-    BOOST_TEST(!one.shouldLetGo(lost, true, {1000}));
+    BOOST_TEST(!one.shouldLetGo(unanswered, true, {1000}));
     BeatFrame beat = beatOf(5, "e1");
     beat.storeAge_ = lost;
     one.heard("e2", beat, {1000});
-    BOOST_TEST(!one.shouldLetGo(lost, true, {1000}));
+    BOOST_TEST(!one.shouldLetGo(unanswered, true, {1000}));
     one.heard("e2", beatOf(5, "e1"), {1000});
-    BOOST_TEST(one.shouldLetGo(lost, false, {1000}));
-    BOOST_TEST(one.shouldLetGo(fresh, true, {1000}));
-    BOOST_TEST(!one.shouldLetGo(fresh, false, {1000}));
+    BOOST_TEST(one.shouldLetGo(unanswered, false, {1000}));
+    BOOST_TEST(one.shouldLetGo(answered, true, {1000}));
+    BOOST_TEST(!one.shouldLetGo(answered, false, {1000}));
 }
 
 BOOST_AUTO_TEST_CASE(the_leader_may_rely_on_promises_of_all_others_and_no_longer_than_they_hold)
@@ -147,6 +150,36 @@
     BOOST_TEST(one.lead().leader_ == "e1");
 }
 
+// Seen on the bench: the store fell silent for all, the leader let go to an entry whose last answer was 0.7 s old, and
+// nobody could take the lead for 5 s.
+BOOST_AUTO_TEST_CASE(a_leader_keeps_the_lead_when_the_store_answers_nobody)
+{
+    Leadership one("e1", 500, {});
+    one.take(5, {1000});
+    constexpr std::int64_t outage = 10000;
+    constexpr std::int64_t proof = outage - 500;
+    for (std::int64_t now = outage; now < outage + 3000; now += 100) {
+        BeatFrame beat = beatOf(5, "e1");
+        beat.storeAge_ = {now - outage + 10};
+        one.heard("e2", beat, {now});
+        BOOST_TEST(!one.shouldLetGo({{now - proof}, {outage + 100}}, false, {now}));
+    }
+    // The store comes back for the other entry only.
+    one.heard("e2", beatOf(5, "e1"), {outage + 3000});
+    BOOST_TEST(one.shouldLetGo({{3500}, {outage + 100}}, false, {outage + 3000}));
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_that_let_go_goes_on_when_nobody_follows)
+{
+    const LeadershipSettings settings;
+    Leadership one("e1", 500, settings);
+    one.take(5, {1000});
+    BOOST_TEST(!one.shouldResume({2000}, Millis{2000} + settings.resume_));
+    BOOST_TEST(one.shouldResume({2000}, Millis{2001} + settings.resume_));
+    one.heard("e2", beatOf(6, "e2"), {2100});
+    BOOST_TEST(!one.shouldResume({2000}, {9000}));
+}
+
 // All tasks pass through the leader. On the bench a leader with an eighth of a core served one job in ten.
 BOOST_AUTO_TEST_CASE(the_strongest_entry_tries_first)
 {
@@ -172,14 +205,14 @@
     Millis now{1000};
     for (; now < Millis{1000} + settings.steady_; now = now + Millis{100}) {
         weak.heard("e2", beatOf(5, "e1"), now);
-        BOOST_TEST(!weak.shouldLetGo(fresh, false, now));
+        BOOST_TEST(!weak.shouldLetGo(answered, false, now));
     }
     weak.heard("e2", beatOf(5, "e1"), now);
-    BOOST_TEST(weak.shouldLetGo(fresh, false, now));
+    BOOST_TEST(weak.shouldLetGo(answered, false, now));
     // A break counts from anew.
     now = now + settings.silence_ + Millis{100};
     weak.heard("e2", beatOf(5, "e1"), now);
-    BOOST_TEST(!weak.shouldLetGo(fresh, false, now));
+    BOOST_TEST(!weak.shouldLetGo(answered, false, now));
 }
 
 BOOST_AUTO_TEST_CASE(entries_that_are_alike_keep_their_leader)
@@ -188,7 +221,7 @@
     one.take(5, {1000});
     for (Millis now{1000}; now < Millis{9000}; now = now + Millis{100}) {
         one.heard("e1", beatOf(5, "e2"), now);
-        BOOST_TEST(!one.shouldLetGo(fresh, false, now));
+        BOOST_TEST(!one.shouldLetGo(answered, false, now));
     }
 }
 
