--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -66,6 +66,13 @@
     JobRecord record_;
 };
 
+/// A record that need not be kept any more, to remove if the stored one still has the revision.
+struct JobRemoval
+{
+    std::string job_;
+    std::int64_t revision_ = 0;
+};
+
 /// A job to take in.
 struct JobOffer
 {
@@ -150,9 +157,15 @@
     /// room: the caller learns at once, and the room serves jobs that can still be of use.
     void turnAway(Millis now);
 
-    /// Forgets final states older than the given ages.
+    /// Forgets final states older than the given ages; stored ones are to be removed from the store as well.
     void forgetEnded(Millis ephemeralBefore, Millis storedBefore);
 
+    /// Takes records that are to be removed.
+    std::vector<JobRemoval> takeRemovals(std::size_t most);
+
+    /// The store has not said that the records were removed.
+    void notRemoved(std::vector<JobRemoval> removals);
+
     /// Places waiting tasks: by priority, then jobs that can still meet their objective, then by the time at which
     /// they are due. Answers loads that exceed the room for a while: what is late already makes nothing else late.
     void schedule(Millis now);
@@ -260,6 +273,8 @@
         JobState state_ = JobState::Completed;
         Millis at_;
         bool ephemeral_ = false;
+        /// Revision of the stored record; of no meaning for an ephemeral job.
+        std::int64_t revision_ = 0;
     };
 
     /// What targets report of a job that nobody has offered yet.
@@ -313,6 +328,8 @@
     std::unordered_map<std::string, Job> jobs_;
     /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
     std::unordered_map<std::string, Ended> ended_;
+    /// Records of jobs that are in none of the other tables.
+    std::vector<JobRemoval> removals_;
     /// None of these jobs is in jobs_ or ended_.
     std::unordered_map<std::string, Foreign> foreign_;
     /// Jobs with waiting tasks, in the order of placing; all are in jobs_.
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -74,7 +74,7 @@
     if (isFinal(state)) {
         // A job cannot come back from a final state, so the stored state wins over what is known here.
         if (const auto known = jobs_.find(offer.id_); known == jobs_.end()) {
-            ended_[offer.id_] = {state, now, false};
+            ended_[offer.id_] = {state, now, false, offer.revision_};
         }
         return state;
     }
@@ -485,7 +485,7 @@
         effects_.notices_.push_back({id, job.state_, job.origins_});
     }
     if (job.state_ != JobState::Refused) {
-        ended_[id] = {job.state_, now, job.isEphemeral()};
+        ended_[id] = {job.state_, now, job.isEphemeral(), job.revision_};
     }
     std::vector<EndRef> ends = std::move(job.unsaved_);
     dirty_.erase(id);
@@ -510,8 +510,15 @@
 void Dispatcher::forgetEnded(Millis ephemeralBefore, Millis storedBefore)
 {
     for (auto each = ended_.begin(); each != ended_.end();) {
-        const Ended &ended = each->second;
-        each = ended.at_ < (ended.ephemeral_ ? ephemeralBefore : storedBefore) ? ended_.erase(each) : std::next(each);
+        const auto &[id, ended] = *each;
+        if (ended.at_ >= (ended.ephemeral_ ? ephemeralBefore : storedBefore)) {
+            ++each;
+            continue;
+        }
+        if (!ended.ephemeral_) {
+            removals_.push_back({id, ended.revision_});
+        }
+        each = ended_.erase(each);
     }
 }
 
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -480,6 +480,41 @@
     BOOST_TEST(after.acks_.back().through_ == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(records_of_ended_jobs_are_removed_when_their_time_is_over)
+{
+    Bench bench;
+    bench.add("a");
+    bench.dispatcher_.addJob(testJob("d1", {testStep(1)}, false), bench.now_);
+    bench.dispatcher_.addJob(testJob("e1", {testStep(1)}, true), bench.now_);
+    for (const StartOrder &start : bench.schedule().starts_) {
+        bench.end(start);
+    }
+    BOOST_REQUIRE(bench.dispatcher_.takeWrites(10, bench.now_).size() == 1U);
+    bench.dispatcher_.written("d1", 40, bench.now_);
+    JobOffer loaded = testJob("d2", {}, false);
+    loaded.record_.progress_.state_ = JobState::Failed;
+    loaded.revision_ = 41;
+    bench.dispatcher_.addJob(loaded, bench.now_);
+    bench.dispatcher_.forgetEnded(bench.now_, bench.now_);
+    BOOST_TEST(bench.dispatcher_.takeRemovals(10).empty());
+    BOOST_TEST(bench.dispatcher_.knows("d1"));
+    bench.dispatcher_.forgetEnded(bench.now_ + Millis{1}, bench.now_ + Millis{1});
+    BOOST_TEST(!bench.dispatcher_.knows("d1"));
+    std::map<std::string, std::int64_t> removed;
+    for (const JobRemoval &removal : bench.dispatcher_.takeRemovals(1)) {
+        removed[removal.job_] = removal.revision_;
+    }
+    BOOST_TEST(removed.size() == 1U);
+    const auto rest = bench.dispatcher_.takeRemovals(10);
+    BOOST_REQUIRE(rest.size() == 1U);
+    bench.dispatcher_.notRemoved(rest);
+    for (const JobRemoval &removal : bench.dispatcher_.takeRemovals(10)) {
+        removed[removal.job_] = removal.revision_;
+    }
+    const std::map<std::string, std::int64_t> wanted{{"d1", 40}, {"d2", 41}};
+    BOOST_TEST((removed == wanted));
+}
+
 BOOST_AUTO_TEST_CASE(nobody_is_told_of_the_end_of_an_ephemeral_job_whose_callers_have_left)
 {
     Bench bench;
--- a/src/ibiswall/cell/dispatcherwrites.cpp
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/cell/dispatcher.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace ibiswall::cell {
 
@@ -58,6 +59,19 @@
     return writes;
 }
 
+std::vector<JobRemoval> Dispatcher::takeRemovals(std::size_t most)
+{
+    const std::size_t taken = std::min(most, removals_.size());
+    std::vector<JobRemoval> out(removals_.end() - static_cast<std::ptrdiff_t>(taken), removals_.end());
+    removals_.resize(removals_.size() - taken);
+    return out;
+}
+
+void Dispatcher::notRemoved(std::vector<JobRemoval> removals)
+{
+    std::move(removals.begin(), removals.end(), std::back_inserter(removals_));
+}
+
 void Dispatcher::written(const std::string &id, std::int64_t revision, Millis now)
 {
     const auto found = jobs_.find(id);
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -123,6 +123,8 @@
     void send(cell::Effects &&effects);
     void store();
     void onStored(const std::vector<cell::JobWrite> &writes, const std::vector<std::string> &values, const platform::StoreAnswer &answer);
+    void removeEnded(Millis now);
+    void onRemovalConflict(const std::vector<cell::JobRemoval> &removals, const platform::StoreAnswer &answer);
     void prove();
     void tick();
     void checkAgents(Millis now);
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -154,6 +154,7 @@
     }
     const std::vector<cell::JobWrite> writes = dispatcher_.takeWrites(maxRecords, now);
     if (writes.empty()) {
+        removeEnded(now);
         return;
     }
     storing_ = true;
@@ -176,6 +177,55 @@
     });
 }
 
+// Removes records whose time is over, while there is nothing else to store.
+void DispatchDuty::removeEnded(Millis now)
+{
+    std::vector<cell::JobRemoval> removals = dispatcher_.takeRemovals(maxRecords);
+    if (removals.empty()) {
+        return;
+    }
+    storing_ = true;
+    storedAt_ = now;
+    platform::Transaction transaction = conditional();
+    for (const cell::JobRemoval &removal : removals) {
+        transaction.conditions_.push_back({keys::job(removal.job_), removal.revision_});
+        transaction.removals_.push_back(keys::job(removal.job_));
+    }
+    store_.commit(transaction, [self = shared_from_this(), removals = std::move(removals), now](const platform::StoreAnswer &answer) {
+        using platform::StoreOutcome;
+        if (self->stopped_) {
+            return;
+        }
+        self->storing_ = false;
+        if (answer.outcome_ == StoreOutcome::Ok) {
+            self->proved(now);
+            logEvent("job.removed", {{"records", static_cast<std::int64_t>(removals.size())}});
+        } else if (answer.outcome_ == StoreOutcome::Conflict) {
+            self->onRemovalConflict(removals, answer);
+        } else {
+            self->storedAt_ = bootClock() + repeat;
+            self->dispatcher_.notRemoved(removals);
+        }
+    });
+}
+
+// A record that is not as it was left has been removed before, by a call whose answer was lost.
+void DispatchDuty::onRemovalConflict(const std::vector<cell::JobRemoval> &removals, const platform::StoreAnswer &answer)
+{
+    std::map<std::string, std::int64_t> stored;
+    for (const platform::Item &item : answer.items_) {
+        stored[item.key_] = item.revision_;
+    }
+    if (stored[keys::leader] != static_cast<std::int64_t>(epoch_)) {
+        depose();
+        return;
+    }
+    std::vector<cell::JobRemoval> left;
+    std::copy_if(removals.begin(), removals.end(), std::back_inserter(left),
+                 [&stored](const cell::JobRemoval &each) { return stored[keys::job(each.job_)] == each.revision_; });
+    dispatcher_.notRemoved(std::move(left));
+}
+
 void DispatchDuty::onStored(const std::vector<cell::JobWrite> &writes,
                             const std::vector<std::string> &values,
                             const platform::StoreAnswer &answer)
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -58,7 +58,8 @@
                                {"links", loopback(freePort())},
                                {"metrics", loopback(entry.metricsPort_)},
                                {"store", loopback(storePort_)},
-                               {"grace_ms", 6000}};
+                               {"grace_ms", 6000},
+                               {"keep_states_ms", shape_.keepStates_.count_}};
         std::ofstream(entry.settings_) << settings.dump(2);
     }
     for (int i = 1; i <= shape.workers_; ++i) {
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -19,6 +19,8 @@
     int workers_ = 4;
     /// Share of the workers' orders that are not answered and carried out late.
     double lostOrders_ = 0;
+    /// How long the final states of jobs are kept.
+    Millis keepStates_{120000};
 };
 
 /// A worker and the agent beside it.
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -222,6 +222,17 @@
     BOOST_TEST(cell.call(1, "GET", jobId(6001)).value().status_ == 410);
 }
 
+BOOST_AUTO_TEST_CASE(records_of_ended_jobs_leave_the_store_when_their_time_is_over)
+{
+    CellShape shape{2, 1, 0};
+    shape.keepStates_ = {500};
+    Cell cell(shape);
+    cell.awaitService();
+    BOOST_REQUIRE(cell.submit(jobId(7000), 2, 1, false, {20000}).status_ == 200);
+    // An entry that does not know the job any more asks the store.
+    await("the job is gone", [&] { return cell.call(1, "GET", jobId(7000)).value().status_ == 410; });
+}
+
 BOOST_AUTO_TEST_CASE(bad_input_is_refused_with_a_number_and_a_reason)
 {
     Cell cell({1, 1, 0});
