--- a/include/ibiswall/log/eventlog.hpp
+++ b/include/ibiswall/log/eventlog.hpp
@@ -17,6 +17,12 @@
     std::variant<std::int64_t, std::string_view> value_;
 };
 
+/// Turns a number that is never negative into one that can be logged.
+constexpr std::int64_t logNumber(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
 /// Sets the words that begin each line.
 /// @param node name of the process
 void startEventLog(std::string_view node);
--- a/src/ibiswall/node/dispatchduty.hpp
+++ b/src/ibiswall/node/dispatchduty.hpp
@@ -10,6 +10,9 @@
 
 namespace ibiswall::node {
 
+/// How often the duty looks for what time has made due.
+constexpr Millis tickPeriod{50};
+
 /// Times of the right to run.
 struct RightSettings
 {
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -11,19 +11,13 @@
 
 namespace {
 
-constexpr Millis tickPeriod{50};
 constexpr Millis proveAfter{600};
 // Each record takes a condition and a write, and the lead one condition.
 constexpr std::size_t maxRecords = (platform::maxTransaction - 1) / 2;
 // Least time between two transactions, so that ends gather: a call to the store costs more than this wait.
 constexpr Millis gather{12};
-// Time for which a target takes and runs nothing before its agent is taken out of the store; longer than any lease.
-constexpr Millis idleAgent{3000};
 // Time that entries have to offer a job that a target runs: a caller asks again within it.
 constexpr Millis offerGrace{2500};
-// Longest wait for agents that can be reached but do not report, before new jobs are taken: the right that the former
-// leader may have given them, and the slack after it, are over by then.
-constexpr Millis settleLimit{1200};
 // How long the end of an ephemeral job is kept for a caller who lost the answer and asks again.
 constexpr Millis keepEphemeral{10000};
 // Longest time for which an acknowledgement waits for orders to travel with.
@@ -58,7 +52,7 @@
     }
     if (!gathered_ && isGathered(now)) {
         gathered_ = true;
-        logEvent("lead.gathered", {{"epoch", static_cast<std::int64_t>(epoch_)}, {"after_ms", (now - tookOverAt_).count_}});
+        logEvent("lead.gathered", {{"epoch", logNumber(epoch_)}, {"after_ms", (now - tookOverAt_).count_}});
         dispatcher_.gathered(now);
     }
     dispatcher_.confirmLost(now < outlets_.promisedUntil_() ? now : provedAt_);
@@ -78,7 +72,7 @@
         logEvent("run.placed",
                  {{"job", std::string_view(start.run_.task_.job_)},
                   {"task", start.run_.task_.index_},
-                  {"run", static_cast<std::int64_t>(start.run_.number_)},
+                  {"run", logNumber(start.run_.number_)},
                   {"agent", std::string_view(start.agent_)}});
         std::string agent = start.agent_;
         orders[std::move(agent)].starts_.push_back(std::move(start));
@@ -199,7 +193,7 @@
         self->storing_ = false;
         if (answer.outcome_ == StoreOutcome::Ok) {
             self->proved(now);
-            logEvent("job.removed", {{"records", static_cast<std::int64_t>(removals.size())}});
+            logEvent("job.removed", {{"records", logNumber(removals.size())}});
         } else if (answer.outcome_ == StoreOutcome::Conflict) {
             self->onRemovalConflict(removals, answer);
         } else {
@@ -305,62 +299,11 @@
 {
     if (!stopped_) {
         count("ibiswall_lead_lost_total");
-        logEvent("lead.lost", {{"epoch", static_cast<std::int64_t>(epoch_)}, {"proof_age_ms", proofAge().count_}});
+        logEvent("lead.lost", {{"epoch", logNumber(epoch_)}, {"proof_age_ms", proofAge().count_}});
         stop();
         outlets_.deposed_();
     }
 }
-
-bool DispatchDuty::isSettled(Millis now) const
-{
-    if (first_ || now > loadedAt_ + settleLimit) {
-        return true;
-    }
-    const std::vector<std::string> reachable = outlets_.agents_();
-    return std::all_of(reachable.begin(), reachable.end(), [this](const std::string &name) {
-        const auto found = agents_.find(name);
-        return found == agents_.end() || !found->second.registered_ || found->second.reports_.isComplete();
-    });
-}
-
-bool DispatchDuty::isGathered(Millis now) const
-{
-    // After the wait for agents that cannot be reached, the lead has to be proved once more: under a later leader they
-    // may go on.
-    const Millis waited = tookOverAt_ + rights_.leader_ + rights_.slack_;
-    if (first_ || provedAt_ > waited || (now > waited && now < outlets_.promisedUntil_())) {
-        return true;
-    }
-    return std::all_of(agents_.begin(), agents_.end(),
-                       [](const auto &each) { return !each.second.registered_ || each.second.reports_.isComplete(); });
-}
-
-void DispatchDuty::checkAgents(Millis now)
-{
-    std::vector<std::string> idle;
-    for (auto &[name, agent] : agents_) {
-        if (!agent.registered_ || !agent.reports_.isComplete() || !dispatcher_.isIdle(name)) {
-            agent.idleSince_ = {};
-        } else if (agent.idleSince_ == Millis{0}) {
-            agent.idleSince_ = now;
-        } else if (now > agent.idleSince_ + idleAgent) {
-            idle.push_back(name);
-        }
-        if (agent.trusted_ && now > agent.grantedAt_ + rights_.agent_ + rights_.slack_) {
-            count("ibiswall_agents_lost_total");
-            logEvent("agent.lost", {{"agent", std::string_view(name)}, {"granted_ms_ago", (now - agent.grantedAt_).count_}});
-            agent.reports_.restart();
-            agent.trusted_ = false;
-            dispatcher_.targetLost(name, now);
-            outlets_.drop_(name);
-            prove();
-        }
-    }
-    for (const std::string &name : idle) {
-        forgetAgent(name);
-    }
-}
-
 void DispatchDuty::sweep()
 {
     sweeping_ = true;
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Millis tickPeriod{50};
 // Calls to the store normally end within milliseconds; when it is slow they may take some hundreds.
 constexpr Millis storeTimeout{1000};
 // The balancer notices within two of its checks, a second each, that the entry takes no more connections.
