--- a/src/ibiswall/cell/attendant_test.cpp
+++ b/src/ibiswall/cell/attendant_test.cpp
@@ -369,7 +369,7 @@
     while (delays.size() < runs) {
         bench.pass(1);
         const std::int64_t now = bench.now_.count_;
-        BOOST_REQUIRE(now < began + 2 * runs * startEvery);
+        BOOST_REQUIRE(now < began + startEvery * 2 * runs);
         const std::int64_t passed = now - began;
         if (passed % startEvery == 0 && passed / startEvery <= runs) {
             bench.start("j" + std::to_string(passed / startEvery), static_cast<std::uint64_t>(passed / startEvery));
@@ -402,7 +402,9 @@
             }
         }
         std::vector<std::pair<std::int64_t, TargetCall>> waiting;
-        for (const auto &[answered, call] : std::exchange(holds, {})) {
+        for (const auto &each : std::exchange(holds, {})) {
+            const std::int64_t answered = each.first;
+            const TargetCall &call = each.second;
             const bool news = !ends.empty() && ends.back().number_ > call.acknowledged_;
             if (answered < 0 && now >= (call.sentAt_ + call.wait_ + unansweredOrder).count_) {
                 bench.attendant_.held(call, {}, bench.now_);
