A refused job stays refused until it is handed in anew

Ruled out: two leaders (one epoch), agents (first start after the refusal). Change: the leader keeps refusals like other ends, and only a fresh offer begins anew; notices name the epoch, and an entry does not believe the refusal of a leader before the one that it has offered the job to since; ends of ephemeral jobs that an entry does not know any more leave no trace there (a caller who asked again got an empty 200).

--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -67,7 +67,7 @@
     Completed,
     Failed,
     Cancelled,
-    /// Turned away before any task was started. Never stored; the same id may come again.
+    /// Turned away before any task was started. Never stored; the same id may be handed in again.
     Refused,
 };
 
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -68,7 +68,11 @@
 std::optional<JobState> Dispatcher::addJob(JobOffer offer, Millis now)
 {
     if (const auto ended = ended_.find(offer.id_); ended != ended_.end()) {
-        return ended->second.state_;
+        // A job that was turned away may be handed in anew; an old offer that is repeated stays turned away.
+        if (ended->second.state_ != JobState::Refused || !offer.fresh_) {
+            return ended->second.state_;
+        }
+        ended_.erase(ended);
     }
     const JobState state = offer.record_.progress_.state_;
     if (isFinal(state)) {
@@ -484,9 +488,7 @@
     } else if (!job.origins_.empty()) {
         effects_.notices_.push_back({id, job.state_, job.origins_});
     }
-    if (job.state_ != JobState::Refused) {
-        ended_[id] = {job.state_, now, job.isEphemeral(), job.revision_};
-    }
+    ended_[id] = {job.state_, now, job.isEphemeral(), job.revision_};
     std::vector<EndRef> ends = std::move(job.unsaved_);
     dirty_.erase(id);
     jobs_.erase(id);
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -515,6 +515,24 @@
     BOOST_TEST((removed == wanted));
 }
 
+// Seen on the bench: an entry whose path to the leader was replaced repeated its offer while the refusal was on its way. The
+// caller was told that the job had not run, and it ran a second later.
+BOOST_AUTO_TEST_CASE(a_job_that_was_turned_away_stays_so_until_it_is_handed_in_anew)
+{
+    Bench bench;
+    JobOffer offer = testJob("j1", {testStep(1)});
+    offer.patience_ = {500};
+    bench.dispatcher_.addJob(offer, bench.now_);
+    bench.dispatcher_.turnAway(bench.now_ + Millis{500});
+    bench.add("a");
+    JobOffer repeated = offer;
+    repeated.fresh_ = false;
+    BOOST_TEST((bench.dispatcher_.addJob(repeated, bench.now_) == std::optional(JobState::Refused)));
+    BOOST_TEST(bench.schedule().starts_.empty());
+    BOOST_TEST(!bench.dispatcher_.addJob(offer, bench.now_).has_value());
+    BOOST_TEST(bench.schedule().starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(nobody_is_told_of_the_end_of_an_ephemeral_job_whose_callers_have_left)
 {
     Bench bench;
--- a/src/ibiswall/node/dispatchduty.cpp
+++ b/src/ibiswall/node/dispatchduty.cpp
@@ -149,16 +149,20 @@
         earlyOffers_.emplace_back(from, std::move(frame));
         return;
     }
-    NoticesFrame ended;
+    NoticesFrame ended{epoch_, false, {}};
+    NoticesFrame endedEphemeral{epoch_, true, {}};
     for (cell::JobOffer &offer : frame.offers_) {
         const std::string id = offer.id_;
         offer.origin_ = from;
+        NoticesFrame &notices = offer.record_.spec_.ephemeral_ ? endedEphemeral : ended;
         if (const auto state = dispatcher_.addJob(std::move(offer), bootClock())) {
-            ended.notices_.push_back({id, *state, {}});
+            notices.notices_.push_back({id, *state, {}});
         }
     }
-    if (!ended.notices_.empty()) {
-        outlets_.send_(from, ended);
+    for (const NoticesFrame &notices : {std::cref(ended), std::cref(endedEphemeral)}) {
+        if (!notices.notices_.empty()) {
+            outlets_.send_(from, notices);
+        }
     }
     actLater();
 }
@@ -175,7 +179,7 @@
         act();
         break;
     case cell::CancelOutcome::AlreadyFinal:
-        outlets_.send_(from, NoticesFrame{{{frame.job_, *dispatcher_.finalState(frame.job_), {}}}});
+        outlets_.send_(from, NoticesFrame{epoch_, false, {{frame.job_, *dispatcher_.finalState(frame.job_), {}}}});
         break;
     case cell::CancelOutcome::Unknown:
         lookUp(frame.job_, [self = shared_from_this(), from, frame](bool found) {
--- a/src/ibiswall/node/dispatchstore.cpp
+++ b/src/ibiswall/node/dispatchstore.cpp
@@ -103,14 +103,14 @@
         }
         outlets_.send_(agent, frame);
     }
-    NoticesFrame forAll;
+    NoticesFrame forAll{epoch_, false, {}};
     std::map<std::string, NoticesFrame> forOrigins;
     for (const cell::Notice &notice : effects.notices_) {
         if (notice.origins_.empty()) {
             forAll.notices_.push_back(notice);
         }
         for (const std::string &origin : notice.origins_) {
-            forOrigins[origin].notices_.push_back(notice);
+            forOrigins.try_emplace(origin, NoticesFrame{epoch_, true, {}}).first->second.notices_.push_back(notice);
         }
     }
     if (!forAll.notices_.empty()) {
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -51,7 +51,9 @@
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
-            onNotice(notice);
+            if (isWanted(*notices, notice)) {
+                onNotice(notice);
+            }
         }
     } else if (const auto *unknown = std::get_if<UnknownJobFrame>(&frame)) {
         onUnknownJob(unknown->job_);
@@ -60,6 +62,23 @@
     }
 }
 
+bool EntryNode::isWanted(const NoticesFrame &frame, const cell::Notice &notice) const
+{
+    const auto job = jobs_.find(notice.job_);
+    if (job == jobs_.end()) {
+        return !frame.ephemeral_;
+    }
+    // A leader to which the job has been offered since may be running it, so the refusal of an earlier one is not true.
+    const bool outdated = notice.state_ == cell::JobState::Refused && job->second.offeredTo_ != frame.epoch_;
+    if (outdated) {
+        logEvent("job.refusal_ignored",
+                 {{"job", std::string_view(notice.job_)},
+                  {"epoch", logNumber(frame.epoch_)},
+                  {"offered_to", logNumber(job->second.offeredTo_)}});
+    }
+    return !outdated;
+}
+
 bool EntryNode::sendTo(const std::string &name, const Frame &frame)
 {
     if (name == self_.name_) {
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -71,6 +71,8 @@
     // The cell (entrycell.cpp).
     void receive(const std::string &from, std::string_view bytes);
     void handle(const std::string &from, Frame &&frame);
+    /// Whether a notice concerns a job here, and still holds.
+    bool isWanted(const NoticesFrame &frame, const cell::Notice &notice) const;
     bool sendTo(const std::string &name, const Frame &frame);
     void tellEntries(const Frame &frame);
     void offerLater(const std::string &id);
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -151,7 +151,7 @@
     for (const cell::Notice &notice : frame.notices_) {
         notices.push_back(Json::array({notice.job_, static_cast<int>(notice.state_)}));
     }
-    return notices;
+    return Json::array({frame.epoch_, frame.ephemeral_, std::move(notices)});
 }
 
 Json body(const CancelFrame &frame)
@@ -250,7 +250,9 @@
 NoticesFrame parseNotices(const Json &json)
 {
     NoticesFrame frame;
-    for (const Json &each : json) {
+    frame.epoch_ = json.at(0).get<std::uint64_t>();
+    frame.ephemeral_ = json.at(1).get<bool>();
+    for (const Json &each : json.at(2)) {
         const int state = each.at(1).get<int>();
         if (state < 0 || state > static_cast<int>(cell::JobState::Refused)) {
             throw std::out_of_range("unknown state of a job");
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -85,6 +85,9 @@
 /// States that have changed, from the leader to all entries.
 struct NoticesFrame
 {
+    std::uint64_t epoch_ = 0;
+    /// The jobs are ephemeral: only entries whose callers still wait want to know.
+    bool ephemeral_ = false;
     std::vector<cell::Notice> notices_;
 };
 
