Log why an entry reports that it is ready

ready.changed has the inputs of the decision, entry.changed what an entry learns of the others, process.closing the time since the stop signal; ibiswall_ready and ibiswall_health_checks_total count what the load balancer was told.

No change of behaviour. node_test passes.

--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -42,7 +42,9 @@
 {
     if (const auto *heartbeat = std::get_if<HeartbeatFrame>(&frame)) {
         const std::uint64_t before = leadership_.leaderInfo().epoch_;
-        leadership_.onHeartbeat(from, *heartbeat, bootClock());
+        if (leadership_.onHeartbeat(from, *heartbeat, bootClock())) {
+            logEvent("entry.changed", {{"entry", std::string_view(from)}, {"leaving", heartbeat->leaving_ ? 1 : 0}});
+        }
         if (leadership_.leaderInfo().epoch_ != before) {
             onLeaderChanged();
         }
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -56,7 +56,7 @@
     , leadership_(settings.name_, millicoresOf(settings), {})
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
-    , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { respond(jsonReply(isReady() ? 200 : 503, "{}")); })
+    , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { answerHealthCheck(respond); })
     , metrics_(io)
     , timer_(io)
     , configTimer_(io)
@@ -106,6 +106,7 @@
     maybeCampaign();
     readEntries();
     expireCallers(now);
+    reportReadiness();
     gauge("ibiswall_leading", leaderSession_ && leadership_.isLeader() ? 1 : 0);
     if (stoppingSince_) {
         finishStop();
@@ -124,6 +125,37 @@
     return configured_ && !closingSince_ && (!stoppingSince_ || !leadership_.hasSuccessor(bootClock()));
 }
 
+void EntryNode::answerHealthCheck(const Respond &respond)
+{
+    constexpr int ok = 200;
+    constexpr int unavailable = 503;
+    const int status = isReady() ? ok : unavailable;
+    count("ibiswall_health_checks_total", std::to_string(status));
+    respond(jsonReply(status, "{}"));
+}
+
+// Logs each change of readiness with the state that decides it.
+void EntryNode::reportReadiness()
+{
+    const Millis now = bootClock();
+    const bool ready = isReady();
+    if (ready == reportedReady_) {
+        return;
+    }
+    reportedReady_ = ready;
+    gauge("ibiswall_ready", ready ? 1 : 0);
+    const EntryCounts others = leadership_.countOthers(now);
+    logEvent("ready.changed",
+             {{"ready", ready ? 1 : 0},
+              {"configured", configured_ ? 1 : 0},
+              {"stopping_ms", stoppingSince_ ? (now - *stoppingSince_).count_ : -1},
+              {"closing", closingSince_ ? 1 : 0},
+              {"others", others.known_},
+              {"reachable", others.reachable_},
+              {"leaving", others.leaving_},
+              {"oldest_heartbeat_ms", others.oldestHeartbeat_.count_}});
+}
+
 // Requests are handled until the load balancer sends callers elsewhere; meanwhile another entry becomes the leader.
 void EntryNode::stop()
 {
@@ -147,7 +179,9 @@
     if (!closingSince_) {
         const bool successor = elapsed >= balancerDelay && leadership_.hasSuccessor(now);
         if (successor || elapsed + drainReserve > settings_.gracePeriod_) {
-            logEvent("process.closing", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"heir", successor ? 1 : 0}});
+            logEvent(
+                "process.closing",
+                {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"heir", successor ? 1 : 0}, {"stopping_ms", elapsed.count_}});
             closingSince_ = now;
         }
         return;
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -101,6 +101,8 @@
 
     void tick();
     bool isReady() const;
+    void answerHealthCheck(const Respond &respond);
+    void reportReadiness();
     void stop();
     void finishStop();
     void answerRemaining();
@@ -148,6 +150,8 @@
     Millis heartbeatSentAt_;
     Millis prunedAt_;
     std::uint64_t nextNonce_ = 1;
+    /// Readiness in the latest log line about it.
+    bool reportedReady_ = false;
     /// When the process was asked to stop.
     std::optional<Millis> stoppingSince_;
     /// Since when callers are sent to other entries: connections close after their answers, and new jobs are refused.
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -25,9 +25,11 @@
     return true;
 }
 
-void Leadership::onHeartbeat(const std::string &from, const HeartbeatFrame &heartbeat, Millis now)
+bool Leadership::onHeartbeat(const std::string &from, const HeartbeatFrame &heartbeat, Millis now)
 {
-    OtherEntry &other = others_[from];
+    const auto [entry, added] = others_.try_emplace(from);
+    OtherEntry &other = entry->second;
+    const bool changed = added || other.leaving_ != heartbeat.leaving_;
     if (!isAlive(other, now)) {
         other.upSince_ = now;
     }
@@ -42,12 +44,13 @@
     other.epoch_ = heartbeat.epoch_;
     updateLeader({heartbeat.epoch_, heartbeat.leader_}, now);
     if (heartbeat.epoch_ != leaderInfo_.epoch_) {
-        return;
+        return changed;
     }
     lastContactAt_ = {std::max(lastContactAt_.count_, (now - heartbeat.leaderAge_).count_)};
     if (from == leaderInfo_.leader_) {
         leaderClock_ = heartbeat.steppedDown_ ? Millis{0} : heartbeat.sentAt_;
     }
+    return changed;
 }
 
 bool Leadership::isAlive(const OtherEntry &other, Millis now) const
@@ -110,6 +113,21 @@
                        [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_; });
 }
 
+EntryCounts Leadership::countOthers(Millis now) const
+{
+    EntryCounts counts;
+    for (const auto &[name, other] : others_) {
+        ++counts.known_;
+        if (!isAlive(other, now)) {
+            continue;
+        }
+        ++counts.reachable_;
+        counts.leaving_ += other.leaving_ ? 1 : 0;
+        counts.oldestHeartbeat_ = {std::max(counts.oldestHeartbeat_.count_, (now - other.lastContactAt_).count_)};
+    }
+    return counts;
+}
+
 bool Leadership::shouldStepDown(const StoreContact &store, bool leaving, Millis now) const
 {
     const bool storeLost = store.age_ > settings_.maxLeaderStoreAge_ && store.unansweredSince_ != Millis{0};
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -59,6 +59,17 @@
     std::string leader_;
 };
 
+/// What an entry knows about the other entries, for its log.
+struct EntryCounts
+{
+    std::int64_t known_ = 0;
+    std::int64_t reachable_ = 0;
+    /// Reachable and leaving.
+    std::int64_t leaving_ = 0;
+    /// Age of the oldest heartbeat among the reachable ones; 0 if there are none.
+    Millis oldestHeartbeat_;
+};
+
 /// Election state machine of one entry. It does no I/O.
 class Leadership
 {
@@ -70,7 +81,8 @@
     /// @return true if it is newer than the known one
     bool updateLeader(const LeaderInfo &info, Millis now);
 
-    void onHeartbeat(const std::string &from, const HeartbeatFrame &heartbeat, Millis now);
+    /// @return whether the entry is new, or reports a different state of its own than before
+    bool onHeartbeat(const std::string &from, const HeartbeatFrame &heartbeat, Millis now);
 
     /// Whether to campaign now.
     /// @param storeAge age of the latest answer of the store to this entry
@@ -99,6 +111,8 @@
     /// Whether another entry is reachable and not leaving, so that callers can be sent there.
     bool hasSuccessor(Millis now) const;
 
+    EntryCounts countOthers(Millis now) const;
+
     /// At the leader: whether to step down for an eligible entry. Reasons are that this process is leaving; that the store has
     /// answered the other entry but not an earlier call of this one; or that the other entry has a much larger CPU share. All
     /// tasks of the cell pass through the leader, which overloads a small VM.
