Fail the health check of an entry from its stop signal to its exit

Cause: an entry that was stopping reported ready while it saw no reachable entry that was not leaving. When all entries stop in a series, the last signal makes all of them ready again until they refuse jobs, 3.8 s after their signal. Entries whose heartbeats are late have the same effect: a belief about other processes decided what a process says of itself.

Fix: readiness depends on this process alone, its configuration and its stop signal, and is never regained. The load balancer uses all entries of a failure domain when fewer than half are in rotation, so an entry without another one is still reached, and it accepts jobs as before.

--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -119,10 +119,11 @@
     });
 }
 
-// An entry that is stopping stays ready while callers cannot be sent to another one.
+// Must not depend on the other entries: if all of them stop, each would become ready again. The load balancer uses entries that
+// are not ready if it has no others.
 bool EntryNode::isReady() const
 {
-    return configured_ && !closingSince_ && (!stoppingSince_ || !leadership_.hasSuccessor(bootClock()));
+    return configured_ && !stoppingSince_;
 }
 
 void EntryNode::answerHealthCheck(const Respond &respond)
