Keep reporting the target of a draining agent as draining

A leader that believes the report places tasks on the target of an agent that is stopping. The agent rejects each of them, and they wait for another placement.

Cause: drain() marked the report that was open at that moment. The next announcement with a change, an answer or timeout of the target, or a first announcement put the state without the mark into a later report, so leaving was taken back.

Evidence: both new cases of target_supervisor fail on the code before, in 4 checks.

Fix: one function puts the state of the target into a report, and applies the agent's own state every time.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -218,6 +218,7 @@
 
     void recordOutcome(const TargetCall &call, CallOutcome outcome, Millis now);
     void setResponsive(bool responsive);
+    void reportTarget();
     bool isLossy(Millis now) const;
     bool mayRequestLease(Millis now) const;
     TargetCall makeCall(TargetCall::Kind kind, const Run &run, Millis now) const;
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -62,7 +62,7 @@
     current.responsive_ = responsive_;
     if (!info_ || !(*info_ == current)) {
         info_ = current;
-        report_.info_ = current;
+        reportTarget();
     }
 }
 
@@ -70,7 +70,15 @@
 {
     agentDraining_ = true;
     if (info_) {
-        report_.info_ = info_;
+        reportTarget();
+    }
+}
+
+// Adds the state of the target to the next report. While the agent is draining, the target is draining for the leader.
+void TargetSupervisor::reportTarget()
+{
+    report_.info_ = info_;
+    if (report_.info_ && agentDraining_) {
         report_.info_->draining_ = true;
     }
 }
@@ -79,7 +87,7 @@
 {
     if (info_ && info_->id_ == id && !info_->draining_) {
         info_->draining_ = true;
-        report_.info_ = info_;
+        reportTarget();
     }
     tick(now);
 }
@@ -183,7 +191,7 @@
     responsive_ = responsive;
     if (info_ && info_->responsive_ != responsive) {
         info_->responsive_ = responsive;
-        report_.info_ = info_;
+        reportTarget();
     }
 }
 
@@ -382,15 +390,12 @@
     if (fullReportDue_ && reportRenewalSent_) {
         fullReportDue_ = false;
         report_.full_ = true;
-        report_.info_ = info_;
+        reportTarget();
         report_.targetIncarnation_ = targetIncarnation_;
         report_.results_.clear();
         for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
             report_.results_.push_back(unacknowledged.result_);
         }
-        if (agentDraining_ && report_.info_) {
-            report_.info_->draining_ = true;
-        }
         for (const auto &[task, run] : runs_) {
             report_.running_.push_back({task, run.number_});
         }
--- a/src/ibiswall/cell/targetsupervisor_test.cpp
+++ b/src/ibiswall/cell/targetsupervisor_test.cpp
@@ -18,6 +18,11 @@
     return false;
 }
 
+bool reportsDraining(const AgentReport &report)
+{
+    return report.info_ && report.info_->draining_;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(target_supervisor)
@@ -288,6 +293,34 @@
     BOOST_TEST(fixture.calls(TargetCall::Kind::Start).empty());
 }
 
+BOOST_AUTO_TEST_CASE(changed_target_of_draining_agent_is_not_reported_as_usable)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.supervisor_.drain();
+    BOOST_TEST(reportsDraining(fixture.supervisor_.takeReport()));
+    TargetInfo changed = testTarget("t");
+    changed.labels_.emplace_back("b");
+    fixture.supervisor_.onAnnouncement(changed, 0, fixture.now_);
+    BOOST_TEST(reportsDraining(fixture.supervisor_.takeReport()));
+    fixture.supervisor_.tick(fixture.now_);
+    const TargetCall renewal = fixture.calls(TargetCall::Kind::Renew).at(0);
+    fixture.supervisor_.onRenewalReply(renewal, {CallOutcome::NotSent, 0, 1, {}, {}}, fixture.now_);
+    BOOST_TEST(reportsDraining(fixture.supervisor_.takeReport()));
+    changed.targetIncarnation_ = 2;
+    fixture.supervisor_.onAnnouncement(changed, 0, fixture.now_);
+    BOOST_TEST(reportsDraining(fixture.supervisor_.takeReport()));
+}
+
+BOOST_AUTO_TEST_CASE(target_announced_after_its_agent_began_to_drain_is_reported_as_draining)
+{
+    TargetSupervisor supervisor({}, 1);
+    supervisor.drain();
+    supervisor.onAnnouncement(testTarget("t"), 0, {1000});
+    BOOST_TEST(reportsDraining(supervisor.takeReport()));
+}
+
 BOOST_AUTO_TEST_CASE(report_numbers_increase_after_restart_with_clock_behind)
 {
     TargetSupervisor supervisor({}, 1);
