Rely only on entries that accept jobs

An entry that is stopping refuses jobs 2.2 s after its signal if another one can take the callers, and a leader that is stopping steps down for another one. Both counted every reachable entry that is not leaving. One that was restarted while the store is down has no configuration: its health check fails, it answers 503, and it does not campaign.

Fix: heartbeats also say whether the sender accepts jobs; hasSuccessor() and isEligible() require it. A heartbeat of an earlier version counts as accepting unless it is leaving.

hands_neither_callers_nor_leadership_to_an_entry_without_a_configuration fails on the code before (2 checks). node_test passes.

--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -43,7 +43,10 @@
     if (const auto *heartbeat = std::get_if<HeartbeatFrame>(&frame)) {
         const std::uint64_t before = leadership_.leaderInfo().epoch_;
         if (leadership_.onHeartbeat(from, *heartbeat, bootClock())) {
-            logEvent("entry.changed", {{"entry", std::string_view(from)}, {"leaving", heartbeat->leaving_ ? 1 : 0}});
+            logEvent("entry.changed",
+                     {{"entry", std::string_view(from)},
+                      {"leaving", heartbeat->leaving_ ? 1 : 0},
+                      {"accepting", heartbeat->accepting_ ? 1 : 0}});
         }
         if (leadership_.leaderInfo().epoch_ != before) {
             onLeaderChanged();
@@ -237,6 +240,7 @@
         leaderSession_->stepDown();
     }
     frame.leaving_ = stoppingSince_.has_value();
+    frame.accepting_ = configured_ && !closingSince_;
     frame.steppedDown_ = leaderSession_ && leaderSession_->hasSteppedDown();
     frame.millicores_ = leadership_.millicores();
     frame.sentAt_ = now;
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -154,6 +154,7 @@
               {"others", others.known_},
               {"reachable", others.reachable_},
               {"leaving", others.leaving_},
+              {"accepting", others.accepting_},
               {"oldest_heartbeat_ms", others.oldestHeartbeat_.count_}});
 }
 
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -132,7 +132,7 @@
 Json body(const HeartbeatFrame &frame)
 {
     return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.steppedDown_,
-                        frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_)});
+                        frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_});
 }
 
 Json body(const OffersFrame &frame)
@@ -225,6 +225,8 @@
     frame.sentAt_ = {json.at(at++).get<std::int64_t>()};
     frame.holdOffFrom_ = {json.at(at++).get<std::int64_t>()};
     frame.waiting_ = json.at(at++).get<std::map<std::string, std::size_t>>();
+    // Earlier versions do not send it.
+    frame.accepting_ = json.size() > at ? json.at(at++).get<bool>() : !frame.leaving_;
     return frame;
 }
 
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -64,6 +64,8 @@
     Millis storeAge_;
     /// The sender is shutting down.
     bool leaving_ = false;
+    /// The sender accepts new jobs: it has a configuration, and if it is shutting down, it has not begun to refuse jobs.
+    bool accepting_ = false;
     /// The sender is the leader, and has stopped placing tasks so that another entry can take over.
     bool steppedDown_ = false;
     /// CPU share of the sender, in thousandths of a core.
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -3,6 +3,7 @@
 #include "frames.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <random>
 
 namespace ibiswall::node {
@@ -31,6 +32,7 @@
     HeartbeatFrame heartbeat;
     heartbeat.leader_ = "e1";
     heartbeat.steppedDown_ = true;
+    heartbeat.accepting_ = true;
     heartbeat.holdOffFrom_ = {77};
     heartbeat.waiting_ = {{"q", 2}};
     return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}}, report,
@@ -51,6 +53,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(entry_of_an_earlier_version_accepts_jobs_unless_it_is_leaving)
+{
+    for (const bool leaving : {false, true}) {
+        HeartbeatFrame heartbeat;
+        heartbeat.leaving_ = leaving;
+        nlohmann::json json = nlohmann::json::from_cbor(formatFrame(heartbeat));
+        json.at(1).erase(json.at(1).size() - 1);
+        const auto bytes = nlohmann::json::to_cbor(json);
+        const auto decoded = parseFrame({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+        BOOST_REQUIRE(decoded.has_value());
+        BOOST_TEST(std::get<HeartbeatFrame>(decoded.value()).accepting_ == !leaving);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(encodes_a_shared_payload_once)
 {
     OrdersFrame orders;
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -29,7 +29,7 @@
 {
     const auto [entry, added] = others_.try_emplace(from);
     OtherEntry &other = entry->second;
-    const bool changed = added || other.leaving_ != heartbeat.leaving_;
+    const bool changed = added || other.leaving_ != heartbeat.leaving_ || other.accepting_ != heartbeat.accepting_;
     if (!isAlive(other, now)) {
         other.upSince_ = now;
     }
@@ -38,6 +38,7 @@
     other.lastContactAt_ = now;
     other.storeAge_ = heartbeat.storeAge_;
     other.leaving_ = heartbeat.leaving_;
+    other.accepting_ = heartbeat.accepting_;
     other.steppedDown_ = heartbeat.steppedDown_;
     other.millicores_ = heartbeat.millicores_;
     other.holdOffFrom_ = heartbeat.holdOffFrom_;
@@ -61,7 +62,7 @@
 // Whether the other entry could become the leader, judging by its last heartbeat.
 bool Leadership::isEligible(const OtherEntry &other, Millis now) const
 {
-    return isAlive(other, now) && !other.leaving_ && other.storeAge_ <= settings_.maxCandidateStoreAge_;
+    return isAlive(other, now) && !other.leaving_ && other.accepting_ && other.storeAge_ <= settings_.maxCandidateStoreAge_;
 }
 
 bool Leadership::shouldCampaign(Millis storeAge, bool leaving, Millis now) const
@@ -110,7 +111,7 @@
 bool Leadership::hasSuccessor(Millis now) const
 {
     return std::any_of(others_.begin(), others_.end(),
-                       [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_; });
+                       [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_ && each.second.accepting_; });
 }
 
 EntryCounts Leadership::countOthers(Millis now) const
@@ -123,6 +124,7 @@
         }
         ++counts.reachable_;
         counts.leaving_ += other.leaving_ ? 1 : 0;
+        counts.accepting_ += other.accepting_ ? 1 : 0;
         counts.oldestHeartbeat_ = {std::max(counts.oldestHeartbeat_.count_, (now - other.lastContactAt_).count_)};
     }
     return counts;
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -66,6 +66,8 @@
     std::int64_t reachable_ = 0;
     /// Reachable and leaving.
     std::int64_t leaving_ = 0;
+    /// Reachable and accepting jobs.
+    std::int64_t accepting_ = 0;
     /// Age of the oldest heartbeat among the reachable ones; 0 if there are none.
     Millis oldestHeartbeat_;
 };
@@ -108,7 +110,7 @@
     /// @param entries names of all other entries
     Millis heldOffUntil(const std::set<std::string> &entries) const;
 
-    /// Whether another entry is reachable and not leaving, so that callers can be sent there.
+    /// Whether another entry is reachable, accepts jobs and is not leaving, so that callers can be sent there.
     bool hasSuccessor(Millis now) const;
 
     EntryCounts countOthers(Millis now) const;
@@ -130,6 +132,7 @@
         Millis lastContactAt_;
         Millis storeAge_;
         bool leaving_ = false;
+        bool accepting_ = false;
         bool steppedDown_ = false;
         std::int64_t millicores_ = 0;
         /// Since when it has been reachable without interruption.
--- a/src/ibiswall/node/leadership_test.cpp
+++ b/src/ibiswall/node/leadership_test.cpp
@@ -21,6 +21,7 @@
     heartbeat.leader_ = leader;
     heartbeat.leaderAge_ = leaderAge;
     heartbeat.storeAge_ = fresh;
+    heartbeat.accepting_ = true;
     heartbeat.millicores_ = 500;
     heartbeat.sentAt_ = {1};
     return heartbeat;
@@ -109,6 +110,20 @@
     BOOST_TEST(!one.shouldStepDown(answered, false, {1000}));
 }
 
+BOOST_AUTO_TEST_CASE(hands_neither_callers_nor_leadership_to_an_entry_without_a_configuration)
+{
+    Leadership one("e1", 500, {});
+    one.acquire(5, {1000});
+    HeartbeatFrame heartbeat = heartbeatOf(5, "e1");
+    heartbeat.accepting_ = false;
+    one.onHeartbeat("e2", heartbeat, {1000});
+    BOOST_TEST(!one.hasSuccessor({1000}));
+    BOOST_TEST(!one.shouldStepDown(answered, true, {1000}));
+    one.onHeartbeat("e2", heartbeatOf(5, "e1"), {1100});
+    BOOST_TEST(one.hasSuccessor({1100}));
+    BOOST_TEST(one.shouldStepDown(answered, true, {1100}));
+}
+
 BOOST_AUTO_TEST_CASE(held_off_until_is_the_earliest_hold_off_of_all_entries_in_this_epoch)
 {
     const LeadershipSettings settings;
