Decide the graceful stop of an entry in a state machine without I/O

GracefulStop has them now: readiness, until when jobs are accepted, when the last answers are sent, when the process may exit. No change of behaviour.

--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -97,7 +97,7 @@
         respond(jsonReply(Success, {}));
         return;
     }
-    if (closingSince_ && submitters_.count(id) == 0) {
+    if (stop_.isClosing() && submitters_.count(id) == 0) {
         respond(errorReply(Unavailable, Code::Draining, {}, startRetryAfter));
         return;
     }
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -236,11 +236,11 @@
         if (leadership_.shouldResume(leaderSession_->steppedDownAt(), now)) {
             leaderSession_->resume();
         }
-    } else if (leaderSession_ && leadership_.shouldStepDown(leaderSession_->storeContact(), stoppingSince_.has_value(), now)) {
+    } else if (leaderSession_ && leadership_.shouldStepDown(leaderSession_->storeContact(), stop_.hasBegun(), now)) {
         leaderSession_->stepDown();
     }
-    frame.leaving_ = stoppingSince_.has_value();
-    frame.accepting_ = configured_ && !closingSince_;
+    frame.leaving_ = stop_.hasBegun();
+    frame.accepting_ = configured_ && !stop_.isClosing();
     frame.steppedDown_ = leaderSession_ && leaderSession_->hasSteppedDown();
     frame.millicores_ = leadership_.millicores();
     frame.sentAt_ = now;
@@ -263,7 +263,7 @@
     if (campaigning_ || !configured_) {
         return;
     }
-    if (leadership_.shouldCampaign(now - store_.health().lastAnsweredSentAt_, stoppingSince_.has_value(), now)) {
+    if (leadership_.shouldCampaign(now - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), now)) {
         readLeader();
     }
 }
@@ -292,7 +292,7 @@
         const std::string leader = item.value_.substr(0, item.value_.find(' '));
         if (leadership_.updateLeader({epoch, leader}, bootClock())) {
             onLeaderChanged();
-        } else if (leadership_.shouldCampaign(bootClock() - store_.health().lastAnsweredSentAt_, stoppingSince_.has_value(), bootClock())) {
+        } else if (leadership_.shouldCampaign(bootClock() - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), bootClock())) {
             acquireLead(item.revision_);
         }
     });
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -12,14 +12,6 @@
 
 // Calls to the store normally take a few milliseconds, and some hundreds when it is slow.
 constexpr Millis storeTimeout{1000};
-// The load balancer needs up to two health checks, one second apart, to notice that the entry accepts no more connections.
-constexpr Millis balancerDelay{2200};
-// Time reserved before the end of the grace period for jobs in progress, if callers have no other entry until then.
-constexpr Millis drainReserve{2200};
-// Time reserved at the end of the grace period for the last answers.
-constexpr Millis stopReserve{400};
-// Longest wait, from the start of that reserve, for the last answers to be sent.
-constexpr Millis lastAnswersTimeout{100};
 
 HttpLimits callerLimits()
 {
@@ -40,6 +32,13 @@
     return static_cast<std::int64_t>(settings.cores_ * millicoresPerCore);
 }
 
+GracefulStopSettings stopSettings(const CellEntrySettings &settings)
+{
+    GracefulStopSettings out;
+    out.gracePeriod_ = settings.gracePeriod_;
+    return out;
+}
+
 } // namespace
 
 EntryNode::EntryNode(boost::asio::io_context &io, const CellEntrySettings &settings)
@@ -54,6 +53,7 @@
                  receive(from, bytes);
              }})
     , leadership_(settings.name_, millicoresOf(settings), {})
+    , stop_(stopSettings(settings))
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
     , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { answerHealthCheck(respond); })
@@ -74,7 +74,7 @@
     logEvent("process.started", {{"role", "entry"}, {"incarnation", self_.incarnation_}});
     signals_.async_wait([this](boost::system::error_code error, int) {
         if (!error) {
-            stop();
+            beginStop();
         }
     });
     publishEntry();
@@ -95,7 +95,7 @@
         store_.setServer(settings.storeAddress_);
     }
     settings_.storeAddress_ = settings.storeAddress_;
-    settings_.gracePeriod_ = settings.gracePeriod_;
+    stop_.setGracePeriod(settings.gracePeriod_);
     settings_.stateRetention_ = settings.stateRetention_;
 }
 
@@ -108,8 +108,8 @@
     expireCallers(now);
     reportReadiness();
     gauge("ibiswall_leading", leaderSession_ && leadership_.isLeader() ? 1 : 0);
-    if (stoppingSince_) {
-        finishStop();
+    if (stop_.hasBegun()) {
+        continueStop();
     }
     timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
     timer_.async_wait([this](boost::system::error_code error) {
@@ -119,18 +119,11 @@
     });
 }
 
-// Must not depend on the other entries: if all of them stop, each would become ready again. The load balancer uses entries that
-// are not ready if it has no others.
-bool EntryNode::isReady() const
-{
-    return configured_ && !stoppingSince_;
-}
-
 void EntryNode::answerHealthCheck(const Respond &respond)
 {
     constexpr int ok = 200;
     constexpr int unavailable = 503;
-    const int status = isReady() ? ok : unavailable;
+    const int status = stop_.isReady(configured_) ? ok : unavailable;
     count("ibiswall_health_checks_total", std::to_string(status));
     respond(jsonReply(status, "{}"));
 }
@@ -139,7 +132,7 @@
 void EntryNode::reportReadiness()
 {
     const Millis now = bootClock();
-    const bool ready = isReady();
+    const bool ready = stop_.isReady(configured_);
     if (ready == reportedReady_) {
         return;
     }
@@ -149,8 +142,8 @@
     logEvent("ready.changed",
              {{"ready", ready ? 1 : 0},
               {"configured", configured_ ? 1 : 0},
-              {"stopping_ms", stoppingSince_ ? (now - *stoppingSince_).count_ : -1},
-              {"closing", closingSince_ ? 1 : 0},
+              {"stopping_ms", stop_.elapsed(now).value_or(Millis{-1}).count_},
+              {"closing", stop_.isClosing() ? 1 : 0},
               {"others", others.known_},
               {"reachable", others.reachable_},
               {"leaving", others.leaving_},
@@ -159,14 +152,13 @@
 }
 
 // Requests are handled until the load balancer sends callers elsewhere; meanwhile another entry becomes the leader.
-void EntryNode::stop()
+void EntryNode::beginStop()
 {
-    if (stoppingSince_) {
+    if (!stop_.begin(bootClock())) {
         io_.stop();
         return;
     }
     logEvent("process.stopping", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"leading", leaderSession_ ? 1 : 0}});
-    stoppingSince_ = bootClock();
     signals_.async_wait([this](boost::system::error_code error, int) {
         if (!error) {
             io_.stop();
@@ -174,27 +166,25 @@
     });
 }
 
-void EntryNode::finishStop()
+void EntryNode::continueStop()
 {
     const Millis now = bootClock();
-    const Millis elapsed = now - *stoppingSince_;
-    if (!closingSince_) {
-        const bool successor = elapsed >= balancerDelay && leadership_.hasSuccessor(now);
-        if (successor || elapsed + drainReserve > settings_.gracePeriod_) {
-            logEvent(
-                "process.closing",
-                {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"heir", successor ? 1 : 0}, {"stopping_ms", elapsed.count_}});
-            closingSince_ = now;
-        }
+    const bool successor = leadership_.hasSuccessor(now);
+    if (stop_.closeIfDue(successor, now)) {
+        logEvent("process.closing",
+                 {{"pending", static_cast<std::int64_t>(callers_.pending())},
+                  {"heir", successor ? 1 : 0},
+                  {"stopping_ms", stop_.elapsed(now)->count_}});
+        return;
+    }
+    if (!stop_.isClosing()) {
         return;
     }
     callers_.closeIdle();
-    const bool expired = elapsed + stopReserve > settings_.gracePeriod_;
-    if (expired) {
+    if (stop_.mustAnswerNow(now)) {
         answerRemaining();
     }
-    const bool done = callers_.pending() == 0 && acceptor_.pending() == 0 && !leaderSession_;
-    if (done || elapsed + stopReserve > settings_.gracePeriod_ + lastAnswersTimeout) {
+    if (stop_.mayExit(callers_.pending() == 0 && acceptor_.pending() == 0 && !leaderSession_, now)) {
         logEvent("process.stopped", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"leading", leaderSession_ ? 1 : 0}});
         io_.stop();
     }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "acceptor.hpp"
+#include "gracefulstop.hpp"
 #include "leadersession.hpp"
 #include "leadership.hpp"
 #include "mesh.hpp"
@@ -100,11 +101,10 @@
     void onConfigChanged();
 
     void tick();
-    bool isReady() const;
     void answerHealthCheck(const Respond &respond);
     void reportReadiness();
-    void stop();
-    void finishStop();
+    void beginStop();
+    void continueStop();
     void answerRemaining();
 
     boost::asio::io_context &io_;
@@ -113,6 +113,7 @@
     platform::StoreClient store_;
     Mesh mesh_;
     Leadership leadership_;
+    GracefulStop stop_;
     Acceptor acceptor_;
     HttpServer callers_;
     HttpServer ready_;
@@ -152,10 +153,6 @@
     std::uint64_t nextNonce_ = 1;
     /// Readiness in the latest log line about it.
     bool reportedReady_ = false;
-    /// When the process was asked to stop.
-    std::optional<Millis> stoppingSince_;
-    /// Since when callers are sent to other entries: connections close after their answers, and new jobs are refused.
-    std::optional<Millis> closingSince_;
 };
 
 } // namespace ibiswall::node
