Close stopping entries one after the other

What callers saw: in the incident all nine entries got SIGTERM within 2 s. None saw an entry that was not leaving, so each accepted jobs for 3.8 s and then refused them, all at the same time: 70 to 80 % of the requests of 3 s, until processes were back. If one entry had not got its signal yet, all others closed for it, and its eighth of a core got all callers.

Cause: an entry that was stopping believed that callers can be sent elsewhere if one reachable entry was not leaving, and never if all were.

Fix: other entries can take the callers if those that accept jobs have at least half of the CPU of all reachable entries. Entries that are leaving count while they accept jobs, in an order by CPU share and name, so that the first ones end and are back while the last ones serve.

entries_that_leave_together_do_not_all_refuse_jobs_at_once and callers_are_not_sent_to_entries_that_cannot_bear_the_load fail on the code before. node_test passes, with graceful_stop_model.

--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace ibiswall::node {
 
@@ -110,8 +111,17 @@
 
 bool Leadership::hasSuccessor(Millis now) const
 {
-    return std::any_of(others_.begin(), others_.end(),
-                       [&](const auto &each) { return isAlive(each.second, now) && !each.second.leaving_ && each.second.accepting_; });
+    std::int64_t reachable = millicores_;
+    std::int64_t successors = 0;
+    for (const auto &[name, other] : others_) {
+        if (!isAlive(other, now)) {
+            continue;
+        }
+        reachable += other.millicores_;
+        const bool leavesFirst = other.leaving_ && std::tie(other.millicores_, name) < std::tie(millicores_, self_);
+        successors += other.accepting_ && !leavesFirst ? other.millicores_ : 0;
+    }
+    return successors * 2 >= reachable;
 }
 
 EntryCounts Leadership::countOthers(Millis now) const
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -110,7 +110,9 @@
     /// @param entries names of all other entries
     Millis heldOffUntil(const std::set<std::string> &entries) const;
 
-    /// Whether another entry is reachable, accepts jobs and is not leaving, so that callers can be sent there.
+    /// Whether other reachable entries accept jobs and have at least half of the CPU of all reachable entries, so that callers
+    /// can be sent there while this one is leaving. Of entries that are leaving at the same time, those with a larger CPU
+    /// share, then those whose names sort later, continue for the others, so that not all of them refuse jobs at once.
     bool hasSuccessor(Millis now) const;
 
     EntryCounts countOthers(Millis now) const;
--- a/src/ibiswall/node/leadership_test.cpp
+++ b/src/ibiswall/node/leadership_test.cpp
@@ -124,6 +124,39 @@
     BOOST_TEST(one.shouldStepDown(answered, true, {1100}));
 }
 
+// In a benchmark all entries stopped within 2 s and then refused jobs at the same time, for 3 s.
+BOOST_AUTO_TEST_CASE(entries_that_leave_together_do_not_all_refuse_jobs_at_once)
+{
+    const std::vector<std::pair<std::string, std::int64_t>> entries{{"e1", 500}, {"e2", 500}, {"e3", 120}};
+    std::map<std::string, bool> hasSuccessor;
+    for (const auto &[self, millicores] : entries) {
+        Leadership leadership(self, millicores, {});
+        for (const auto &[other, otherMillicores] : entries) {
+            HeartbeatFrame heartbeat = heartbeatOf(5, "e1");
+            heartbeat.leaving_ = true;
+            heartbeat.millicores_ = otherMillicores;
+            if (other != self) {
+                leadership.onHeartbeat(other, heartbeat, {1000});
+            }
+        }
+        hasSuccessor[self] = leadership.hasSuccessor({1000});
+    }
+    // The rest would have less than half of the CPU without e1 or e2.
+    const std::map<std::string, bool> expected{{"e1", false}, {"e2", false}, {"e3", true}};
+    BOOST_TEST((hasSuccessor == expected));
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_not_sent_to_entries_that_cannot_bear_the_load)
+{
+    Leadership one("e1", 500, {});
+    HeartbeatFrame weak = heartbeatOf(5, "e1");
+    weak.millicores_ = 120;
+    one.onHeartbeat("e2", weak, {1000});
+    BOOST_TEST(!one.hasSuccessor({1000}));
+    one.onHeartbeat("e3", heartbeatOf(5, "e1"), {1000});
+    BOOST_TEST(one.hasSuccessor({1000}));
+}
+
 BOOST_AUTO_TEST_CASE(held_off_until_is_the_earliest_hold_off_of_all_entries_in_this_epoch)
 {
     const LeadershipSettings settings;
