Hand the leadership of a leaving entry to one that can bear the load

The leader had half a core and stepped down at once for the only entry that was not leaving, with an eighth of a core, or for one that had been started 0.2 s before and had the reports of the agents only 1.7 s later.

Cause: a leader that is leaving stepped down for any eligible entry, although it has seconds left.

Fix: until it refuses jobs it waits for an entry of comparable CPU share that has been up for 2 s; then any eligible entry will do, as before. Departure tells the two phases apart.

What stays bad is the series during the store outage: entries that are started then have no configuration.

--- a/src/ibiswall/node/gracefulstop.cpp
+++ b/src/ibiswall/node/gracefulstop.cpp
@@ -43,6 +43,11 @@
     return closing_;
 }
 
+Departure GracefulStop::departure() const
+{
+    return closing_ ? Departure::Closing : begunAt_ ? Departure::Accepting : Departure::None;
+}
+
 bool GracefulStop::closeIfDue(bool hasSuccessor, Millis now)
 {
     if (!begunAt_ || closing_) {
--- a/src/ibiswall/node/gracefulstop.hpp
+++ b/src/ibiswall/node/gracefulstop.hpp
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "leadership.hpp"
+
 #include <ibiswall/base.hpp>
 #include <optional>
 
@@ -48,6 +50,8 @@
     /// Whether new jobs are refused.
     bool isClosing() const;
 
+    Departure departure() const;
+
     /// Closes the entry if it is time to.
     /// @param hasSuccessor whether callers can be sent to another entry
     /// @return true if it has closed now
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -140,7 +140,7 @@
     return counts;
 }
 
-bool Leadership::shouldStepDown(const StoreContact &store, bool leaving, Millis now) const
+bool Leadership::shouldStepDown(const StoreContact &store, Departure departure, Millis now) const
 {
     const bool storeLost = store.age_ > settings_.maxLeaderStoreAge_ && store.unansweredSince_ != Millis{0};
     return std::any_of(others_.begin(), others_.end(), [&](const auto &each) {
@@ -152,7 +152,10 @@
         // than this leader's unanswered call shows that they reach the store.
         const bool answeredLater = other.lastContactAt_ - other.storeAge_ > store.unansweredSince_ + settings_.clockTolerance_;
         const bool isStronger = static_cast<double>(other.millicores_) >= settings_.minCpuRatio_ * static_cast<double>(millicores_);
-        return leaving || (storeLost && answeredLater) || (isStronger && now >= other.upSince_ + settings_.minUptime_);
+        const bool isWeaker = static_cast<double>(millicores_) >= settings_.minCpuRatio_ * static_cast<double>(other.millicores_);
+        const bool isEstablished = now >= other.upSince_ + settings_.minUptime_;
+        const bool leaving = departure == Departure::Closing || (departure == Departure::Accepting && isEstablished && !isWeaker);
+        return leaving || (storeLost && answeredLater) || (isStronger && isEstablished);
     });
 }
 
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -37,8 +37,8 @@
     Millis startupGrace_{800};
     /// A leader steps down for an entry with at least this many times its CPU share ...
     double minCpuRatio_ = 1.5;
-    /// ... that has been reachable without interruption for this long, so that an entry that keeps restarting does not become
-    /// the leader.
+    /// ... that has been reachable without interruption for this long, so that an entry that keeps restarting, or is not linked
+    /// to the agents yet, does not become the leader.
     Millis minUptime_{2000};
 };
 
@@ -51,6 +51,15 @@
     Millis unansweredSince_;
 };
 
+/// Whether a process is shutting down, and how far it is.
+enum class Departure {
+    None,
+    /// It still accepts jobs.
+    Accepting,
+    /// It refuses new jobs.
+    Closing,
+};
+
 /// The latest leader that an entry has learned of.
 struct LeaderInfo
 {
@@ -119,8 +128,9 @@
 
     /// At the leader: whether to step down for an eligible entry. Reasons are that this process is leaving; that the store has
     /// answered the other entry but not an earlier call of this one; or that the other entry has a much larger CPU share. All
-    /// tasks of the cell pass through the leader, which overloads a small VM.
-    bool shouldStepDown(const StoreContact &store, bool leaving, Millis now) const;
+    /// tasks of the cell pass through the leader, which overloads a small VM; so a leader that is leaving waits, until it refuses
+    /// jobs, for an entry of comparable CPU share that has been up long enough to be linked to the agents.
+    bool shouldStepDown(const StoreContact &store, Departure departure, Millis now) const;
 
     /// At a leader that has stepped down: whether to resume since no entry has succeeded it. While the store is down none can.
     bool shouldResume(Millis steppedDownAt, Millis now) const;
