Tell which incarnation of a target has deregistered

A deregistration of an earlier incarnation that arrived late, with an id that is used again, drained the new one until its next changed announcement. An announcement that arrived after the deregistration of the same incarnation made a target that is ending usable again: tasks started there end with it.

Cause: the agent ignored which incarnation sent the deregistration, and each announcement replaced what it said.

late_announcement_does_not_bring_back_a_departed_target and late_departure_of_an_earlier_incarnation_does_not_drain_the_target fail on the code before. cell_test and adapter_test pass.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -153,8 +153,9 @@
     /// The agent is about to stop: starts nothing more and lets running tasks go on.
     void drain();
 
-    /// The target has deregistered.
-    void onDeparture(const std::string &id, Millis now);
+    /// The target has deregistered. It can also be an earlier incarnation with the same id, whose call arrives late.
+    /// @param incarnation 0 if the call does not name it
+    void onDeparture(const std::string &id, std::int64_t incarnation, Millis now);
 
     /// @param report number of the latest full report that the dispatcher knew when it placed the run
     /// @param ephemeral whether the result need not outlive this process
@@ -246,6 +247,8 @@
     int leasesInFlight_ = 0;
     /// Whether the target has replied to the latest calls.
     bool responsive_ = true;
+    /// The current incarnation of the target has deregistered, so later announcements of it are outdated.
+    bool departed_ = false;
     /// Time of the latest call without a reply, 0 for never.
     Millis lastTimeoutAt_;
     /// Number of renewals sent.
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -60,6 +60,7 @@
     lastContactAt_ = now;
     TargetInfo current = info;
     current.responsive_ = responsive_;
+    current.draining_ = current.draining_ || departed_;
     if (!info_ || !(*info_ == current)) {
         info_ = current;
         reportTarget();
@@ -83,11 +84,14 @@
     }
 }
 
-void TargetSupervisor::onDeparture(const std::string &id, Millis now)
+void TargetSupervisor::onDeparture(const std::string &id, std::int64_t incarnation, Millis now)
 {
-    if (info_ && info_->id_ == id && !info_->draining_) {
-        info_->draining_ = true;
-        reportTarget();
+    if (info_ && info_->id_ == id && (incarnation == 0 || incarnation == info_->targetIncarnation_)) {
+        departed_ = departed_ || incarnation != 0;
+        if (!info_->draining_) {
+            info_->draining_ = true;
+            reportTarget();
+        }
     }
     tick(now);
 }
@@ -102,6 +106,7 @@
     }
     markAllRunsLost();
     responsive_ = true;
+    departed_ = false;
     if (info_ && info_->targetIncarnation_ != incarnation) {
         // The new incarnation has not announced itself yet.
         info_.reset();
--- a/src/ibiswall/cell/targetsupervisor_test.cpp
+++ b/src/ibiswall/cell/targetsupervisor_test.cpp
@@ -321,6 +321,35 @@
     BOOST_TEST(reportsDraining(supervisor.takeReport()));
 }
 
+BOOST_AUTO_TEST_CASE(late_announcement_does_not_bring_back_a_departed_target)
+{
+    TargetSupervisorFixture fixture;
+    fixture.supervisor_.onDeparture("t", 1, fixture.now_);
+    BOOST_TEST(reportsDraining(fixture.supervisor_.takeReport()));
+    fixture.supervisor_.onAnnouncement(testTarget("t"), 0, fixture.now_);
+    fixture.start("j1", 1);
+    BOOST_TEST(fixture.calls(TargetCall::Kind::Start).empty());
+    TargetInfo restarted = testTarget("t");
+    restarted.targetIncarnation_ = 2;
+    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    const AgentReport report = fixture.supervisor_.takeReport();
+    BOOST_REQUIRE(report.info_.has_value());
+    BOOST_TEST(!report.info_->draining_);
+}
+
+BOOST_AUTO_TEST_CASE(late_departure_of_an_earlier_incarnation_does_not_drain_the_target)
+{
+    TargetSupervisorFixture fixture;
+    TargetInfo restarted = testTarget("t");
+    restarted.targetIncarnation_ = 2;
+    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    fixture.supervisor_.takeReport();
+    fixture.supervisor_.onDeparture("t", 1, fixture.now_);
+    fixture.start("j1", 1);
+    BOOST_TEST(fixture.calls(TargetCall::Kind::Start).size() == 1U);
+    BOOST_TEST(!reportsDraining(fixture.supervisor_.takeReport()));
+}
+
 BOOST_AUTO_TEST_CASE(report_numbers_increase_after_restart_with_clock_behind)
 {
     TargetSupervisor supervisor({}, 1);
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -106,8 +106,9 @@
     const Millis now = bootClock();
     respond(jsonReply(ok, "{}"));
     if (announcement.kind_ == platform::Announcement::Kind::Departure) {
-        logEvent("target.departed", {{"target", std::string_view(announcement.info_.id_)}});
-        supervisor_.onDeparture(announcement.info_.id_, now);
+        logEvent("target.departed",
+                 {{"target", std::string_view(announcement.info_.id_)}, {"born", announcement.info_.targetIncarnation_}});
+        supervisor_.onDeparture(announcement.info_.id_, announcement.info_.targetIncarnation_, now);
         flush();
         return;
     }
