Ignore a repeated SIGTERM during a stop of a cell process

A second SIGTERM to a process that was stopping ended it at once: callers whose jobs were running got no answer, and an agent's runs lost their lease.

Cause: entries and agents of a cell took a second SIGTERM as the wish to abort, as the product's own entry and agent do for a person at a terminal. A supervisor that stops several machines sends it more than once.

Fix: StopSignals for both processes: a repeated SIGTERM changes nothing, SIGINT during a stop ends the process at once; the platform's SIGKILL after the grace period bounds the stop. The product's own processes are unchanged.

repeated_stop_signals_abandon_no_job fails on the code before. node_test passes.

--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -5,7 +5,6 @@
 #include "../../../platform/announcements.hpp"
 #include "entryregistry.hpp"
 #include "keys.hpp"
-#include <csignal>
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -59,7 +58,7 @@
     , announcements_(io, {}, [this](const HttpRequest &request, const Respond &respond) { handleAnnouncementRequest(request, respond); })
     , metrics_(io)
     , timer_(io)
-    , signals_(io, SIGTERM, SIGINT)
+    , signals_(io, [this] { beginStop(); })
 {
 }
 
@@ -69,11 +68,7 @@
     BOOST_OUTCOME_TRY(metrics_.listen(settings_.metricsAddress_));
     store_.setObserver(observeStore);
     logEvent("process.started", {{"role", "agent"}, {"incarnation", self_.incarnation_}});
-    signals_.async_wait([this](boost::system::error_code error, int) {
-        if (!error) {
-            stop();
-        }
-    });
+    signals_.start();
     tick();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -290,21 +285,12 @@
 }
 
 // Active runs continue to their end; nothing new is started.
-void AgentNode::stop()
+void AgentNode::beginStop()
 {
-    if (stoppingSince_) {
-        io_.stop();
-        return;
-    }
     logEvent("process.stopping", {{"runs", static_cast<std::int64_t>(supervisor_.runs())}});
     stoppingSince_ = bootClock();
     supervisor_.drain();
     flush();
-    signals_.async_wait([this](boost::system::error_code error, int) {
-        if (!error) {
-            io_.stop();
-        }
-    });
 }
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -7,7 +7,7 @@
 #include "frames.hpp"
 #include "mesh.hpp"
 #include "metrics.hpp"
-#include <boost/asio/signal_set.hpp>
+#include "stopsignals.hpp"
 #include <ibiswall/settings.hpp>
 
 namespace ibiswall::node {
@@ -35,7 +35,7 @@
     void call(const cell::TargetCall &call);
     void readEntries();
     void tick();
-    void stop();
+    void beginStop();
 
     boost::asio::io_context &io_;
     CellAgentSettings settings_;
@@ -47,7 +47,7 @@
     HttpServer announcements_;
     MetricsServer metrics_;
     boost::asio::steady_timer timer_;
-    boost::asio::signal_set signals_;
+    StopSignals signals_;
     /// Name of the leader whose orders are followed; empty before the first.
     std::string leader_;
     Millis lastPingAt_;
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -3,7 +3,6 @@
 #include "entrynode.hpp"
 
 #include "../../../platform/callers.hpp"
-#include <csignal>
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -60,7 +59,7 @@
     , metrics_(io)
     , timer_(io)
     , configTimer_(io)
-    , signals_(io, SIGTERM, SIGINT)
+    , signals_(io, [this] { beginStop(); })
 {
 }
 
@@ -72,11 +71,7 @@
     BOOST_OUTCOME_TRY(mesh_.listen());
     store_.setObserver(observeStore);
     logEvent("process.started", {{"role", "entry"}, {"incarnation", self_.incarnation_}});
-    signals_.async_wait([this](boost::system::error_code error, int) {
-        if (!error) {
-            beginStop();
-        }
-    });
+    signals_.start();
     publishEntry();
     readConfig();
     tick();
@@ -154,16 +149,8 @@
 // Requests are handled until the load balancer sends callers elsewhere; meanwhile another entry becomes the leader.
 void EntryNode::beginStop()
 {
-    if (!stop_.begin(bootClock())) {
-        io_.stop();
-        return;
-    }
+    stop_.begin(bootClock());
     logEvent("process.stopping", {{"pending", static_cast<std::int64_t>(callers_.pending())}, {"leading", leaderSession_ ? 1 : 0}});
-    signals_.async_wait([this](boost::system::error_code error, int) {
-        if (!error) {
-            io_.stop();
-        }
-    });
 }
 
 void EntryNode::continueStop()
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -8,7 +8,7 @@
 #include "leadership.hpp"
 #include "mesh.hpp"
 #include "metrics.hpp"
-#include <boost/asio/signal_set.hpp>
+#include "stopsignals.hpp"
 #include <ibiswall/settings.hpp>
 
 namespace ibiswall::node {
@@ -120,7 +120,7 @@
     MetricsServer metrics_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer configTimer_;
-    boost::asio::signal_set signals_;
+    StopSignals signals_;
 
     cell::CellConfig config_;
     bool configured_ = false;
--- a/src/ibiswall/node/gracefulstop.cpp
+++ b/src/ibiswall/node/gracefulstop.cpp
@@ -14,13 +14,11 @@
     settings_.gracePeriod_ = gracePeriod;
 }
 
-bool GracefulStop::begin(Millis now)
+void GracefulStop::begin(Millis now)
 {
-    if (begunAt_) {
-        return false;
+    if (!begunAt_) {
+        begunAt_ = now;
     }
-    begunAt_ = now;
-    return true;
 }
 
 bool GracefulStop::hasBegun() const
--- a/src/ibiswall/node/gracefulstop.hpp
+++ b/src/ibiswall/node/gracefulstop.hpp
@@ -33,9 +33,8 @@
 
     void setGracePeriod(Millis gracePeriod);
 
-    /// Begins the stop.
-    /// @return false if it has begun before
-    bool begin(Millis now);
+    /// Begins the stop; nothing changes if it has begun before.
+    void begin(Millis now);
 
     bool hasBegun() const;
 
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 namespace ibiswall::system {
@@ -49,6 +50,17 @@
     BOOST_TEST(cell.overlappingTasks().empty());
 }
 
+std::size_t countStarts(const WorkerNode &node, const std::string &job)
+{
+    std::ifstream record(node.runRecordFile_);
+    std::string line;
+    std::size_t starts = 0;
+    while (std::getline(record, line)) {
+        starts += line.find("\"start\"") != std::string::npos && line.find(job) != std::string::npos ? 1 : 0;
+    }
+    return starts;
+}
+
 void sleepFor(int millis)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(millis));
@@ -195,6 +207,27 @@
     checkAllCompleted(answers, cell);
 }
 
+BOOST_AUTO_TEST_CASE(repeated_stop_signals_abandon_no_job)
+{
+    Cell cell({1, 1, 0});
+    cell.awaitReady();
+    CellEntry &entry = cell.entries()[0];
+    WorkerNode &node = cell.workerNodes()[0];
+    SubmitResult answer;
+    std::thread caller([&] { answer = cell.submit(jobId(4500), 2, 1000, true, {1}); });
+    await("the job is running", [&] { return countStarts(node, jobId(4500)) == 2; });
+    for (int i = 0; i < 3; ++i) {
+        entry.process_->signal(SIGTERM);
+        node.agent_->signal(SIGTERM);
+        sleepFor(50);
+    }
+    BOOST_TEST(entry.process_->wait() == 0);
+    BOOST_TEST(node.agent_->wait() == 0);
+    caller.join();
+    BOOST_TEST(answer.state_ == "completed");
+    BOOST_TEST(answer.attempts_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(evacuated_failure_domain_gets_no_work_until_restored)
 {
     Cell cell({2, 2, 0});
