Fail the health check of an entry that has no configuration

An entry that is started while the platform is down answers every job with 211, but its health check passed, so the load balancer sent it its share of the callers.

Cause: the health check only knew of the stop. What decides about jobs, that the configuration is up to date, stayed in the dispatch loop.

Fix: the dispatch loop reports once that it has caught up; the health check passes from then to the begin of a stop.

--- a/src/ibiswall/entry/callersloop.cpp
+++ b/src/ibiswall/entry/callersloop.cpp
@@ -92,9 +92,14 @@
     return server_.listen(address);
 }
 
-void CallersLoop::markUnhealthy()
+void CallersLoop::markCaughtUp()
 {
-    healthy_ = false;
+    caughtUp_ = true;
+}
+
+void CallersLoop::markStopping()
+{
+    stopping_ = true;
 }
 
 void CallersLoop::closeIdle()
@@ -158,7 +163,8 @@
         return;
     }
     if (request.path_ == "/healthz") {
-        respond(jsonReply(healthy_ ? httpOk : httpUnavailable, healthy_ ? R"({"healthy":true})" : R"({"healthy":false})"));
+        const bool healthy = caughtUp_ && !stopping_;
+        respond(jsonReply(healthy ? httpOk : httpUnavailable, healthy ? R"({"healthy":true})" : R"({"healthy":false})"));
         return;
     }
     if (request.path_ == "/metrics") {
--- a/src/ibiswall/entry/callersloop.hpp
+++ b/src/ibiswall/entry/callersloop.hpp
@@ -24,8 +24,11 @@
     /// Sends the reply to a request that was forwarded.
     void reply(CallerReply &&reply);
 
-    /// Makes the health check fail, so that the load balancer stops sending callers here.
-    void markUnhealthy();
+    /// Lets the health check succeed, unless the entry is stopping.
+    void markCaughtUp();
+
+    /// Makes the health check fail for good, so that the load balancer stops sending callers here.
+    void markStopping();
 
     /// Closes idle connections now, and each other connection after its current reply.
     void closeIdle();
@@ -55,7 +58,8 @@
     /// Descriptions of the confirmations in pendingReplies_, for the log.
     std::unordered_map<CallerRef, std::string> pendingIntents_;
     CallerRef nextCaller_ = 1;
-    bool healthy_ = true;
+    bool caughtUp_ = false;
+    bool stopping_ = false;
 };
 
 } // namespace ibiswall
--- a/src/ibiswall/entry/dispatchloop.cpp
+++ b/src/ibiswall/entry/dispatchloop.cpp
@@ -113,6 +113,7 @@
         queryPeers(now);
         resolveConfirmations(now);
         reportDrained();
+        reportCaughtUp();
         scheduleTick();
     });
 }
@@ -125,6 +126,14 @@
     }
 }
 
+void DispatchLoop::reportCaughtUp()
+{
+    if (configQuorum_.caughtUp_ && !caughtUpReported_) {
+        caughtUpReported_ = true;
+        hooks_.sendToCallers_(CaughtUp{});
+    }
+}
+
 void DispatchLoop::handle(DispatchMessage &&message)
 {
     std::visit([this](auto &&request) { onMessage(std::forward<decltype(request)>(request)); }, std::move(message));
--- a/src/ibiswall/entry/dispatchloop.hpp
+++ b/src/ibiswall/entry/dispatchloop.hpp
@@ -90,6 +90,7 @@
     void recordRefusedLink(std::string_view reason);
     void scheduleTick();
     void reportDrained();
+    void reportCaughtUp();
 
     Dispatcher dispatcher_;
     DispatchLoopHooks hooks_;
@@ -109,6 +110,7 @@
     std::unordered_map<CallerRef, std::pair<LinkId, std::uint64_t>> relayedCallers_;
     CallerRef nextRelayedCaller_;
     bool drainReported_ = false;
+    bool caughtUpReported_ = false;
     std::uint64_t refusedLinkCount_ = 0;
     /// When a refused link was last logged.
     Millis lastRefusalLogAt_;
--- a/src/ibiswall/entry/entry.cpp
+++ b/src/ibiswall/entry/entry.cpp
@@ -154,7 +154,7 @@
     {
         draining_ = true;
         log(LogLevel::Info, component, "stopping: health check fails, open jobs continue");
-        callers_.markUnhealthy();
+        callers_.markStopping();
         timer_.expires_after(std::chrono::milliseconds(settings_.drainDelay_.count_));
         timer_.async_wait([this](boost::system::error_code error) {
             if (!error) {
@@ -184,6 +184,10 @@
             callers_.reply(std::move(*reply));
             return;
         }
+        if (std::holds_alternative<CaughtUp>(message)) {
+            callers_.markCaughtUp();
+            return;
+        }
         callers_.stopAccepting();
         awaitReplies();
     }
--- a/src/ibiswall/entry/messages.hpp
+++ b/src/ibiswall/entry/messages.hpp
@@ -89,8 +89,13 @@
 {
 };
 
+/// The dispatch loop reports that the configuration is up to date, so that it no longer refuses all jobs.
+struct CaughtUp
+{
+};
+
 /// From the dispatch loop to the callers loop.
-using CallersMessage = std::variant<CallerReply, Drained>;
+using CallersMessage = std::variant<CallerReply, Drained, CaughtUp>;
 
 /// From the dispatch loop to the platform loop: write a confirmed change.
 struct WriteRequest
