--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -98,6 +98,10 @@
         return;
     }
     if (stop_.isClosing() && submitters_.count(id) == 0) {
+        count("ibiswall_refusals_total", "stopping");
+        logEvent(
+            "job.refused",
+            {{"job", std::string_view(id)}, {"reason", "stopping"}, {"stopping_ms", stop_.elapsed(bootClock()).value_or(Millis{}).count_}});
         respond(errorReply(Unavailable, Code::Draining, {}, startRetryAfter));
         return;
     }
