--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -90,6 +90,8 @@
     void acquireLead(std::int64_t expected);
     void startLeading(std::uint64_t epoch, Millis acquiredAt, bool first);
     void onLeaderChanged();
+
+    // Registry of entries (entryregistration.cpp)
     void readEntries();
     void publishEntry();
     void removeUnreachableEntries(Span<const platform::Item> items);
