--- a/src/ibiswall/node/gracefulstopmodel_test.cpp
+++ b/src/ibiswall/node/gracefulstopmodel_test.cpp
@@ -4,9 +4,10 @@
 #include "gracefulstop.hpp"
 #include "leadership.hpp"
 
+#include "../core/testsettings.hpp"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <functional>
 #include <memory>
 #include <random>
@@ -277,21 +278,15 @@
     Violations violations_;
 };
 
-int numberFromEnvironment(const char *name, int fallback)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? fallback : std::atoi(text);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(graceful_stop_model)
 
 BOOST_AUTO_TEST_CASE(no_stopping_entry_returns_to_rotation_or_closes_without_a_successor)
 {
-    const int first = numberFromEnvironment("IBISWALL_SEED", 1);
-    const int count = numberFromEnvironment("IBISWALL_HISTORIES", 300);
-    for (int seed = first; seed < first + count; ++seed) {
+    const std::uint64_t first = fromEnvironment("IBISWALL_SEED", 1);
+    const std::uint64_t count = fromEnvironment("IBISWALL_HISTORIES", 300);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
         const Violations violations = StopScenario(static_cast<std::uint32_t>(seed), {}).run();
         BOOST_TEST_CONTEXT("seed " << seed)
         {
