Bound the links of agents, and announce links of entries as changes

Cause: every agent linked to every entry, and for each link that opened or closed an entry sent the list of all its peers to all of them.

Change: an agent links to three entries, one of them in its own failure domain, and to the leader. Entries announce their links to entries only, a list once for each new link between entries, then the changes, collected for 20 ms. Agents answer over the link on which frames arrive. Paths are updated for the changed peer only. A mesh link buffers 4 MB at most.

--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -3,7 +3,6 @@
 #include "agentnode.hpp"
 
 #include "../../../platform/announcements.hpp"
-#include "entryregistry.hpp"
 #include "keys.hpp"
 #include <ibiswall/log/eventlog.hpp>
 
@@ -17,6 +16,8 @@
 constexpr Millis unleasedPingPeriod{60};
 constexpr Millis entriesPeriod{2000};
 constexpr Millis storeTimeout{1000};
+// Entries that an agent links to besides the leader.
+constexpr std::size_t homeLinks = 3;
 // Time reserved at the end of the grace period.
 constexpr Millis stopReserve{500};
 
@@ -166,6 +167,7 @@
         logEvent("lead.followed", {{"leader", std::string_view(from)}, {"epoch", static_cast<std::int64_t>(epoch)}});
     }
     leader_ = from;
+    connectToEntries();
 }
 
 void AgentNode::handleOrders(const OrdersFrame &frame)
@@ -253,16 +255,26 @@
         if (answer.outcome_ != platform::StoreOutcome::Ok) {
             return;
         }
-        const auto entries = parseEntries(answer.items_);
-        if (entries.empty()) {
+        entries_ = parseEntries(answer.items_);
+        if (entries_.empty()) {
             // The cell is starting up: retry soon.
             constexpr Millis startupRetry{300};
             entriesReadAt_ = bootClock() - entriesPeriod + startupRetry;
         }
-        mesh_.setEntries(entries);
+        connectToEntries();
     });
 }
 
+// The leader's orders and reports make up most of the traffic, so they get a link of their own.
+void AgentNode::connectToEntries()
+{
+    EntryRecords wanted = chooseHomes(self_.name_, settings_.domain_, entries_, homeLinks);
+    if (const auto leader = entries_.find(leader_); leader != entries_.end()) {
+        wanted.insert(*leader);
+    }
+    mesh_.setEntries(addressesOf(wanted));
+}
+
 void AgentNode::tick()
 {
     readEntries();
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -4,6 +4,7 @@
 
 #include "../../../platform/store.hpp"
 #include "../../../platform/targetclient.hpp"
+#include "entryregistry.hpp"
 #include "frames.hpp"
 #include "mesh.hpp"
 #include "metrics.hpp"
@@ -34,6 +35,7 @@
     void flush();
     void call(const cell::TargetCall &call);
     void readEntries();
+    void connectToEntries();
     void tick();
     void beginStop();
 
@@ -52,6 +54,8 @@
     std::string leader_;
     Millis lastPingAt_;
     Millis agentLeaseUntil_;
+    /// Registered entries at the latest read.
+    EntryRecords entries_;
     Millis entriesReadAt_;
     bool readingEntries_ = false;
     bool flushing_ = false;
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -165,13 +165,14 @@
 
 void EntryNode::onPeerUp(const Peer &peer)
 {
-    logEvent("peer.up", {{"peer", std::string_view(peer.name_)}, {"incarnation", peer.incarnation_}});
     if (!peer.isEntry_) {
         if (leaderSession_) {
+            logEvent("peer.up", {{"peer", std::string_view(peer.name_)}, {"incarnation", peer.incarnation_}});
             leaderSession_->requestFullReport(peer.name_);
         }
         return;
     }
+    logEvent("peer.up", {{"peer", std::string_view(peer.name_)}, {"incarnation", peer.incarnation_}});
     heartbeatSentAt_ = {};
     if (peer.name_ == leadership_.leaderInfo().leader_) {
         onLeaderChanged();
@@ -183,8 +184,11 @@
 
 void EntryNode::onPeerDown(const std::string &name)
 {
-    logEvent("peer.down", {{"peer", std::string_view(name)}});
-    if (leaderSession_ && entries_.count(name) != 0) {
+    const bool isEntry = entries_.count(name) != 0;
+    if (isEntry || leaderSession_) {
+        logEvent("peer.down", {{"peer", std::string_view(name)}});
+    }
+    if (leaderSession_ && isEntry) {
         leaderSession_->scheduleSweeps();
     }
 }
--- a/src/ibiswall/node/entryregistration.cpp
+++ b/src/ibiswall/node/entryregistration.cpp
@@ -5,7 +5,6 @@
 #include "entryregistry.hpp"
 #include "keys.hpp"
 #include <ibiswall/log/eventlog.hpp>
-#include <nlohmann/json.hpp>
 
 namespace ibiswall::node {
 
@@ -15,12 +14,6 @@
 // The leader removes an entry from the registry after this time without a path to it; longer than a restart.
 constexpr Millis unreachableEntryTimeout{6000};
 
-std::string formatEntry(const Address &address, std::int64_t incarnation)
-{
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(nlohmann::json::array({format(address), incarnation}));
-    return {bytes.begin(), bytes.end()};
-}
-
 } // namespace
 
 void EntryNode::publishEntry()
@@ -34,7 +27,7 @@
         platform::Transaction transaction;
         const std::string key = keys::entries + self_.name_;
         transaction.conditions_.push_back({key, known ? answer.items_.front().revision_ : 0});
-        transaction.writes_.push_back({key, formatEntry(settings_.linksAddress_, self_.incarnation_)});
+        transaction.writes_.push_back({key, formatEntry({settings_.linksAddress_, self_.incarnation_, settings_.domain_})});
         store_.commit(transaction, [this](const platform::StoreResult &written) {
             if (written.outcome_ == platform::StoreOutcome::Ok) {
                 entriesReadAt_ = {};
@@ -81,7 +74,7 @@
         if (answer.outcome_ != platform::StoreOutcome::Ok) {
             return;
         }
-        std::map<std::string, Address> entries = parseEntries(answer.items_);
+        std::map<std::string, Address> entries = addressesOf(parseEntries(answer.items_));
         const auto own = entries.find(self_.name_);
         if (own == entries.end() || !(own->second == settings_.linksAddress_)) {
             publishEntry();
--- a/src/ibiswall/node/entryregistry.cpp
+++ b/src/ibiswall/node/entryregistry.cpp
@@ -1,27 +1,86 @@
-// Parses the registry of entries.
+// Format of the registry of entries, and the selection of the entries that an agent links to.
 
 #include "entryregistry.hpp"
 
 #include "keys.hpp"
+#include <ibiswall/core/subset.hpp>
 #include <ibiswall/log/eventlog.hpp>
 #include <nlohmann/json.hpp>
 
 namespace ibiswall::node {
 
-std::map<std::string, Address> parseEntries(Span<const platform::Item> items)
+namespace {
+
+using Json = nlohmann::json;
+
+Result<EntryRecord> parseEntry(const std::string &value)
+{
+    const Json json = Json::from_cbor(value, true, false);
+    if (!json.is_array() || json.empty() || !json[0].is_string()) {
+        return Error{Code::Corrupt, "not an address"};
+    }
+    BOOST_OUTCOME_TRY(auto address, parseAddress(json[0].get<std::string>()));
+    EntryRecord entry{address, 0, {}};
+    if (json.size() > 1 && json[1].is_number_integer()) {
+        entry.incarnation_ = json[1].get<std::int64_t>();
+    }
+    if (json.size() > 2 && json[2].is_string()) {
+        entry.domain_ = json[2].get<std::string>();
+    }
+    return entry;
+}
+
+} // namespace
+
+std::string formatEntry(const EntryRecord &entry)
+{
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({format(entry.address_), entry.incarnation_, entry.domain_}));
+    return {bytes.begin(), bytes.end()};
+}
+
+EntryRecords parseEntries(Span<const platform::Item> items)
 {
-    std::map<std::string, Address> entries;
+    EntryRecords entries;
     for (const platform::Item &item : items) {
-        const auto json = nlohmann::json::from_cbor(item.value_, true, false);
-        const bool readable = json.is_array() && !json.empty() && json[0].is_string();
-        const auto address = readable ? parseAddress(json[0].get<std::string>()) : Result<Address>(Error{Code::Corrupt, "not an address"});
-        if (address.has_error()) {
-            logEvent("entry.unreadable", {{"key", std::string_view(item.key_)}, {"reason", std::string_view(address.error().text_)}});
+        const auto entry = parseEntry(item.value_);
+        if (entry.has_error()) {
+            logEvent("entry.unreadable", {{"key", std::string_view(item.key_)}, {"reason", std::string_view(entry.error().text_)}});
             continue;
         }
-        entries[keys::nameOf(item.key_, keys::entries)] = address.value();
+        entries[keys::nameOf(item.key_, keys::entries)] = entry.value();
     }
     return entries;
 }
 
+std::map<std::string, Address> addressesOf(const EntryRecords &entries)
+{
+    std::map<std::string, Address> addresses;
+    for (const auto &[name, entry] : entries) {
+        addresses[name] = entry.address_;
+    }
+    return addresses;
+}
+
+EntryRecords chooseHomes(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count)
+{
+    std::vector<EntryPoint> local;
+    std::vector<EntryPoint> remote;
+    for (const auto &[name, entry] : entries) {
+        (entry.domain_ == domain ? local : remote).push_back({name, entry.domain_});
+    }
+    EntryRecords homes;
+    const auto choose = [&](const std::vector<EntryPoint> &points, std::size_t most) {
+        for (const std::size_t at : chooseEntries(agent, points, most)) {
+            homes[points[at].name_] = entries.at(points[at].name_);
+        }
+    };
+    choose(local, 1);
+    choose(remote, count - homes.size());
+    if (homes.size() < count) {
+        // Too few entries elsewhere: the best local ones, of which the first is chosen already.
+        choose(local, count - homes.size() + 1);
+    }
+    return homes;
+}
+
 } // namespace ibiswall::node
--- a/src/ibiswall/node/entryregistry.hpp
+++ b/src/ibiswall/node/entryregistry.hpp
@@ -7,7 +7,31 @@
 
 namespace ibiswall::node {
 
-/// Parses the stored addresses, by name of the entry. Invalid items are logged and skipped.
-std::map<std::string, Address> parseEntries(Span<const platform::Item> items);
+/// A registered entry.
+struct EntryRecord
+{
+    /// Where it accepts links.
+    Address address_;
+    /// Incarnation that registered it.
+    std::int64_t incarnation_ = 0;
+    /// Failure domain that it runs in; empty if it is not known.
+    std::string domain_;
+};
+
+/// Registered entries by name.
+using EntryRecords = std::map<std::string, EntryRecord>;
+
+std::string formatEntry(const EntryRecord &entry);
+
+/// Parses the stored records. Invalid items are logged and skipped.
+EntryRecords parseEntries(Span<const platform::Item> items);
+
+/// Link addresses of the entries, by name.
+std::map<std::string, Address> addressesOf(const EntryRecords &entries);
+
+/// Selects the entries that an agent links to: one in its own failure domain, which relays without leaving the domain, and
+/// others in distinct domains, so that the loss of one does not disconnect the agent.
+/// @param count number of entries to select; if there are fewer, all are selected
+EntryRecords chooseHomes(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count);
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -2,6 +2,7 @@
 
 #include "mesh.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace ibiswall::node {
@@ -11,12 +12,17 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t maxFrame = 16U << 20U;
+// Unsent bytes of one link. Links of small VMs drain slowly, and their memory holds a few dozen links.
+constexpr std::size_t maxBuffered = 4U << 20U;
 
 // First byte of every frame on a link.
 enum Kind : char {
     Identification = 'i',
     Heartbeat = 'b',
+    /// From an entry to an entry: the peers that the sender has direct links to.
     Neighbours = 'n',
+    /// From an entry to an entry: links that the sender has opened and closed since its last announcement.
+    NeighbourChanges = 'c',
     Payload = 'p',
     /// To be relayed: the rest is CBOR of [to, from, payload].
     Relayed = 'r',
@@ -61,6 +67,7 @@
 {
     LinkLimits limits;
     limits.maxFrameBytes_ = maxFrame;
+    limits.maxBufferedBytes_ = maxBuffered;
     limits.maxReconnectDelay_ = {400};
     return limits;
 }
@@ -84,6 +91,7 @@
                },
                {}})
     , timer_(io)
+    , announceTimer_(io)
 {
     tick();
 }
@@ -139,17 +147,29 @@
 }
 
 void Mesh::onLinkClosed(Key key)
+{
+    if (links_.count(key) != 0) {
+        removeLink(key);
+    }
+}
+
+// Forgets a link and all paths that begin with it.
+void Mesh::removeLink(Key key)
 {
     const auto found = links_.find(key);
-    if (found == links_.end()) {
+    const Link link = std::move(found->second);
+    links_.erase(found);
+    if (!link.identified_) {
         return;
     }
-    const bool identified = found->second.identified_;
-    links_.erase(found);
-    if (identified) {
-        sendNeighbours();
-        refreshReachable();
+    for (const std::string &name : link.neighbours_) {
+        removeRelay(key, name);
+    }
+    if (Paths &paths = paths_[link.peer_.name_]; paths.direct_ == key) {
+        paths.direct_.reset();
+        announceLink(link.peer_.name_);
     }
+    refresh(link.peer_.name_);
 }
 
 void Mesh::sendOn(Link &link, std::string_view frame)
@@ -172,66 +192,113 @@
     link.lastContactAt_ = bootClock();
     const std::string_view rest = frame.substr(1);
     try {
-        switch (frame.front()) {
-        case Identification:
-            onIdentification(key, link, parsePeer(Json::from_cbor(rest)));
-            break;
-        case Neighbours:
-            link.neighbours_.clear();
-            for (const Json &each : Json::from_cbor(rest)) {
-                Peer peer = parsePeer(each);
-                link.neighbours_[peer.name_] = peer;
-            }
-            refreshReachable();
-            break;
-        case Payload:
-            if (link.identified_) {
-                const std::string name = link.peer_.name_;
-                events_.received_(name, rest);
-            }
-            break;
-        case Relayed:
-            relay(link, rest);
-            break;
-        default:
-            break;
+        if (frame.front() == Identification) {
+            onIdentification(key, parsePeer(Json::from_cbor(rest)));
+        } else if (!link.identified_) {
+            return;
+        } else if (frame.front() == Neighbours) {
+            onNeighbours(key, rest);
+        } else if (frame.front() == NeighbourChanges) {
+            onNeighbourChanges(key, rest);
+        } else if (frame.front() == Payload) {
+            const std::string name = link.peer_.name_;
+            events_.received_(name, rest);
+        } else if (frame.front() == Relayed) {
+            relay(key, rest);
         }
     } catch (const nlohmann::json::exception &) {
         // A peer that sends malformed frames is disconnected.
-        drop(link.peer_.name_);
+        link.client_ ? link.client_->drop() : server_.drop(link.id_);
     }
 }
 
-void Mesh::onIdentification(Key key, Link &link, Peer peer)
+void Mesh::onIdentification(Key key, Peer peer)
 {
+    Link &link = links_.at(key);
+    if (link.identified_) {
+        return;
+    }
     link.peer_ = std::move(peer);
     link.peer_.path_ = link.serial_;
     link.identified_ = true;
-    // The newest link to a peer replaces an older one, which may be half-open.
-    std::vector<Key> older;
-    for (const auto &[other, each] : links_) {
-        if (other != key && each.identified_ && each.peer_.name_ == link.peer_.name_) {
-            older.push_back(other);
+    const std::string name = link.peer_.name_;
+    Paths &paths = paths_[name];
+    const std::optional<Key> older = std::exchange(paths.direct_, key);
+    if (older) {
+        // The newest link to a peer replaces an older one, which may be half-open.
+        const Link old = links_.at(*older);
+        removeLink(*older);
+        old.client_ ? old.client_->drop() : server_.drop(old.id_);
+    }
+    announceLink(name);
+    if (settings_.self_.isEntry_ && link.peer_.isEntry_) {
+        Json neighbours = Json::array();
+        for (const auto &[each, other] : links_) {
+            if (other.identified_ && each != key) {
+                neighbours.push_back(formatPeer(other.peer_));
+            }
         }
+        sendOn(link, pack(Neighbours, neighbours));
     }
-    for (const Key &each : older) {
-        const Link old = links_[each];
-        links_.erase(each);
-        old.client_ ? old.client_->drop() : server_.drop(old.id_);
+    refresh(name);
+}
+
+void Mesh::onNeighbours(Key key, std::string_view bytes)
+{
+    for (const std::string &name : std::set<std::string>(links_.at(key).neighbours_)) {
+        removeRelay(key, name);
+    }
+    for (const Json &each : Json::from_cbor(bytes)) {
+        addRelay(key, parsePeer(each));
+    }
+}
+
+void Mesh::onNeighbourChanges(Key key, std::string_view bytes)
+{
+    const Json changes = Json::from_cbor(bytes);
+    for (const Json &each : changes.at(1)) {
+        removeRelay(key, each.get<std::string>());
+    }
+    for (const Json &each : changes.at(0)) {
+        addRelay(key, parsePeer(each));
+    }
+}
+
+void Mesh::addRelay(Key key, Peer peer)
+{
+    const auto link = links_.find(key);
+    if (link == links_.end() || peer.name_ == settings_.self_.name_) {
+        return;
+    }
+    peer.path_ = relayedPath(link->second.serial_, peer.path_);
+    const std::string name = peer.name_;
+    link->second.neighbours_.insert(name);
+    paths_[name].relays_[key] = std::move(peer);
+    refresh(name);
+}
+
+void Mesh::removeRelay(Key key, const std::string &name)
+{
+    if (const auto link = links_.find(key); link != links_.end()) {
+        link->second.neighbours_.erase(name);
+    }
+    if (const auto paths = paths_.find(name); paths != paths_.end() && paths->second.relays_.erase(key) > 0) {
+        refresh(name);
     }
-    sendNeighbours();
-    refreshReachable();
 }
 
-void Mesh::relay(Link &link, std::string_view bytes)
+void Mesh::relay(Key key, std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes);
     const std::string to = json.at(0).get<std::string>();
     const std::string from = json.at(1).get<std::string>();
     const auto &payload = json.at(2).get_binary();
     if (to == settings_.self_.name_) {
+        if (!settings_.self_.isEntry_) {
+            paths_[from].arrivedOn_ = key;
+        }
         events_.received_(from, std::string_view(reinterpret_cast<const char *>(payload.data()), payload.size()));
-    } else if (Link *next = directLink(to); next != nullptr && next != &link) {
+    } else if (Link *next = directLink(to); next != nullptr && next != &links_.at(key)) {
         std::string frame(1, Relayed);
         frame.append(bytes);
         sendOn(*next, frame);
@@ -240,12 +307,25 @@
 
 Mesh::Link *Mesh::directLink(const std::string &name)
 {
-    for (auto &[key, link] : links_) {
-        if (link.identified_ && link.peer_.name_ == name) {
-            return &link;
+    const auto paths = paths_.find(name);
+    return paths == paths_.end() || !paths->second.direct_ ? nullptr : &links_.at(*paths->second.direct_);
+}
+
+// The link to an entry that can relay frames to a peer. Entries know who is linked to it. An agent prefers the entry that
+// relayed the latest frame of the peer, and otherwise tries any.
+Mesh::Link *Mesh::relayTo(const std::string &name)
+{
+    const auto found = paths_.find(name);
+    if (settings_.self_.isEntry_) {
+        return found == paths_.end() || !found->second.reported_ ? nullptr : &links_.at(found->second.reportedLink_);
+    }
+    if (found != paths_.end() && found->second.arrivedOn_) {
+        if (const auto link = links_.find(*found->second.arrivedOn_); link != links_.end()) {
+            return &link->second;
         }
     }
-    return nullptr;
+    const auto any = std::find_if(links_.begin(), links_.end(), [](const auto &each) { return each.second.identified_; });
+    return found == paths_.end() || any == links_.end() ? nullptr : &any->second;
 }
 
 bool Mesh::send(const std::string &name, std::string_view frame)
@@ -254,30 +334,45 @@
         sendOn(*link, std::string(1, Payload).append(frame));
         return true;
     }
-    for (auto &[key, link] : links_) {
-        if (link.identified_ && link.peer_.isEntry_ && link.neighbours_.count(name) != 0) {
-            sendOn(link, pack(Relayed, Json::array({name, settings_.self_.name_, binary(frame)})));
-            return true;
-        }
+    if (Link *link = relayTo(name); link != nullptr) {
+        sendOn(*link, pack(Relayed, Json::array({name, settings_.self_.name_, binary(frame)})));
+        return true;
     }
     return false;
 }
 
 // Only entries relay, so only they announce their links.
-void Mesh::sendNeighbours()
+void Mesh::announceLink(const std::string &name)
 {
     if (!settings_.self_.isEntry_) {
         return;
     }
-    Json neighbours = Json::array();
-    for (const auto &[key, link] : links_) {
-        if (link.identified_) {
-            neighbours.push_back(formatPeer(link.peer_));
+    unannounced_.insert(name);
+    if (unannounced_.size() > 1) {
+        return;
+    }
+    announceTimer_.expires_after(std::chrono::milliseconds(settings_.announceDelay_.count_));
+    announceTimer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            flushAnnouncements();
+        }
+    });
+}
+
+void Mesh::flushAnnouncements()
+{
+    Json opened = Json::array();
+    Json closed = Json::array();
+    for (const std::string &name : std::exchange(unannounced_, {})) {
+        if (const Link *link = directLink(name); link != nullptr) {
+            opened.push_back(formatPeer(link->peer_));
+        } else {
+            closed.push_back(name);
         }
     }
-    const std::string frame = pack(Neighbours, neighbours);
+    const std::string frame = pack(NeighbourChanges, Json::array({std::move(opened), std::move(closed)}));
     for (auto &[key, link] : links_) {
-        if (link.identified_) {
+        if (link.identified_ && link.peer_.isEntry_) {
             sendOn(link, frame);
         }
     }
@@ -285,63 +380,55 @@
 
 std::vector<Peer> Mesh::reachable() const
 {
-    std::map<std::string, Peer> peers;
-    for (const auto &[key, link] : links_) {
-        if (link.identified_ && link.peer_.isEntry_) {
-            for (const auto &[name, peer] : link.neighbours_) {
-                if (name != settings_.self_.name_ && peers.count(name) == 0) {
-                    peers[name] = peer;
-                    peers[name].path_ = relayedPath(link.serial_, peer.path_);
-                }
-            }
-        }
-    }
-    for (const auto &[key, link] : links_) {
-        if (link.identified_) {
-            peers[link.peer_.name_] = link.peer_;
-        }
-    }
     std::vector<Peer> out;
-    out.reserve(peers.size());
-    for (auto &[name, peer] : peers) {
-        out.push_back(std::move(peer));
+    for (const auto &[name, paths] : paths_) {
+        if (paths.reported_) {
+            out.push_back(*paths.reported_);
+        }
     }
     return out;
 }
 
 bool Mesh::isReachable(const std::string &name) const
 {
-    return reportedPeers_.count(name) != 0;
+    const auto found = paths_.find(name);
+    return found != paths_.end() && found->second.reported_;
 }
 
-// Reports the peers that have become reachable or unreachable since the last call.
-void Mesh::refreshReachable()
+// Chooses the path to a peer, and reports it if it differs from the one reported before. A direct path is preferred, then
+// the one in use, so that a further relay does not interrupt the traffic.
+void Mesh::refresh(const std::string &name)
 {
-    std::map<std::string, Peer> now;
-    for (Peer &peer : reachable()) {
-        std::string name = peer.name_;
-        now[std::move(name)] = std::move(peer);
+    const auto found = paths_.find(name);
+    if (found == paths_.end()) {
+        return;
     }
-    const std::map<std::string, Peer> before = std::exchange(reportedPeers_, now);
-    for (const auto &[name, peer] : before) {
-        if (now.count(name) == 0) {
-            events_.down_(name);
-        }
+    Paths &paths = found->second;
+    std::optional<Peer> now;
+    if (paths.direct_) {
+        now = links_.at(*paths.direct_).peer_;
+        paths.reportedLink_ = *paths.direct_;
+    } else if (!paths.relays_.empty()) {
+        const auto current = paths.relays_.find(paths.reportedLink_);
+        const auto &[key, peer] = current != paths.relays_.end() ? *current : *paths.relays_.begin();
+        now = peer;
+        paths.reportedLink_ = key;
     }
-    for (const auto &[name, peer] : now) {
-        const auto old = before.find(name);
-        if (old == before.end() || !samePeer(old->second, peer)) {
-            events_.up_(peer);
-        }
+    const std::optional<Peer> before = std::exchange(paths.reported_, now);
+    if (!now && !paths.arrivedOn_) {
+        paths_.erase(found);
+    }
+    if (!now && before) {
+        events_.down_(name);
+    } else if (now && !(before && samePeer(*before, *now))) {
+        events_.up_(*now);
     }
 }
 
 void Mesh::drop(const std::string &name)
 {
-    for (auto &[key, link] : links_) {
-        if (link.peer_.name_ == name) {
-            link.client_ ? link.client_->drop() : server_.drop(link.id_);
-        }
+    if (const Link *link = directLink(name); link != nullptr) {
+        link->client_ ? link->client_->drop() : server_.drop(link->id_);
     }
 }
 
@@ -370,6 +457,7 @@
 void Mesh::stop()
 {
     timer_.cancel();
+    announceTimer_.cancel();
     for (auto &[name, client] : clients_) {
         client.second->stop();
     }
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -1,10 +1,15 @@
 // Named links between the processes of a cell: direct if possible, otherwise relayed by one entry.
+//
+// Entries link to one another and announce their links to other entries, first as a list and then as changes, so the traffic
+// for one changed link is linear in the number of entries. Agents link to a few entries and receive no announcements: they
+// answer over the link on which a peer's relayed frames arrive.
 
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
 #include <ibiswall/net.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +42,8 @@
     Address listen_;
     /// A frame is sent on each link at least this often.
     Millis heartbeatInterval_{250};
+    /// Changes of links are collected for this long before they are announced.
+    Millis announceDelay_{20};
     /// A link is dropped after this time without a received frame.
     Millis linkTimeout_{1200};
 };
@@ -66,6 +73,8 @@
     void stop();
 
 private:
+    using Key = std::pair<bool, std::uint64_t>;
+
     struct Link
     {
         /// Set on links that this process opened.
@@ -77,21 +86,40 @@
         std::uint64_t serial_ = 0;
         Millis lastContactAt_;
         Millis sentAt_;
-        /// Peers to which this peer has direct links.
-        std::map<std::string, Peer> neighbours_;
+        /// Names of the peers to which this peer has announced direct links.
+        std::set<std::string> neighbours_;
     };
 
-    using Key = std::pair<bool, std::uint64_t>;
+    /// All known paths to one peer.
+    struct Paths
+    {
+        /// Link to the peer itself, if there is one.
+        std::optional<Key> direct_;
+        /// Links to entries that have announced a link to the peer, with the peer as they announced it.
+        std::map<Key, Peer> relays_;
+        /// Link over which a relayed frame of the peer has arrived last; may be closed.
+        std::optional<Key> arrivedOn_;
+        /// The path reported through up_, and the link that it begins with.
+        std::optional<Peer> reported_;
+        Key reportedLink_;
+    };
 
     void onLinkOpened(Key key, std::shared_ptr<LinkClient> client);
     void onLinkClosed(Key key);
     void onFrame(Key key, std::string_view frame);
-    void onIdentification(Key key, Link &link, Peer peer);
-    void relay(Link &link, std::string_view bytes);
+    void onIdentification(Key key, Peer peer);
+    void onNeighbours(Key key, std::string_view bytes);
+    void onNeighbourChanges(Key key, std::string_view bytes);
+    void addRelay(Key key, Peer peer);
+    void removeRelay(Key key, const std::string &name);
+    void removeLink(Key key);
+    void relay(Key key, std::string_view bytes);
     void sendOn(Link &link, std::string_view frame);
-    void sendNeighbours();
-    void refreshReachable();
+    void announceLink(const std::string &name);
+    void flushAnnouncements();
+    void refresh(const std::string &name);
     Link *directLink(const std::string &name);
+    Link *relayTo(const std::string &name);
     void tick();
 
     boost::asio::io_context &io_;
@@ -99,13 +127,16 @@
     MeshEvents events_;
     LinkServer server_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer announceTimer_;
     std::map<Key, Link> links_;
+    /// Paths by peer name. Holds each peer with an identified link, an announced one, or a relayed frame received.
+    std::map<std::string, Paths> paths_;
     /// Clients by entry name, with the address they connect to.
     std::map<std::string, std::pair<Address, std::shared_ptr<LinkClient>>> clients_;
     std::uint64_t nextClient_ = 1;
     std::uint64_t nextSerial_ = 1;
-    /// Peers last reported through up_, by name.
-    std::map<std::string, Peer> reportedPeers_;
+    /// Peers whose direct link has changed since the last announcement.
+    std::set<std::string> unannounced_;
 };
 
 } // namespace ibiswall::node
