Send frequent heartbeats only from and to the leader and its likely successors

Cause: all entries sent heartbeats to one another each 100 ms: with 55 of them 540 a second to and from each.

Change: between other entries they are sent each second, and carry the interval until the next one, by which the receiver judges whether the sender is reachable. A change of the sender's state is sent to all at once. Link heartbeats each 400 ms instead of 250 ms; agents ping each 300 ms instead of 150 ms while they are answered, of a lease of 1 s.

--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 constexpr Millis tickPeriod{50};
-constexpr Millis pingPeriod{150};
+constexpr Millis pingPeriod{300};
+// Interval of pings while the latest has not been answered.
+constexpr Millis pingRetryPeriod{150};
 // Interval of pings while there is no lease.
 constexpr Millis unleasedPingPeriod{60};
 constexpr Millis entriesPeriod{2000};
@@ -141,6 +143,7 @@
         return;
     } else if (const auto *pong = std::get_if<PongFrame>(&frame.value())) {
         if (pong->epoch_ == supervisor_.epoch() && pong->lease_ > Millis{0}) {
+            pingAnswered_ = pingAnswered_ || pong->sentAt_ == lastPingAt_;
             agentLeaseUntil_ = {std::max(agentLeaseUntil_.count_, (pong->sentAt_ + pong->lease_).count_)};
             supervisor_.renewAgentLease(agentLeaseUntil_);
         } else if (pong->epoch_ == supervisor_.epoch()) {
@@ -188,11 +191,12 @@
 void AgentNode::ping()
 {
     const Millis now = bootClock();
-    const Millis period = agentLeaseUntil_ > now ? pingPeriod : unleasedPingPeriod;
+    const Millis period = agentLeaseUntil_ <= now ? unleasedPingPeriod : pingAnswered_ ? pingPeriod : pingRetryPeriod;
     if (leader_.empty() || now < lastPingAt_ + period) {
         return;
     }
     lastPingAt_ = now;
+    pingAnswered_ = false;
     mesh_.send(leader_, formatFrame(PingFrame{supervisor_.epoch(), now}));
 }
 
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -53,6 +53,8 @@
     /// Name of the leader whose orders are followed; empty before the first.
     std::string leader_;
     Millis lastPingAt_;
+    /// Whether the latest ping has been answered with a lease.
+    bool pingAnswered_ = false;
     Millis agentLeaseUntil_;
     /// Registered entries at the latest read.
     EntryRecords entries_;
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -5,12 +5,12 @@
 #include "keys.hpp"
 #include <boost/asio/post.hpp>
 #include <ibiswall/log/eventlog.hpp>
+#include <tuple>
 
 namespace ibiswall::node {
 
 namespace {
 
-constexpr Millis heartbeatPeriod{100};
 constexpr std::size_t maxOffers = 64;
 // Time between the refusal of a job by the leader and the caller's deadline.
 constexpr Millis refusalReserve{60};
@@ -173,7 +173,7 @@
         return;
     }
     logEvent("peer.up", {{"peer", std::string_view(peer.name_)}, {"incarnation", peer.incarnation_}});
-    heartbeatSentAt_ = {};
+    heartbeatsDueAt_.erase(peer.name_);
     if (peer.name_ == leadership_.leaderInfo().leader_) {
         onLeaderChanged();
     }
@@ -184,6 +184,7 @@
 
 void EntryNode::onPeerDown(const std::string &name)
 {
+    heartbeatsDueAt_.erase(name);
     const bool isEntry = entries_.count(name) != 0;
     if (isEntry || leaderSession_) {
         logEvent("peer.down", {{"peer", std::string_view(name)}});
@@ -213,25 +214,13 @@
     }
 }
 
-void EntryNode::sendHeartbeat()
+HeartbeatFrame EntryNode::makeHeartbeat(Millis now)
 {
-    const Millis now = bootClock();
-    if (now < heartbeatSentAt_ + heartbeatPeriod) {
-        return;
-    }
-    heartbeatSentAt_ = now;
     HeartbeatFrame frame;
     frame.epoch_ = leadership_.leaderInfo().epoch_;
     frame.leader_ = leadership_.leaderInfo().leader_;
     frame.leaderAge_ = leadership_.leaderAge(now);
     frame.storeAge_ = leaderSession_ ? leaderSession_->storeContact().age_ : now - store_.health().lastAnsweredSentAt_;
-    if (leaderSession_ && leaderSession_->hasSteppedDown()) {
-        if (leadership_.shouldResume(leaderSession_->steppedDownAt(), now)) {
-            leaderSession_->resume();
-        }
-    } else if (leaderSession_ && leadership_.shouldStepDown(leaderSession_->storeContact(), stop_.departure(), now)) {
-        leaderSession_->stepDown();
-    }
     frame.leaving_ = stop_.hasBegun();
     frame.accepting_ = configured_ && !stop_.isClosing();
     frame.steppedDown_ = leaderSession_ && leaderSession_->hasSteppedDown();
@@ -242,11 +231,45 @@
         frame.waiting_ = leaderSession_->waitingJobs();
         waiting_ = frame.waiting_;
     }
-    const std::string bytes = formatFrame(frame);
+    return frame;
+}
+
+// Sends the heartbeats that are due, and one to every entry when the state in them has changed.
+void EntryNode::sendHeartbeats()
+{
+    const Millis now = bootClock();
+    if (leaderSession_ && leaderSession_->hasSteppedDown()) {
+        if (leadership_.shouldResume(leaderSession_->steppedDownAt(), now)) {
+            leaderSession_->resume();
+        }
+    } else if (leaderSession_ && leadership_.shouldStepDown(leaderSession_->storeContact(), stop_.departure(), now)) {
+        leaderSession_->stepDown();
+    }
+    HeartbeatFrame frame = makeHeartbeat(now);
+    const auto stateOf = [](const HeartbeatFrame &each) {
+        return std::tie(each.epoch_, each.leaving_, each.accepting_, each.steppedDown_);
+    };
+    const bool changed = stateOf(frame) != stateOf(lastHeartbeat_);
+    lastHeartbeat_ = frame;
+    // The frame in its encoded form for each interval.
+    std::map<std::int64_t, std::string> encoded;
     for (const Peer &peer : mesh_.reachable()) {
-        if (peer.isEntry_) {
-            mesh_.send(peer.name_, bytes);
+        if (!peer.isEntry_) {
+            continue;
+        }
+        const Millis interval = leadership_.heartbeatInterval(peer.name_, now);
+        Millis &dueAt = heartbeatsDueAt_[peer.name_];
+        dueAt = {std::min(dueAt.count_, (now + interval).count_)};
+        if (!changed && now < dueAt) {
+            continue;
+        }
+        dueAt = now + interval;
+        std::string &bytes = encoded[interval.count_];
+        if (bytes.empty()) {
+            frame.nextIn_ = interval;
+            bytes = formatFrame(frame);
         }
+        mesh_.send(peer.name_, bytes);
     }
 }
 
@@ -355,8 +378,7 @@
     leaderSession_->setConfig(config_, evacuatedDomains_);
     leaderSession_->start();
     onLeaderChanged();
-    heartbeatSentAt_ = {};
-    sendHeartbeat();
+    sendHeartbeats();
 }
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -97,7 +97,7 @@
 void EntryNode::tick()
 {
     const Millis now = bootClock();
-    sendHeartbeat();
+    sendHeartbeats();
     maybeCampaign();
     readEntries();
     expireCallers(now);
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -84,7 +84,8 @@
     void flushOffers();
     void onPeerUp(const Peer &peer);
     void onPeerDown(const std::string &name);
-    void sendHeartbeat();
+    HeartbeatFrame makeHeartbeat(Millis now);
+    void sendHeartbeats();
     void maybeCampaign();
     void readLeader();
     void acquireLead(std::int64_t expected);
@@ -150,7 +151,10 @@
     Millis entriesReadAt_;
     bool readingEntries_ = false;
     bool entryPublished_ = false;
-    Millis heartbeatSentAt_;
+    /// When the next heartbeat is due at each reachable entry.
+    std::map<std::string, Millis> heartbeatsDueAt_;
+    /// Contains the state of this process that the other entries were told last.
+    HeartbeatFrame lastHeartbeat_;
     Millis prunedAt_;
     std::uint64_t nextNonce_ = 1;
     /// Readiness in the latest log line about it.
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -132,7 +132,8 @@
 Json body(const HeartbeatFrame &frame)
 {
     return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.steppedDown_,
-                        frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_});
+                        frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_,
+                        frame.nextIn_.count_});
 }
 
 Json body(const OffersFrame &frame)
@@ -227,6 +228,9 @@
     frame.waiting_ = json.at(at++).get<std::map<std::string, std::size_t>>();
     // Earlier versions do not send it.
     frame.accepting_ = json.size() > at ? json.at(at++).get<bool>() : !frame.leaving_;
+    if (json.size() > at) {
+        frame.nextIn_ = {json.at(at++).get<std::int64_t>()};
+    }
     return frame;
 }
 
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -72,6 +72,8 @@
     std::int64_t millicores_ = 0;
     /// The sender's clock.
     Millis sentAt_;
+    /// When the sender will send its next heartbeat to the receiver, from sentAt_.
+    Millis nextIn_{100};
     /// The leader's clock in the latest heartbeat of this epoch that the sender has received from it; 0 for none. The sender
     /// has not campaigned since, and will not for LeadershipSettings::holdOff_ from then.
     Millis holdOffFrom_;
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -44,6 +44,7 @@
     other.millicores_ = heartbeat.millicores_;
     other.holdOffFrom_ = heartbeat.holdOffFrom_;
     other.epoch_ = heartbeat.epoch_;
+    other.interval_ = heartbeat.nextIn_;
     updateLeader({heartbeat.epoch_, heartbeat.leader_}, now);
     if (heartbeat.epoch_ != leaderInfo_.epoch_) {
         return changed;
@@ -57,7 +58,23 @@
 
 bool Leadership::isAlive(const OtherEntry &other, Millis now) const
 {
-    return now <= other.lastContactAt_ + settings_.peerTimeout_;
+    return now <= other.lastContactAt_ + settings_.peerTimeout_ - settings_.frequentHeartbeat_ + other.interval_;
+}
+
+bool Leadership::isLikelySuccessor(Millis now) const
+{
+    const auto before = std::count_if(others_.begin(), others_.end(), [&](const auto &each) {
+        const auto &[name, other] = each;
+        return name != leaderInfo_.leader_ && isAlive(other, now) && !other.leaving_ && other.accepting_
+            && std::pair(-other.millicores_, name) < std::pair(-millicores_, self_);
+    });
+    return static_cast<std::size_t>(before) < settings_.likelySuccessors_;
+}
+
+Millis Leadership::heartbeatInterval(const std::string &to, Millis now) const
+{
+    const bool frequent = isLeader() || to == leaderInfo_.leader_ || isLikelySuccessor(now);
+    return frequent ? settings_.frequentHeartbeat_ : settings_.rareHeartbeat_;
 }
 
 // Whether the other entry could become the leader, judging by its last heartbeat.
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -18,6 +18,12 @@
     /// A leader or another entry counts as unreachable after this time without a heartbeat. For the leader, heartbeats that
     /// other entries have received count as well.
     Millis peerTimeout_{450};
+    /// Interval of heartbeats from and to the leader, and from its likely successors. Less than holdOff_.
+    Millis frequentHeartbeat_{100};
+    /// Interval of all other heartbeats; peerTimeout_ is longer by the difference for them.
+    Millis rareHeartbeat_{1000};
+    /// Number of entries that send frequent heartbeats besides the leader: those that would campaign first.
+    std::size_t likelySuccessors_ = 4;
     /// Campaign delay for each eligible entry that ranks before this one, so that candidates do not compete. Entries rank by
     /// CPU share, then by name.
     Millis rankDelay_{150};
@@ -100,6 +106,11 @@
     /// @param leaving whether this process is shutting down
     bool shouldCampaign(Millis storeAge, bool leaving, Millis now) const;
 
+    /// Interval of heartbeats to another entry. The leader and its likely successors exchange them frequently with everyone,
+    /// so that a lost leader is noticed by all and a leader that only some have lost is not replaced. The other entries need
+    /// no recent state of one another, and their number would make the traffic grow with its square.
+    Millis heartbeatInterval(const std::string &to, Millis now) const;
+
     /// This process has become the leader with this epoch.
     void acquire(std::uint64_t epoch, Millis now);
 
@@ -154,8 +165,11 @@
         /// Start of its latest hold-off in this epoch, on the leader's clock; 0 for none.
         Millis holdOffFrom_;
         std::uint64_t epoch_ = 0;
+        /// Interval of its heartbeats to this entry.
+        Millis interval_;
     };
 
+    bool isLikelySuccessor(Millis now) const;
     bool isAlive(const OtherEntry &other, Millis now) const;
     bool isEligible(const OtherEntry &other, Millis now) const;
 
--- a/src/ibiswall/node/leadership_test.cpp
+++ b/src/ibiswall/node/leadership_test.cpp
@@ -320,6 +320,50 @@
     BOOST_TEST(weak.shouldCampaign(fresh, false, Millis{1000} + settings.rankDelay_));
 }
 
+// With 55 entries that all send heartbeats to one another each 100 ms, every entry handles 540 a second.
+BOOST_AUTO_TEST_CASE(heartbeats_of_a_large_cell_do_not_grow_with_its_square)
+{
+    constexpr int entries = 55;
+    const LeadershipSettings settings;
+    const auto nameOf = [](int i) {
+        return "e" + std::to_string(100 + i);
+    };
+    const Millis now{5000};
+    std::map<std::string, double> received;
+    for (int i = 0; i < entries; ++i) {
+        Leadership self(nameOf(i), 500, settings);
+        for (int other = 0; other < entries; ++other) {
+            if (other != i) {
+                self.onHeartbeat(nameOf(other), heartbeatOf(5, nameOf(0)), now);
+            }
+        }
+        for (int other = 0; other < entries; ++other) {
+            if (other != i) {
+                received[nameOf(other)] += 1000.0 / static_cast<double>(self.heartbeatInterval(nameOf(other), now).count_);
+            }
+        }
+    }
+    const double frequent = 1000.0 / static_cast<double>(settings.frequentHeartbeat_.count_);
+    const double rare = 1000.0 / static_cast<double>(settings.rareHeartbeat_.count_);
+    const auto perEntry = (static_cast<double>(settings.likelySuccessors_) + 1) * frequent + entries * rare;
+    for (int i = 1; i < entries; ++i) {
+        BOOST_TEST(received[nameOf(i)] <= perEntry);
+    }
+    // The leader's leases during an outage of the store depend on recent hold-offs of all entries.
+    BOOST_TEST(received[nameOf(0)] == (entries - 1) * frequent);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_with_rare_heartbeats_counts_as_reachable_between_them)
+{
+    const LeadershipSettings settings;
+    Leadership one("e1", 500, settings);
+    HeartbeatFrame heartbeat = heartbeatOf(5, "e0");
+    heartbeat.nextIn_ = settings.rareHeartbeat_;
+    one.onHeartbeat("e2", heartbeat, {1000});
+    BOOST_TEST(one.countOthers(Millis{1000} + settings.rareHeartbeat_).reachable_ == 1);
+    BOOST_TEST(one.countOthers(Millis{1001} + settings.rareHeartbeat_ + settings.peerTimeout_).reachable_ == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -41,7 +41,7 @@
     /// Address to listen on; port 0 for processes that only connect.
     Address listen_;
     /// A frame is sent on each link at least this often.
-    Millis heartbeatInterval_{250};
+    Millis heartbeatInterval_{400};
     /// Changes of links are collected for this long before they are announced.
     Millis announceDelay_{20};
     /// A link is dropped after this time without a received frame.
