Ping for a lease by the time it has left

Change: the interval is a decision of its own: 300 ms while more than 500 ms are left, 150 ms otherwise, 60 ms without a lease.

--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -4,6 +4,7 @@
 
 #include "../../../platform/announcements.hpp"
 #include "keys.hpp"
+#include "pinginterval.hpp"
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -11,11 +12,6 @@
 namespace {
 
 constexpr Millis tickPeriod{50};
-constexpr Millis pingPeriod{300};
-// Interval of pings while the latest has not been answered.
-constexpr Millis pingRetryPeriod{150};
-// Interval of pings while there is no lease.
-constexpr Millis unleasedPingPeriod{60};
 constexpr Millis entriesPeriod{2000};
 constexpr Millis storeTimeout{1000};
 // Entries that an agent links to besides the leader.
@@ -191,8 +187,7 @@
 void AgentNode::ping()
 {
     const Millis now = bootClock();
-    const Millis period = agentLeaseUntil_ <= now ? unleasedPingPeriod : pingAnswered_ ? pingPeriod : pingRetryPeriod;
-    if (leader_.empty() || now < lastPingAt_ + period) {
+    if (leader_.empty() || now < lastPingAt_ + pingInterval({agentLeaseUntil_ - now, pingAnswered_})) {
         return;
     }
     lastPingAt_ = now;
