Survive malformed values and unexpected errors in the processes of a cell

Cause, each shown by a test that failed before: a stored or offered job record whose step depends on a later step threw out of the leader, and of each leader after it; a CBOR value of some megabytes of nested arrays overflowed the stack (SIGSEGV in malformed/deeply_nested_record_is_corrupt); a record with 4 billion tasks was accepted in steps of 0 tasks. Any other exception in a handler ended the process, since nothing caught it.

Change: records are checked when they are decoded; CBOR is decoded with a bounded depth; a malformed frame closes its link only; an exception in a handler of requests answers that request with 504 and code 305, any other ends its handler, logged and counted; periodic work re-arms its timer first.

--- a/include/ibiswall/base/code.hpp
+++ b/include/ibiswall/base/code.hpp
@@ -43,6 +43,7 @@
     CallTimeout = 302,
     OwnerUnreachable = 303,
     AnswerDropped = 304,
+    HandlerFailed = 305,
 
     TargetFailed = 400,
     TaskFailed = 401,
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -57,6 +57,9 @@
     bool ephemeral_ = false;
 };
 
+/// Most tasks of a job.
+constexpr std::uint32_t maxTasksOfJob = 100000;
+
 /// Number of tasks of a job, over all steps.
 std::uint32_t taskCount(const JobSpec &spec);
 
--- a/include/ibiswall/net/httpserver.hpp
+++ b/include/ibiswall/net/httpserver.hpp
@@ -55,6 +55,8 @@
     std::string extraHeader_ = {};
     /// Whether to detect that a client closes the connection while its request is being handled.
     bool detectPeerClose_ = false;
+    /// Receives the reason when the handler fails with an exception; may be empty. The request is answered with HandlerFailed.
+    std::function<void(std::string_view)> onHandlerFailure_ = {};
 };
 
 /// Sends the reply to one request. May be called after the handler has returned, on the server's event loop.
--- a/src/ibiswall/base/code.cpp
+++ b/src/ibiswall/base/code.cpp
@@ -69,6 +69,8 @@
         return "unknown: home entry cannot be reached, ask again";
     case Code::AnswerDropped:
         return "ran before: its answer is no longer kept";
+    case Code::HandlerFailed:
+        return "unknown: request failed inside the process, ask again";
     case Code::TargetFailed:
         return "ran: target reported failure";
     case Code::TaskFailed:
--- /dev/null
+++ b/src/ibiswall/cell/malformed_test.cpp
@@ -0,0 +1,140 @@
+// Tests that malformed records are rejected and never reach the dispatcher.
+
+#include "testparts.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <ibiswall/cell/dispatcher.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace ibiswall::cell {
+
+namespace {
+
+using Json = nlohmann::json;
+
+JobRecord twoStepRecord()
+{
+    JobRecord record;
+    record.nonce_ = "1.1";
+    record.spec_.queue_ = "q";
+    record.spec_.payload_ = "work";
+    Step first;
+    first.count_ = 2;
+    first.need_ = {500, 256, 0};
+    first.estimate_ = {100};
+    Step second = first;
+    second.after_ = {0};
+    record.spec_.steps_ = {first, second};
+    record.progress_.done_ = {true, false, false, false};
+    record.progress_.failedRuns_ = {{1, 7}};
+    return record;
+}
+
+std::string toBytes(const Json &json)
+{
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+    return {bytes.begin(), bytes.end()};
+}
+
+// The encoded record with the value at a JSON pointer replaced.
+std::string withValue(const char *pointer, const Json &value)
+{
+    Json json = Json::from_cbor(formatRecord(twoStepRecord()));
+    json[Json::json_pointer(pointer)] = value;
+    return toBytes(json);
+}
+
+unsigned scenarioCount()
+{
+    const char *count = std::getenv("IBISWALL_HISTORIES");
+    constexpr unsigned inCi = 3000;
+    return count == nullptr ? inCi : static_cast<unsigned>(std::strtoul(count, nullptr, 10));
+}
+
+unsigned firstSeed()
+{
+    const char *seed = std::getenv("IBISWALL_SEED");
+    return seed == nullptr ? 1U : static_cast<unsigned>(std::strtoul(seed, nullptr, 10));
+}
+
+// Changes a few bytes, removes some or repeats some.
+std::string mutate(std::string bytes, std::minstd_rand &random)
+{
+    const auto below = [&random](std::size_t limit) {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+    };
+    for (std::size_t changes = 1 + below(4); changes > 0 && !bytes.empty(); --changes) {
+        const std::size_t at = below(bytes.size());
+        switch (below(4)) {
+        case 0:
+            bytes[at] = static_cast<char>(below(256));
+            break;
+        case 1:
+            bytes[at] = static_cast<char>(static_cast<unsigned char>(bytes[at]) ^ (1U << below(8)));
+            break;
+        case 2:
+            bytes.erase(at, 1 + below(4));
+            break;
+        default:
+            bytes.insert(at, bytes.substr(below(bytes.size()), 1 + below(8)));
+            break;
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(malformed)
+
+// The dispatcher looks up earlier steps by these indexes.
+BOOST_AUTO_TEST_CASE(record_with_a_dependency_on_a_later_step_is_corrupt)
+{
+    BOOST_TEST(parseRecord(formatRecord(twoStepRecord())).has_value());
+    BOOST_TEST(parseRecord(withValue("/4/2/1/5", {5})).has_error());
+    BOOST_TEST(parseRecord(withValue("/4/2/0/5", {0})).has_error());
+}
+
+// A record with 4 billion tasks would need more memory than a VM has.
+BOOST_AUTO_TEST_CASE(record_with_too_many_tasks_is_corrupt)
+{
+    BOOST_TEST(parseRecord(withValue("/4/2/0/0", 4000000000U)).has_error());
+    BOOST_TEST(parseRecord(withValue("/4/2/0/0", 0)).has_error());
+}
+
+// A decoder that calls itself for each level would exhaust the stack.
+BOOST_AUTO_TEST_CASE(deeply_nested_record_is_corrupt)
+{
+    constexpr std::size_t levels = 4U << 20U;
+    constexpr char arrayOfOne = '\x81';
+    BOOST_TEST(parseRecord(std::string(levels, arrayOfOne)).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(mutated_records_do_not_harm_the_dispatcher)
+{
+    const std::string valid = formatRecord(twoStepRecord());
+    for (unsigned seed = firstSeed(); seed < firstSeed() + scenarioCount(); ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            std::minstd_rand random(seed);
+            auto record = parseRecord(mutate(valid, random));
+            if (record.has_error()) {
+                continue;
+            }
+            Dispatcher dispatcher(1);
+            BOOST_CHECK_NO_THROW({
+                dispatcher.setConfig({}, {});
+                dispatcher.addJob({"0123456789abcdef", std::move(record.value()), 1, false, {}, {}, {}}, {1000});
+                dispatcher.markReconciled({1000});
+                dispatcher.schedule({1000});
+                dispatcher.takeActions();
+            });
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ibiswall::cell
--- a/src/ibiswall/cell/record.cpp
+++ b/src/ibiswall/cell/record.cpp
@@ -3,6 +3,8 @@
 #include <ibiswall/cell/record.hpp>
 
 #include "stepcodec.hpp"
+#include <algorithm>
+#include <ibiswall/cell/cbor.hpp>
 
 namespace ibiswall::cell {
 
@@ -26,8 +28,17 @@
     JobSpec spec;
     spec.queue_ = json.at(0).get<std::string>();
     spec.payload_ = json.at(1).get<std::string>();
-    for (const Json &step : json.at(2)) {
-        spec.steps_.push_back(parseStep(step));
+    std::uint64_t tasks = 0;
+    for (const Json &each : json.at(2)) {
+        Step step = parseStep(each);
+        tasks += step.count_;
+        if (step.count_ == 0 || tasks > maxTasksOfJob) {
+            throw std::out_of_range("invalid number of tasks");
+        }
+        if (std::any_of(step.after_.begin(), step.after_.end(), [&spec](std::uint32_t before) { return before >= spec.steps_.size(); })) {
+            throw std::out_of_range("step depends on a step that is not an earlier one");
+        }
+        spec.steps_.push_back(std::move(step));
     }
     spec.ephemeral_ = json.at(3).get<bool>();
     return spec;
@@ -117,7 +128,7 @@
 Result<JobRecord> parseRecord(std::string_view bytes)
 {
     try {
-        return readRecord(Json::from_cbor(bytes));
+        return readRecord(parseCbor(bytes));
     } catch (const std::exception &error) {
         return Error{Code::Corrupt, std::string("job record: ") + error.what()};
     }
--- a/src/ibiswall/codec/api.cpp
+++ b/src/ibiswall/codec/api.cpp
@@ -142,6 +142,8 @@
         return 405;
     case Code::QuotaExceeded:
         return 429;
+    case Code::HandlerFailed:
+        return 504;
     case Code::Overloaded:
     case Code::Draining:
     case Code::NotReady:
--- a/src/ibiswall/net/httpserver.cpp
+++ b/src/ibiswall/net/httpserver.cpp
@@ -177,10 +177,29 @@
             onPeerClosed_ = std::make_shared<std::function<void()>>();
             request.onPeerClosed_ = onPeerClosed_;
         }
-        state_->handler_(std::move(request), [self = this->shared_from_this()](HttpReply reply) { self->send(std::move(reply)); });
+        handle(std::move(request));
         watchForClose();
     }
 
+    // Passes the request to the handler. If the handler fails, its request alone is answered with an error.
+    void handle(HttpRequest &&request)
+    {
+        const auto replied = std::make_shared<bool>(false);
+        const auto respond = [self = this->shared_from_this(), replied](HttpReply reply) {
+            if (!std::exchange(*replied, true)) {
+                self->send(std::move(reply));
+            }
+        };
+        try {
+            state_->handler_(std::move(request), respond);
+        } catch (const std::exception &error) {
+            if (state_->limits_.onHandlerFailure_) {
+                state_->limits_.onHandlerFailure_(error.what());
+            }
+            respond(jsonReply(static_cast<int>(http::status::gateway_timeout), errorBody(Code::HandlerFailed)));
+        }
+    }
+
     // Detects that the client closes the connection while the request is being handled.
     void watchForClose()
     {
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -3,6 +3,7 @@
 #include "agentnode.hpp"
 
 #include "../../../platform/announcements.hpp"
+#include "eventloop.hpp"
 #include "keys.hpp"
 #include "pinginterval.hpp"
 #include <ibiswall/log/eventlog.hpp>
@@ -16,9 +17,19 @@
 constexpr Millis storeTimeout{1000};
 // Entries that an agent links to besides the leader.
 constexpr std::size_t homeLinks = 3;
+// Wait before an agent connects to a new leader, and the time over which the agents are spread after it.
+constexpr Millis leaderLinkDelay{1000};
+constexpr Millis leaderLinkSpread{2000};
 // Time reserved at the end of the grace period.
 constexpr Millis stopReserve{500};
 
+HttpLimits announcementLimits()
+{
+    HttpLimits limits;
+    limits.onHandlerFailure_ = reportHandlerFailure;
+    return limits;
+}
+
 const char *outcomeName(cell::CallOutcome outcome)
 {
     constexpr const char *names[] = {"ok", "no_room", "rejected", "not_sent", "unknown"};
@@ -54,7 +65,9 @@
                  receive(from, bytes);
              }})
     , supervisor_(supervisorSettings(settings), self_.incarnation_)
-    , announcements_(io, {}, [this](const HttpRequest &request, const Respond &respond) { handleAnnouncementRequest(request, respond); })
+    , announcements_(io,
+                     announcementLimits(),
+                     [this](const HttpRequest &request, const Respond &respond) { handleAnnouncementRequest(request, respond); })
     , metrics_(io)
     , timer_(io)
     , signals_(io, [this] { beginStop(); })
@@ -165,8 +178,11 @@
     if (leader_ != from) {
         logEvent("lead.followed", {{"leader", std::string_view(from)}, {"epoch", static_cast<std::int64_t>(epoch)}});
     }
-    leader_ = from;
-    connectToEntries();
+    if (leader_ != from) {
+        leader_ = from;
+        delayLeaderLink();
+        connectToEntries();
+    }
 }
 
 void AgentNode::handleOrders(const OrdersFrame &frame)
@@ -268,14 +284,38 @@
 void AgentNode::connectToEntries()
 {
     EntryRecords wanted = chooseHomes(self_.name_, settings_.domain_, entries_, homeLinks);
-    if (const auto leader = entries_.find(leader_); leader != entries_.end()) {
+    if (const auto leader = entries_.find(leader_); leader != entries_.end() && leaderLinkDueAt_ == Millis{0}) {
         wanted.insert(*leader);
     }
     mesh_.setEntries(addressesOf(wanted));
 }
 
+// The change of the path to the leader interrupts the orders to this agent, and each new link costs the leader a handshake. So
+// agents use relays while a new leader gathers their reports, and then connect to it one after the other.
+void AgentNode::delayLeaderLink()
+{
+    const auto spread = static_cast<std::uint64_t>(leaderLinkSpread.count_);
+    leaderLinkDueAt_ = bootClock() + leaderLinkDelay + Millis{static_cast<std::int64_t>(std::hash<std::string>{}(self_.name_) % spread)};
+}
+
+void AgentNode::connectToLeaderIfDue()
+{
+    if (leaderLinkDueAt_ != Millis{0} && bootClock() >= leaderLinkDueAt_) {
+        leaderLinkDueAt_ = {};
+        connectToEntries();
+    }
+}
+
 void AgentNode::tick()
 {
+    // First, so that an exception in the work below does not end the ticks.
+    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
+    connectToLeaderIfDue();
     readEntries();
     ping();
     gauge("ibiswall_runs", static_cast<double>(supervisor_.runs()));
@@ -285,14 +325,7 @@
     if (stoppingSince_ && (supervisor_.runs() == 0 || bootClock() > *stoppingSince_ + settings_.gracePeriod_ - stopReserve)) {
         logEvent("process.stopped", {{"runs", static_cast<std::int64_t>(supervisor_.runs())}});
         io_.stop();
-        return;
     }
-    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error) {
-            tick();
-        }
-    });
 }
 
 // Active runs continue to their end; nothing new is started.
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -36,6 +36,8 @@
     void call(const cell::TargetCall &call);
     void readEntries();
     void connectToEntries();
+    void delayLeaderLink();
+    void connectToLeaderIfDue();
     void tick();
     void beginStop();
 
@@ -58,6 +60,8 @@
     Millis agentLeaseUntil_;
     /// Registered entries at the latest read.
     EntryRecords entries_;
+    /// When to connect to the leader; 0 once that is done.
+    Millis leaderLinkDueAt_;
     Millis entriesReadAt_;
     bool readingEntries_ = false;
     bool flushing_ = false;
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -3,6 +3,7 @@
 #include "entrynode.hpp"
 
 #include "../../../platform/callers.hpp"
+#include "eventloop.hpp"
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -21,6 +22,7 @@
     limits.idleTimeout_ = {60000};
     limits.extraHeader_ = platform::callerTimeoutHeader;
     limits.detectPeerClose_ = true;
+    limits.onHandlerFailure_ = reportHandlerFailure;
     return limits;
 }
 
@@ -96,6 +98,13 @@
 
 void EntryNode::tick()
 {
+    // First, so that an exception in the work below does not end the ticks.
+    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
     const Millis now = bootClock();
     sendHeartbeats();
     maybeCampaign();
@@ -106,12 +115,6 @@
     if (stop_.hasBegun()) {
         continueStop();
     }
-    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error) {
-            tick();
-        }
-    });
 }
 
 void EntryNode::answerHealthCheck(const Respond &respond)
--- a/src/ibiswall/node/entryregistry.cpp
+++ b/src/ibiswall/node/entryregistry.cpp
@@ -3,9 +3,9 @@
 #include "entryregistry.hpp"
 
 #include "keys.hpp"
+#include <ibiswall/cell/cbor.hpp>
 #include <ibiswall/core/subset.hpp>
 #include <ibiswall/log/eventlog.hpp>
-#include <nlohmann/json.hpp>
 
 namespace ibiswall::node {
 
@@ -15,7 +15,12 @@
 
 Result<EntryRecord> parseEntry(const std::string &value)
 {
-    const Json json = Json::from_cbor(value, true, false);
+    Json json;
+    try {
+        json = cell::parseCbor(value);
+    } catch (const std::exception &error) {
+        return Error{Code::Corrupt, error.what()};
+    }
     if (!json.is_array() || json.empty() || !json[0].is_string()) {
         return Error{Code::Corrupt, "not an address"};
     }
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -2,7 +2,7 @@
 
 #include "frames.hpp"
 
-#include <nlohmann/json.hpp>
+#include <ibiswall/cell/cbor.hpp>
 
 namespace ibiswall::node {
 
@@ -311,7 +311,7 @@
 Result<Frame> parseFrame(std::string_view bytes)
 {
     try {
-        const Json json = Json::from_cbor(bytes);
+        const Json json = cell::parseCbor(bytes);
         return readFrame(json.at(0).get<std::size_t>(), json.at(1));
     } catch (const std::exception &error) {
         return Error{Code::BadFrame, error.what()};
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -333,6 +333,13 @@
     if (stopped_) {
         return;
     }
+    // First, so that an exception in the work below does not end the ticks.
+    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
+    timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error) {
+            self->tick();
+        }
+    });
     const Millis now = bootClock();
     if (confirmationAge() > confirmationInterval) {
         confirmLeadership();
@@ -363,12 +370,6 @@
     }
     gauge("ibiswall_open_jobs", static_cast<double>(dispatcher_.openJobs()));
     dispatch();
-    timer_.expires_after(std::chrono::milliseconds(tickPeriod.count_));
-    timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error) {
-            self->tick();
-        }
-    });
 }
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -3,7 +3,8 @@
 #include "mesh.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <ibiswall/cell/cbor.hpp>
+#include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
 
@@ -193,7 +194,7 @@
     const std::string_view rest = frame.substr(1);
     try {
         if (frame.front() == Identification) {
-            onIdentification(key, parsePeer(Json::from_cbor(rest)));
+            onIdentification(key, parsePeer(cell::parseCbor(rest)));
         } else if (!link.identified_) {
             return;
         } else if (frame.front() == Neighbours) {
@@ -206,9 +207,14 @@
         } else if (frame.front() == Relayed) {
             relay(key, rest);
         }
-    } catch (const nlohmann::json::exception &) {
+    } catch (const std::exception &error) {
         // A peer that sends malformed frames is disconnected.
-        link.client_ ? link.client_->drop() : server_.drop(link.id_);
+        const auto failed = links_.find(key);
+        if (failed == links_.end()) {
+            return;
+        }
+        logEvent("link.malformed", {{"peer", std::string_view(failed->second.peer_.name_)}, {"reason", error.what()}});
+        failed->second.client_ ? failed->second.client_->drop() : server_.drop(key.second);
     }
 }
 
@@ -248,14 +254,14 @@
     for (const std::string &name : std::set<std::string>(links_.at(key).neighbours_)) {
         removeRelay(key, name);
     }
-    for (const Json &each : Json::from_cbor(bytes)) {
+    for (const Json &each : cell::parseCbor(bytes)) {
         addRelay(key, parsePeer(each));
     }
 }
 
 void Mesh::onNeighbourChanges(Key key, std::string_view bytes)
 {
-    const Json changes = Json::from_cbor(bytes);
+    const Json changes = cell::parseCbor(bytes);
     for (const Json &each : changes.at(1)) {
         removeRelay(key, each.get<std::string>());
     }
@@ -289,7 +295,7 @@
 
 void Mesh::relay(Key key, std::string_view bytes)
 {
-    const Json json = Json::from_cbor(bytes);
+    const Json json = cell::parseCbor(bytes);
     const std::string to = json.at(0).get<std::string>();
     const std::string from = json.at(1).get<std::string>();
     const auto &payload = json.at(2).get_binary();
@@ -434,6 +440,12 @@
 
 void Mesh::tick()
 {
+    timer_.expires_after(std::chrono::milliseconds(settings_.heartbeatInterval_.count_ / 2));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
     const Millis now = bootClock();
     std::vector<std::pair<std::shared_ptr<LinkClient>, LinkId>> timedOut;
     for (auto &[key, link] : links_) {
@@ -446,12 +458,6 @@
     for (const auto &[client, id] : timedOut) {
         client ? client->drop() : server_.drop(id);
     }
-    timer_.expires_after(std::chrono::milliseconds(settings_.heartbeatInterval_.count_ / 2));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error) {
-            tick();
-        }
-    });
 }
 
 void Mesh::stop()
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -108,6 +108,41 @@
     BOOST_TEST(entry.downEvents_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(malformed_frames_close_their_link_only)
+{
+    boost::asio::io_context io;
+    TestNode entry(io, "e1", true);
+    TestNode agent(io, "a1", false);
+    agent.mesh_.setEntries({{"e1", entry.address_}});
+    BOOST_TEST(runUntil(io, [&] { return entry.mesh_.isReachable("a1"); }));
+    const std::string identification = "i\x84\x62xx\x01\xf4\x00";
+    const std::vector<std::string> malformed{
+        "i\xff", "i\x80", identification + identification, "n" + std::string(1U << 20U, '\x81'), "c\x81\x01", "r\x83\x01\x02\x03", "r", "n",
+    };
+    for (const std::string &frame : malformed) {
+        bool closed = false;
+        LinkEvents events;
+        LinkClient *sender = nullptr;
+        events.opened_ = [&](LinkId) {
+            sender->send(identification);
+            sender->send(frame);
+        };
+        events.closed_ = [&closed](LinkId) {
+            closed = true;
+        };
+        events.received_ = [](LinkId, std::string_view) {
+        };
+        LinkClient client(io, entry.address_, {}, events);
+        sender = &client;
+        client.start();
+        BOOST_TEST(runUntil(io, [&] { return closed; }), "frame of " << frame.size() << " bytes");
+        client.stop();
+    }
+    BOOST_TEST(agent.mesh_.send("e1", "still here"));
+    BOOST_TEST(runUntil(io, [&] { return !entry.received_.empty(); }));
+    BOOST_TEST(entry.received_[0].second == "still here");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -39,6 +39,7 @@
         {"ibiswall_placements_total", {"Runs placed by this leader", ""}},
         {"ibiswall_ends_total", {"Ends of runs told to this leader, by kind", "how"}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
+        {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
         {"ibiswall_open_jobs", {"Jobs of this leader that have not ended", ""}},
         {"ibiswall_store_calls_total", {"Calls to the store by outcome", "outcome"}},
         {"ibiswall_store_seconds", {"Time of calls to the store, by kind", "kind"}},
--- a/src/ibiswall/node/run.cpp
+++ b/src/ibiswall/node/run.cpp
@@ -2,6 +2,7 @@
 
 #include "agentnode.hpp"
 #include "entrynode.hpp"
+#include "eventloop.hpp"
 #include "settingswatch.hpp"
 #include <csignal>
 #include <cstdlib>
@@ -30,7 +31,7 @@
         }
     });
     watch.start();
-    io.run();
+    runEventLoop(io);
     // Exits without destroying pending operations: nothing outlives the process, and peers see the connections close at once.
     std::_Exit(static_cast<int>(Exit::Ok));
 }
