Bypass silent links; keep a leaving target out after a restart of its agent

Two of the failures that operators of similar systems report could happen here; each test failed before: - A direct connection between agent and leader that went silent cut the agent off until the link timed out after 1.2 s, and its lease of 1 s had expired by then: all its runs lapsed. Both ends now use a relay once the link has received nothing for 600 ms. - An agent that restarted had forgotten that its target is leaving, and a delayed announcement from before made the target usable. The leader now remembers that a target leaves until its next incarnation. A target whose agent only stops is used again.

--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -140,7 +140,10 @@
     /// Kind and rack, matched by Step::requiredLabel_ and Step::dataRack_.
     std::vector<std::string> labels_;
     Resources capacity_;
+    /// Takes no starts, since the target is leaving or its agent is stopping.
     bool draining_ = false;
+    /// The target itself is leaving, which is final for its incarnation; implies draining_.
+    bool leaving_ = false;
     /// Whether it replies to its agent.
     bool responsive_ = true;
 };
@@ -154,7 +157,7 @@
 {
     return a.id_ == b.id_ && a.targetIncarnation_ == b.targetIncarnation_ && a.service_ == b.service_
         && a.failureDomain_ == b.failureDomain_ && a.labels_ == b.labels_ && a.capacity_ == b.capacity_ && a.draining_ == b.draining_
-        && a.responsive_ == b.responsive_;
+        && a.responsive_ == b.responsive_ && a.leaving_ == b.leaving_;
 }
 
 /// A queue of the configuration.
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -319,7 +319,10 @@
         target.slowness_ = 1;
         target.failureRate_ = 0;
     }
+    const bool leaving = info.leaving_ || (target.info_.leaving_ && !restarted);
     target.info_ = info;
+    target.info_.leaving_ = leaving;
+    target.info_.draining_ = info.draining_ || leaving;
 }
 
 void Dispatcher::pausePlacement(const std::string &agent)
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -132,6 +132,36 @@
     BOOST_TEST(actions.starts_[0].agent_ == "c");
 }
 
+// An agent that has restarted has forgotten that its target is leaving, and may receive an older announcement that was delayed.
+BOOST_AUTO_TEST_CASE(late_announcement_after_a_restart_of_the_agent_does_not_bring_back_a_leaving_target)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    TargetInfo leaving = testTarget("t-a");
+    leaving.draining_ = true;
+    leaving.leaving_ = true;
+    fixture.dispatcher_.updateTarget("a", leaving);
+    fixture.add("a");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    TargetInfo restarted = testTarget("t-a");
+    restarted.targetIncarnation_ = 2;
+    fixture.dispatcher_.updateTarget("a", restarted);
+    BOOST_TEST(fixture.schedule().starts_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(target_of_an_agent_that_has_restarted_is_used_again)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    TargetInfo agentStopping = testTarget("t-a");
+    agentStopping.draining_ = true;
+    fixture.dispatcher_.updateTarget("a", agentStopping);
+    fixture.add("a");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+    BOOST_TEST(fixture.schedule().starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(honors_labels_and_limits_per_target)
 {
     DispatcherFixture fixture;
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -60,7 +60,8 @@
     lastContactAt_ = now;
     TargetInfo current = info;
     current.responsive_ = responsive_;
-    current.draining_ = current.draining_ || departed_;
+    current.leaving_ = current.draining_ || departed_;
+    current.draining_ = current.leaving_;
     if (!info_ || !(*info_ == current)) {
         info_ = current;
         reportTarget();
@@ -90,6 +91,7 @@
         departed_ = departed_ || incarnation != 0;
         if (!info_->draining_) {
             info_->draining_ = true;
+            info_->leaving_ = true;
             reportTarget();
         }
     }
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -43,7 +43,7 @@
 Json toJson(const TargetInfo &info)
 {
     return Json::array({info.id_, info.targetIncarnation_, info.service_, info.failureDomain_, info.labels_, info.capacity_.cpu_,
-                        info.capacity_.memory_, info.capacity_.gpus_, info.draining_, info.responsive_});
+                        info.capacity_.memory_, info.capacity_.gpus_, info.draining_, info.responsive_, info.leaving_});
 }
 
 TargetInfo parseInfo(const Json &json)
@@ -60,6 +60,8 @@
     info.capacity_.gpus_ = json.at(at++).get<std::int64_t>();
     info.draining_ = json.at(at++).get<bool>();
     info.responsive_ = json.at(at++).get<bool>();
+    // Earlier versions do not send it.
+    info.leaving_ = json.size() > at && json.at(at++).get<bool>();
     return info;
 }
 
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -300,7 +300,7 @@
     const std::string from = json.at(1).get<std::string>();
     const auto &payload = json.at(2).get_binary();
     if (to == settings_.self_.name_) {
-        if (!settings_.self_.isEntry_) {
+        if (const auto paths = paths_.find(from); paths != paths_.end() || !settings_.self_.isEntry_) {
             paths_[from].arrivedOn_ = key;
         }
         events_.received_(from, std::string_view(reinterpret_cast<const char *>(payload.data()), payload.size()));
@@ -317,34 +317,49 @@
     return paths == paths_.end() || !paths->second.direct_ ? nullptr : &links_.at(*paths->second.direct_);
 }
 
-// The link to an entry that can relay frames to a peer. Entries know who is linked to it. An agent prefers the entry that
-// relayed the latest frame of the peer, and otherwise tries any.
+// The link to an entry that can relay frames to a peer: the one over which the peer's latest relayed frame has arrived, otherwise
+// one that has announced the peer. Agents receive no announcements and try any entry.
 Mesh::Link *Mesh::relayTo(const std::string &name)
 {
     const auto found = paths_.find(name);
+    if (found == paths_.end()) {
+        return nullptr;
+    }
+    const Paths &paths = found->second;
+    if (paths.arrivedOn_ && links_.count(*paths.arrivedOn_) != 0) {
+        return &links_.at(*paths.arrivedOn_);
+    }
     if (settings_.self_.isEntry_) {
-        return found == paths_.end() || !found->second.reported_ ? nullptr : &links_.at(found->second.reportedLink_);
+        return paths.relays_.empty() ? nullptr : &links_.at(paths.relays_.begin()->first);
     }
-    if (found != paths_.end() && found->second.arrivedOn_) {
-        if (const auto link = links_.find(*found->second.arrivedOn_); link != links_.end()) {
-            return &link->second;
-        }
+    const auto any = std::find_if(links_.begin(), links_.end(),
+                                  [&paths](const auto &each) { return each.second.identified_ && each.first != paths.direct_; });
+    return any == links_.end() ? nullptr : &any->second;
+}
+
+// The first link on the way to a peer.
+Mesh::Link *Mesh::linkTo(const std::string &name)
+{
+    Link *direct = directLink(name);
+    if (direct != nullptr && bootClock() <= direct->lastContactAt_ + settings_.silentLinkAge_) {
+        return direct;
     }
-    const auto any = std::find_if(links_.begin(), links_.end(), [](const auto &each) { return each.second.identified_; });
-    return found == paths_.end() || any == links_.end() ? nullptr : &any->second;
+    Link *relay = relayTo(name);
+    return relay != nullptr ? relay : direct;
 }
 
 bool Mesh::send(const std::string &name, std::string_view frame)
 {
-    if (Link *link = directLink(name); link != nullptr) {
-        sendOn(*link, std::string(1, Payload).append(frame));
-        return true;
+    Link *link = linkTo(name);
+    if (link == nullptr) {
+        return false;
     }
-    if (Link *link = relayTo(name); link != nullptr) {
+    if (link->peer_.name_ == name) {
+        sendOn(*link, std::string(1, Payload).append(frame));
+    } else {
         sendOn(*link, pack(Relayed, Json::array({name, settings_.self_.name_, binary(frame)})));
-        return true;
     }
-    return false;
+    return true;
 }
 
 // Only entries relay, so only they announce their links.
@@ -421,7 +436,7 @@
         paths.reportedLink_ = key;
     }
     const std::optional<Peer> before = std::exchange(paths.reported_, now);
-    if (!now && !paths.arrivedOn_) {
+    if (!now && (settings_.self_.isEntry_ || !paths.arrivedOn_)) {
         paths_.erase(found);
     }
     if (!now && before) {
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -42,6 +42,9 @@
     Address listen_;
     /// A frame is sent on each link at least this often.
     Millis heartbeatInterval_{400};
+    /// While a direct link has received nothing for this long, frames take a relay, so that a connection that has gone silent does
+    /// not cut off its peer until it times out. Longer than heartbeatInterval_.
+    Millis silentLinkAge_{600};
     /// Changes of links are collected for this long before they are announced.
     Millis announceDelay_{20};
     /// A link is dropped after this time without a received frame.
@@ -119,6 +122,7 @@
     void flushAnnouncements();
     void refresh(const std::string &name);
     Link *directLink(const std::string &name);
+    Link *linkTo(const std::string &name);
     Link *relayTo(const std::string &name);
     void tick();
 
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -2,6 +2,9 @@
 
 #include "mesh.hpp"
 
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace ibiswall::node {
@@ -11,9 +14,9 @@
 // A process of a cell that only has links.
 struct TestNode
 {
-    TestNode(boost::asio::io_context &io, const std::string &name, bool isEntry)
+    TestNode(boost::asio::io_context &io, const std::string &name, bool isEntry, Millis linkTimeout = MeshSettings().linkTimeout_)
         : mesh_(io,
-                {{name, 1, isEntry, 0}, {"127.0.0.1", 0}},
+                settingsOf(name, isEntry, linkTimeout),
                 {[this](const Peer &peer) { upEvents_.push_back(peer.name_); },
                  [this](const std::string &peer) { downEvents_.push_back(peer); },
                  [this](const std::string &from, std::string_view frame) {
@@ -25,6 +28,15 @@
         }
     }
 
+    static MeshSettings settingsOf(const std::string &name, bool isEntry, Millis linkTimeout)
+    {
+        MeshSettings settings;
+        settings.self_ = {name, 1, isEntry, 0};
+        settings.listen_ = {"127.0.0.1", 0};
+        settings.linkTimeout_ = linkTimeout;
+        return settings;
+    }
+
     Mesh mesh_;
     Address address_;
     std::vector<std::string> upEvents_;
@@ -32,6 +44,56 @@
     std::vector<std::pair<std::string, std::string>> received_;
 };
 
+// Forwards one connection to an address until it is silenced; then it keeps the connection open and forwards nothing.
+class Proxy
+{
+public:
+    using Tcp = boost::asio::ip::tcp;
+
+    Proxy(boost::asio::io_context &io, const Address &target)
+        : acceptor_(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , client_(io)
+        , server_(io)
+    {
+        acceptor_.async_accept(client_, [this, target](boost::system::error_code error) {
+            if (!error) {
+                server_.connect(Tcp::endpoint(boost::asio::ip::make_address(target.host_), target.port_), error);
+                forward(client_, server_, toServer_);
+                forward(server_, client_, toClient_);
+            }
+        });
+    }
+
+    Address address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+    bool silenced_ = false;
+
+private:
+    using Buffer = std::array<char, 65536>;
+
+    void forward(Tcp::socket &from, Tcp::socket &to, Buffer &buffer)
+    {
+        from.async_read_some(boost::asio::buffer(buffer), [this, &from, &to, &buffer](boost::system::error_code error, std::size_t bytes) {
+            if (error) {
+                return;
+            }
+            if (!silenced_) {
+                boost::asio::write(to, boost::asio::buffer(buffer.data(), bytes), error);
+            }
+            forward(from, to, buffer);
+        });
+    }
+
+    Tcp::acceptor acceptor_;
+    Tcp::socket client_;
+    Tcp::socket server_;
+    Buffer toServer_{};
+    Buffer toClient_{};
+};
+
 // Runs the event loop until the condition holds, for at most 20 s so that a failing test ends.
 template<typename Condition>
 bool runUntil(boost::asio::io_context &io, Condition condition)
@@ -108,6 +170,33 @@
     BOOST_TEST(entry.downEvents_.size() == 1U);
 }
 
+// An agent that only its direct connection to the leader cuts off keeps its lease: both ends use a relay before the link times out.
+BOOST_AUTO_TEST_CASE(frames_bypass_a_silent_direct_link)
+{
+    boost::asio::io_context io;
+    constexpr Millis never{3600000};
+    TestNode middle(io, "e1", true, never);
+    TestNode far(io, "e2", true, never);
+    TestNode agent(io, "a1", false, never);
+    middle.mesh_.setEntries({{"e2", far.address_}});
+    Proxy proxy(io, far.address_);
+    agent.mesh_.setEntries({{"e1", middle.address_}, {"e2", proxy.address()}});
+    BOOST_TEST(runUntil(io, [&] { return agent.mesh_.isReachable("e1") && agent.mesh_.isReachable("e2") && far.mesh_.isReachable("e1"); }));
+    BOOST_TEST(runUntil(io, [&] { return far.mesh_.isReachable("a1"); }));
+    proxy.silenced_ = true;
+    const std::size_t changes = far.upEvents_.size();
+    const auto exchange = [&] {
+        agent.mesh_.send("e2", "ping");
+        for (; !far.received_.empty(); far.received_.clear()) {
+            far.mesh_.send("a1", "pong");
+        }
+        return !agent.received_.empty();
+    };
+    BOOST_REQUIRE(runUntil(io, exchange));
+    BOOST_TEST(agent.received_[0].second == "pong");
+    BOOST_TEST(far.upEvents_.size() == changes);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_frames_close_their_link_only)
 {
     boost::asio::io_context io;
