Choose relays that are not silent, and report frames lost with any relay

Cause: when the machine of a leader loses power, its links stay open until they time out.

Change: a link that has received nothing for 450 ms is avoided if there is another path (test frames_bypass_a_silent_relay); links send heartbeats each 300 ms. A relay that is lost is reported at both ends if frames have been sent over it, since they may be lost with it.

--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -171,6 +171,15 @@
         announceLink(link.peer_.name_);
     }
     refresh(link.peer_.name_);
+    if (!settings_.self_.isEntry_) {
+        std::vector<std::string> names;
+        for (const auto &[name, paths] : paths_) {
+            names.push_back(name);
+        }
+        for (const std::string &name : names) {
+            reportLostFrames(key, name);
+        }
+    }
 }
 
 void Mesh::sendOn(Link &link, std::string_view frame)
@@ -290,6 +299,7 @@
     }
     if (const auto paths = paths_.find(name); paths != paths_.end() && paths->second.relays_.erase(key) > 0) {
         refresh(name);
+        reportLostFrames(key, name);
     }
 }
 
@@ -317,51 +327,81 @@
     return paths == paths_.end() || !paths->second.direct_ ? nullptr : &links_.at(*paths->second.direct_);
 }
 
-// The link to an entry that can relay frames to a peer: the one over which the peer's latest relayed frame has arrived, otherwise
-// one that has announced the peer. Agents receive no announcements and try any entry.
-Mesh::Link *Mesh::relayTo(const std::string &name)
+bool Mesh::isFresh(Key key) const
 {
-    const auto found = paths_.find(name);
-    if (found == paths_.end()) {
-        return nullptr;
-    }
-    const Paths &paths = found->second;
+    const auto link = links_.find(key);
+    return link != links_.end() && bootClock() <= link->second.lastContactAt_ + settings_.silentLinkAge_;
+}
+
+// The link to an entry that relays frames to a peer: the one over which the peer's latest relayed frame has arrived, or one to an
+// entry that has announced the peer. Agents receive no announcements and try any entry. Links that are not silent go first.
+std::optional<Mesh::Key> Mesh::relayTo(const Paths &paths) const
+{
+    std::vector<Key> candidates;
     if (paths.arrivedOn_ && links_.count(*paths.arrivedOn_) != 0) {
-        return &links_.at(*paths.arrivedOn_);
+        candidates.push_back(*paths.arrivedOn_);
+    }
+    if (paths.relays_.count(paths.reportedLink_) != 0) {
+        candidates.push_back(paths.reportedLink_);
     }
-    if (settings_.self_.isEntry_) {
-        return paths.relays_.empty() ? nullptr : &links_.at(paths.relays_.begin()->first);
+    for (const auto &[key, peer] : paths.relays_) {
+        candidates.push_back(key);
     }
-    const auto any = std::find_if(links_.begin(), links_.end(),
-                                  [&paths](const auto &each) { return each.second.identified_ && each.first != paths.direct_; });
-    return any == links_.end() ? nullptr : &any->second;
+    for (const auto &[key, link] : links_) {
+        if (!settings_.self_.isEntry_ && link.identified_ && key != paths.direct_) {
+            candidates.push_back(key);
+        }
+    }
+    const auto fresh = std::find_if(candidates.begin(), candidates.end(), [this](Key key) { return isFresh(key); });
+    if (fresh != candidates.end()) {
+        return *fresh;
+    }
+    return candidates.empty() ? std::nullopt : std::optional(candidates.front());
 }
 
 // The first link on the way to a peer.
-Mesh::Link *Mesh::linkTo(const std::string &name)
+std::optional<Mesh::Key> Mesh::linkTo(const Paths &paths) const
 {
-    Link *direct = directLink(name);
-    if (direct != nullptr && bootClock() <= direct->lastContactAt_ + settings_.silentLinkAge_) {
-        return direct;
+    if (paths.direct_ && isFresh(*paths.direct_)) {
+        return paths.direct_;
     }
-    Link *relay = relayTo(name);
-    return relay != nullptr ? relay : direct;
+    const std::optional<Key> relay = relayTo(paths);
+    return paths.direct_ && !(relay && isFresh(*relay)) ? paths.direct_ : relay;
 }
 
 bool Mesh::send(const std::string &name, std::string_view frame)
 {
-    Link *link = linkTo(name);
-    if (link == nullptr) {
+    const auto found = paths_.find(name);
+    const std::optional<Key> key = found == paths_.end() ? std::nullopt : linkTo(found->second);
+    if (!key) {
         return false;
     }
-    if (link->peer_.name_ == name) {
-        sendOn(*link, std::string(1, Payload).append(frame));
+    Link &link = links_.at(*key);
+    if (key == found->second.direct_) {
+        sendOn(link, std::string(1, Payload).append(frame));
     } else {
-        sendOn(*link, pack(Relayed, Json::array({name, settings_.self_.name_, binary(frame)})));
+        found->second.sentOn_.insert(*key);
+        sendOn(link, pack(Relayed, Json::array({name, settings_.self_.name_, binary(frame)})));
     }
     return true;
 }
 
+// Frames to a peer may have been lost with a relay that is not the reported path: reports the path again.
+void Mesh::reportLostFrames(Key key, const std::string &name)
+{
+    const auto found = paths_.find(name);
+    if (found == paths_.end() || found->second.sentOn_.erase(key) == 0) {
+        return;
+    }
+    if (found->second.reported_) {
+        events_.up_(*found->second.reported_);
+    } else if (!settings_.self_.isEntry_) {
+        Peer peer;
+        peer.name_ = name;
+        events_.up_(peer);
+    }
+}
+
 // Only entries relay, so only they announce their links.
 void Mesh::announceLink(const std::string &name)
 {
@@ -455,7 +495,7 @@
 
 void Mesh::tick()
 {
-    timer_.expires_after(std::chrono::milliseconds(settings_.heartbeatInterval_.count_ / 2));
+    timer_.expires_after(std::chrono::milliseconds(settings_.heartbeatInterval_.count_ / 3));
     timer_.async_wait([this](boost::system::error_code error) {
         if (!error) {
             tick();
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -41,10 +41,11 @@
     /// Address to listen on; port 0 for processes that only connect.
     Address listen_;
     /// A frame is sent on each link at least this often.
-    Millis heartbeatInterval_{400};
-    /// While a direct link has received nothing for this long, frames take a relay, so that a connection that has gone silent does
-    /// not cut off its peer until it times out. Longer than heartbeatInterval_.
-    Millis silentLinkAge_{600};
+    Millis heartbeatInterval_{300};
+    /// A link that has received nothing for this long is avoided if there is another path, so that a connection that has gone
+    /// silent, or a lost relay, does not cut off its peers until it times out. Longer than heartbeatInterval_ and the interval
+    /// of the checks for it.
+    Millis silentLinkAge_{450};
     /// Changes of links are collected for this long before they are announced.
     Millis announceDelay_{20};
     /// A link is dropped after this time without a received frame.
@@ -102,6 +103,8 @@
         std::map<Key, Peer> relays_;
         /// Link over which a relayed frame of the peer has arrived last; may be closed.
         std::optional<Key> arrivedOn_;
+        /// Links to other peers over which frames to this peer have been sent. Frames may be lost with each of them.
+        std::set<Key> sentOn_;
         /// The path reported through up_, and the link that it begins with.
         std::optional<Peer> reported_;
         Key reportedLink_;
@@ -122,8 +125,10 @@
     void flushAnnouncements();
     void refresh(const std::string &name);
     Link *directLink(const std::string &name);
-    Link *linkTo(const std::string &name);
-    Link *relayTo(const std::string &name);
+    bool isFresh(Key key) const;
+    std::optional<Key> relayTo(const Paths &paths) const;
+    std::optional<Key> linkTo(const Paths &paths) const;
+    void reportLostFrames(Key key, const std::string &name);
     void tick();
 
     boost::asio::io_context &io_;
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -2,6 +2,7 @@
 
 #include "mesh.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -197,6 +198,58 @@
     BOOST_TEST(far.upEvents_.size() == changes);
 }
 
+// When a leader's machine loses power, its successor must not choose it as the relay to the agents that were linked to it.
+BOOST_AUTO_TEST_CASE(frames_bypass_a_silent_relay)
+{
+    boost::asio::io_context io;
+    constexpr Millis never{3600000};
+    TestNode lost(io, "e1", true, never);
+    TestNode other(io, "e2", true, never);
+    TestNode far(io, "e3", true, never);
+    TestNode agent(io, "a1", false, never);
+    Proxy proxy(io, far.address_);
+    lost.mesh_.setEntries({{"e3", proxy.address()}});
+    agent.mesh_.setEntries({{"e1", lost.address_}});
+    BOOST_TEST(runUntil(io, [&] { return far.mesh_.isReachable("a1"); }));
+    other.mesh_.setEntries({{"e3", far.address_}});
+    agent.mesh_.setEntries({{"e1", lost.address_}, {"e2", other.address_}});
+    BOOST_TEST(runUntil(io, [&] { return far.mesh_.isReachable("e2") && other.mesh_.isReachable("a1"); }));
+    proxy.silenced_ = true;
+    BOOST_TEST(runUntil(io, [&] {
+        far.mesh_.send("a1", "lead");
+        return !agent.received_.empty();
+    }));
+}
+
+// Frames that a relay has received and not delivered are lost with it, whether or not it is the preferred path.
+BOOST_AUTO_TEST_CASE(loss_of_a_relay_in_use_is_reported_at_both_ends)
+{
+    boost::asio::io_context io;
+    TestNode one(io, "e1", true);
+    TestNode two(io, "e2", true);
+    TestNode far(io, "e3", true);
+    TestNode agent(io, "a1", false);
+    one.mesh_.setEntries({{"e3", far.address_}});
+    two.mesh_.setEntries({{"e3", far.address_}});
+    agent.mesh_.setEntries({{"e1", one.address_}, {"e2", two.address_}});
+    BOOST_TEST(runUntil(io, [&] {
+        return far.mesh_.isReachable("e1") && far.mesh_.isReachable("e2") && far.mesh_.isReachable("a1") && two.mesh_.isReachable("a1")
+            && one.mesh_.isReachable("a1");
+    }));
+    BOOST_TEST(far.mesh_.send("a1", "over"));
+    BOOST_TEST(runUntil(io, [&] { return !agent.received_.empty(); }));
+    BOOST_TEST(agent.mesh_.send("e3", "back"));
+    BOOST_TEST(runUntil(io, [&] { return !far.received_.empty(); }));
+    const auto reports = [](const TestNode &node, const std::string &name) {
+        return std::count(node.upEvents_.begin(), node.upEvents_.end(), name);
+    };
+    const auto before = reports(far, "a1");
+    for (TestNode *relay : {&one, &two}) {
+        relay->mesh_.drop("a1");
+    }
+    BOOST_TEST(runUntil(io, [&] { return reports(far, "a1") > before && reports(agent, "e3") > 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_frames_close_their_link_only)
 {
     boost::asio::io_context io;
