--- a/src/ibiswall/net/httpserver.cpp
+++ b/src/ibiswall/net/httpserver.cpp
@@ -2,7 +2,7 @@
 
 #include <ibiswall/net/httpserver.hpp>
 
-#include <algorithm>
+#include "httprequest.hpp"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -75,27 +75,6 @@
         + "\"}";
 }
 
-HttpRequest toRequest(http::request<http::string_body> &&message, std::string_view extraHeader)
-{
-    const std::string target(message.target());
-    const auto queryStart = target.find('?');
-    HttpRequest request;
-    request.method_ = std::string(message.method_string());
-    request.path_ = target.substr(0, queryStart);
-    request.query_ = queryStart == std::string::npos ? std::string() : target.substr(queryStart + 1);
-    request.authorization_ = std::string(message[http::field::authorization]);
-    request.host_ = std::string(message[http::field::host]);
-    for (const auto &field : message) {
-        std::string name(field.name_string());
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        if (name.compare(0, 2, "x-") == 0 || name == extraHeader) {
-            request.customHeaders_[name] = std::string(field.value());
-        }
-    }
-    request.body_ = std::move(message.body());
-    return request;
-}
-
 // One connection; kept alive by its pending asynchronous operation.
 template<typename State>
 class Session : public Connection, public std::enable_shared_from_this<Session<State>>
--- a/src/ibiswall/node/entryregistry_test.cpp
+++ b/src/ibiswall/node/entryregistry_test.cpp
@@ -34,7 +34,7 @@
     platform::Item item;
     item.key_ = std::string(keys::entries) + "e1";
     item.value_ = formatEntry({{"10.1.0.13", 7720}, 42, "z1"});
-    const platform::Item bad{std::string(keys::entries) + "e2", "\xff\x00 not an entry", 1, 1, false};
+    const platform::Item bad{std::string(keys::entries) + "e2", "\xff not an entry", 1, 1, false};
     const std::vector<platform::Item> items{item, bad};
     const EntryRecords parsed = parseEntries(items);
     BOOST_REQUIRE(parsed.size() == 1U);
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -257,7 +257,7 @@
     TestNode agent(io, "a1", false);
     agent.mesh_.setEntries({{"e1", entry.address_}});
     BOOST_TEST(runUntil(io, [&] { return entry.mesh_.isReachable("a1"); }));
-    const std::string identification = "i\x84\x62xx\x01\xf4\x00";
+    const std::string identification = "i\x84\x62xx\x01\xf4\x01";
     const std::vector<std::string> malformed{
         "i\xff", "i\x80", identification + identification, "n" + std::string(1U << 20U, '\x81'), "c\x81\x01", "r\x83\x01\x02\x03", "r", "n",
     };
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -49,6 +49,8 @@
 {
     /// Answers every call with status 503.
     bool down_ = false;
+    /// Neither executes nor answers any call.
+    bool silent_ = false;
     /// Executes writes but never answers them.
     bool dropWriteAnswers_ = false;
     /// Delay before a call is executed.
@@ -107,6 +109,9 @@
             respond(jsonReply(Ok, "{}"));
         } else if (mode_.down_) {
             respond(jsonReply(ServiceUnavailable, "{}"));
+        } else if (mode_.silent_) {
+            // The connection stays open, and the call unanswered also after the end of this mode.
+            unanswered_.push_back(respond);
         } else if (mode_.delayMillis_ > 0) {
             auto timer = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(mode_.delayMillis_));
             timer->async_wait([this, timer, request, respond](boost::system::error_code) { answerCall(request, respond); });
@@ -128,6 +133,7 @@
     {
         const Json json = Json::parse(body);
         mode_.down_ = json.value("down", mode_.down_);
+        mode_.silent_ = json.value("silent", mode_.silent_);
         mode_.dropWriteAnswers_ = json.value("lose_writes", mode_.dropWriteAnswers_);
         mode_.delayMillis_ = json.value("slow_ms", mode_.delayMillis_);
         mode_.writesPerSecond_ = json.value("writes_per_s", mode_.writesPerSecond_);
@@ -310,6 +316,8 @@
 
     boost::asio::io_context &io_;
     Mode mode_;
+    /// Calls that arrived in silent mode.
+    std::vector<Respond> unanswered_;
     std::map<std::string, StoredItem> items_;
     std::vector<Event> events_;
     std::vector<Watch> watches_;
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -285,6 +285,22 @@
     await("no job is waiting", [&] { return cell.call(0, "GET", "").value().body_ == R"({"waiting":0})"; });
 }
 
+// Calls that were sent during a silent outage of the store are never answered, the waiting read of the configuration among them.
+BOOST_AUTO_TEST_CASE(configuration_is_read_again_after_a_silent_outage)
+{
+    Cell cell({2, 2, 0});
+    cell.awaitReady();
+    cell.setStoreMode({{"silent", true}});
+    // Longer than a waiting read, so that each entry sends one into the outage.
+    sleepFor(1500);
+    BOOST_TEST(cell.submit(jobId(8000), 1, 1, true, {20000}).status_ == 200);
+    cell.setStoreMode({{"silent", false}});
+    cell.putKey("op/evacuate/fd-1", Json::object());
+    await("the evacuation is in force", [&] { return cell.submit(jobId(8001), 1, 1, true, {1}).status_ == 503; });
+    cell.deleteKey("op/evacuate/fd-1");
+    cell.awaitReady();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::system
