Do not relay through an entry that has lost its link to the peer

Cause, found in review: an entry kept sending to a peer through the relay of the peer's latest frame, also after that relay had announced the loss of its link, and the relay drops such frames. Test: relay_that_has_lost_the_peer_is_not_used, red before.

--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -177,8 +177,6 @@
     }
     if (leader_ != from) {
         logEvent("lead.followed", {{"leader", std::string_view(from)}, {"epoch", static_cast<std::int64_t>(epoch)}});
-    }
-    if (leader_ != from) {
         leader_ = from;
         delayLeaderLink();
         connectToEntries();
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -63,7 +63,7 @@
     /// Sets the entries to maintain links to, by name.
     void setEntries(const std::map<std::string, Address> &entries);
 
-    /// Sends a frame over the direct link, otherwise through an entry that has one.
+    /// Sends a frame over the direct link, or through an entry if there is none or it has gone silent.
     /// @return false if there is no path
     bool send(const std::string &name, std::string_view frame);
 
@@ -101,7 +101,7 @@
         std::optional<Key> direct_;
         /// Links to entries that have announced a link to the peer, with the peer as they announced it.
         std::map<Key, Peer> relays_;
-        /// Link over which a relayed frame of the peer has arrived last; may be closed.
+        /// Link over which a relayed frame of the peer has arrived last. At an entry one of relays_; at an agent it may be closed.
         std::optional<Key> arrivedOn_;
         /// Links to other peers over which frames to this peer have been sent. Frames may be lost with each of them.
         std::set<Key> sentOn_;
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -221,6 +221,35 @@
     }));
 }
 
+// An entry that has lost its link to the peer drops the frames for it.
+BOOST_AUTO_TEST_CASE(relay_that_has_lost_the_peer_is_not_used)
+{
+    boost::asio::io_context io;
+    TestNode one(io, "e1", true);
+    TestNode two(io, "e2", true);
+    TestNode far(io, "e3", true);
+    TestNode agent(io, "a1", false);
+    one.mesh_.setEntries({{"e3", far.address_}});
+    two.mesh_.setEntries({{"e3", far.address_}});
+    agent.mesh_.setEntries({{"e1", one.address_}});
+    BOOST_TEST(runUntil(io, [&] { return far.mesh_.isReachable("a1"); }));
+    BOOST_TEST(far.mesh_.send("a1", "over"));
+    BOOST_TEST(runUntil(io, [&] { return !agent.received_.empty(); }));
+    BOOST_TEST(agent.mesh_.send("e3", "back"));
+    BOOST_TEST(runUntil(io, [&] { return !far.received_.empty(); }));
+    // The agent moves to another entry, which announces it before the first one has lost it, and sends nothing from there.
+    agent.mesh_.setEntries({{"e1", one.address_}, {"e2", two.address_}});
+    const Millis announced = bootClock() + Millis{300};
+    runUntil(io, [&] { return two.mesh_.isReachable("a1") && bootClock() > announced; });
+    agent.mesh_.setEntries({{"e2", two.address_}});
+    BOOST_TEST(runUntil(io, [&] { return !one.mesh_.isReachable("a1") && two.mesh_.isReachable("a1"); }));
+    agent.received_.clear();
+    BOOST_TEST(runUntil(io, [&] {
+        far.mesh_.send("a1", "again");
+        return !agent.received_.empty();
+    }));
+}
+
 // Frames that a relay has received and not delivered are lost with it, whether or not it is the preferred path.
 BOOST_AUTO_TEST_CASE(loss_of_a_relay_in_use_is_reported_at_both_ends)
 {
--- a/src/ibiswall/node/meshpaths.cpp
+++ b/src/ibiswall/node/meshpaths.cpp
@@ -67,6 +67,9 @@
         link->second.neighbours_.erase(name);
     }
     if (const auto paths = paths_.find(name); paths != paths_.end() && paths->second.relays_.erase(key) > 0) {
+        if (paths->second.arrivedOn_ == key) {
+            paths->second.arrivedOn_.reset();
+        }
         refresh(name);
         reportLostFrames(key, name);
     }
@@ -79,7 +82,9 @@
     const std::string from = json.at(1).get<std::string>();
     const auto &payload = json.at(2).get_binary();
     if (to == settings_.self_.name_) {
-        if (const auto paths = paths_.find(from); paths != paths_.end() || !settings_.self_.isEntry_) {
+        const auto paths = paths_.find(from);
+        const bool announced = paths != paths_.end() && paths->second.relays_.count(key) != 0;
+        if (announced || !settings_.self_.isEntry_) {
             paths_[from].arrivedOn_ = key;
         }
         events_.received_(from, std::string_view(reinterpret_cast<const char *>(payload.data()), payload.size()));
