--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -16,7 +16,7 @@
 constexpr Millis entriesPeriod{2000};
 constexpr Millis storeTimeout{1000};
 // Entries that an agent links to besides the leader.
-constexpr std::size_t homeLinks = 3;
+constexpr std::size_t relayLinks = 3;
 // Wait before an agent connects to a new leader, and the time over which the agents are spread after it.
 constexpr Millis leaderLinkDelay{1000};
 constexpr Millis leaderLinkSpread{2000};
@@ -281,7 +281,7 @@
 // The leader's orders and reports make up most of the traffic, so they get a link of their own.
 void AgentNode::connectToEntries()
 {
-    EntryRecords wanted = chooseHomes(self_.name_, settings_.domain_, entries_, homeLinks);
+    EntryRecords wanted = chooseRelayEntries(self_.name_, settings_.domain_, entries_, relayLinks);
     if (const auto leader = entries_.find(leader_); leader != entries_.end() && leaderLinkDueAt_ == Millis{0}) {
         wanted.insert(*leader);
     }
--- a/src/ibiswall/node/entryregistry.cpp
+++ b/src/ibiswall/node/entryregistry.cpp
@@ -66,26 +66,26 @@
     return addresses;
 }
 
-EntryRecords chooseHomes(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count)
+EntryRecords chooseRelayEntries(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count)
 {
     std::vector<EntryPoint> local;
     std::vector<EntryPoint> remote;
     for (const auto &[name, entry] : entries) {
         (entry.domain_ == domain ? local : remote).push_back({name, entry.domain_});
     }
-    EntryRecords homes;
+    EntryRecords relays;
     const auto choose = [&](const std::vector<EntryPoint> &points, std::size_t most) {
         for (const std::size_t at : chooseEntries(agent, points, most)) {
-            homes[points[at].name_] = entries.at(points[at].name_);
+            relays[points[at].name_] = entries.at(points[at].name_);
         }
     };
     choose(local, 1);
-    choose(remote, count - homes.size());
-    if (homes.size() < count) {
+    choose(remote, count - relays.size());
+    if (relays.size() < count) {
         // Too few entries elsewhere: the best local ones, of which the first is chosen already.
-        choose(local, count - homes.size() + 1);
+        choose(local, count - relays.size() + 1);
     }
-    return homes;
+    return relays;
 }
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/entryregistry.hpp
+++ b/src/ibiswall/node/entryregistry.hpp
@@ -32,6 +32,6 @@
 /// Selects the entries that an agent links to: one in its own failure domain, which relays without leaving the domain, and
 /// others in distinct domains, so that the loss of one does not disconnect the agent.
 /// @param count number of entries to select; if there are fewer, all are selected
-EntryRecords chooseHomes(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count);
+EntryRecords chooseRelayEntries(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count);
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/entryregistry_test.cpp
+++ b/src/ibiswall/node/entryregistry_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t homeCount = 3;
+constexpr std::size_t relayCount = 3;
 
 EntryRecords entriesOf(int domains, int perDomain)
 {
@@ -51,27 +51,27 @@
     constexpr int agents = 240;
     for (int i = 0; i < agents; ++i) {
         const std::string domain = "z" + std::to_string(i % 5);
-        const EntryRecords homes = chooseHomes("side-" + std::to_string(i), domain, entries, homeCount);
+        const EntryRecords relays = chooseRelayEntries("side-" + std::to_string(i), domain, entries, relayCount);
         std::set<std::string> domains;
-        for (const auto &[name, entry] : homes) {
+        for (const auto &[name, entry] : relays) {
             domains.insert(entry.domain_);
             ++agentsAt[name];
         }
-        BOOST_TEST(homes.size() == homeCount);
-        BOOST_TEST(domains.size() == homeCount);
+        BOOST_TEST(relays.size() == relayCount);
+        BOOST_TEST(domains.size() == relayCount);
         BOOST_TEST(domains.count(domain) == 1U);
     }
     const auto most = std::max_element(agentsAt.begin(), agentsAt.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    BOOST_TEST(most->second <= 3 * agents * static_cast<int>(homeCount) / 55);
+    BOOST_TEST(most->second <= 3 * agents * static_cast<int>(relayCount) / 55);
 }
 
 BOOST_AUTO_TEST_CASE(few_entries_are_all_chosen)
 {
-    BOOST_TEST(chooseHomes("a", "z0", entriesOf(3, 1), homeCount).size() == 3U);
-    BOOST_TEST(chooseHomes("a", "z0", entriesOf(1, 3), homeCount).size() == 3U);
-    BOOST_TEST(chooseHomes("a", "elsewhere", entriesOf(1, 2), homeCount).size() == 2U);
-    BOOST_TEST(chooseHomes("a", "z0", entriesOf(2, 2), homeCount).size() == 3U);
-    BOOST_TEST(chooseHomes("a", "z0", {}, homeCount).empty());
+    BOOST_TEST(chooseRelayEntries("a", "z0", entriesOf(3, 1), relayCount).size() == 3U);
+    BOOST_TEST(chooseRelayEntries("a", "z0", entriesOf(1, 3), relayCount).size() == 3U);
+    BOOST_TEST(chooseRelayEntries("a", "elsewhere", entriesOf(1, 2), relayCount).size() == 2U);
+    BOOST_TEST(chooseRelayEntries("a", "z0", entriesOf(2, 2), relayCount).size() == 3U);
+    BOOST_TEST(chooseRelayEntries("a", "z0", {}, relayCount).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
