Report and log crashes of targets with the runs that were active

The logs did not tell whether runs ended because their target crashed, was silent or was cut off: run.ended has `lost` for all three. Agents now conclude from refused connections, or from a new incarnation, that the target has crashed, and report the runs that were active, with whether each was started just before. New events target.crashed and run.crashed, new counter. No decision changes.

--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -128,6 +128,16 @@
     std::string checkpoint_;
 };
 
+/// A run that was active on a target when the target crashed.
+struct RunCrash
+{
+    Run run_;
+    /// Whether the target crashed so soon after it was told to start the run that the run may be the cause.
+    bool suspected_ = false;
+    /// Time from the crash to the report.
+    Millis age_;
+};
+
 /// What a target announces about itself.
 struct TargetInfo
 {
--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <deque>
 #include <ibiswall/cell/model.hpp>
 #include <optional>
 #include <set>
@@ -49,6 +50,9 @@
     Rejected,
     /// Certainly not carried out: the target was unreachable, or another incarnation of it replied.
     NotSent,
+    /// Certainly not carried out: nothing listens at the target's address. The target runs on the agent's machine, so its
+    /// process has ended.
+    Refused,
     /// May have been carried out, or may still be.
     Unknown,
 };
@@ -84,10 +88,13 @@
     std::vector<RunResult> results_;
     /// Starts that were not carried out, each with whether the reason was a lack of capacity.
     std::vector<std::pair<Run, bool>> rejected_;
+    /// Runs during which the target crashed: in a full report those of the last minute, else new ones. The end of the run
+    /// is reported separately, once it is certain.
+    std::vector<RunCrash> crashes_;
 
     bool isEmpty() const
     {
-        return !full_ && !info_ && results_.empty() && rejected_.empty();
+        return !full_ && !info_ && results_.empty() && rejected_.empty() && crashes_.empty();
     }
 };
 
@@ -123,6 +130,15 @@
     /// Added to a lease before it counts as expired, for clock drift of the target and for the time that it needs to
     /// stop its runs.
     Millis leaseExpiryMargin_{150};
+    /// Time from the first refused call to the conclusion that the target has crashed. Covers the replies to the calls that
+    /// were in flight, which show whether their runs were started.
+    Millis crashConfirmation_{20};
+    /// A run whose start was sent at most this long before the first failed call may have caused the crash.
+    Millis crashSuspicionWindow_{50};
+    /// How long crashes are repeated in full reports, so that a new dispatcher knows of them.
+    Millis crashRetention_{60000};
+    /// Crashes that are repeated at most; the oldest are dropped.
+    std::size_t maxCrashes_ = 256;
 };
 
 /// State machine that supervises one target. Not thread-safe; performs no I/O: the caller sends the calls and reports
@@ -208,6 +224,16 @@
         Millis retryAt_;
         bool calling_ = false;
         bool ephemeral_ = false;
+        /// When its start was first sent; 0 for a run that an earlier agent process started.
+        Millis startSentAt_;
+    };
+
+    /// A run during which the target crashed.
+    struct RecordedCrash
+    {
+        Run run_;
+        bool suspected_ = false;
+        Millis at_;
     };
 
     /// A result that the dispatcher has not acknowledged.
@@ -219,6 +245,10 @@
 
     void recordOutcome(const TargetCall &call, CallOutcome outcome, Millis now);
     void setResponsive(bool responsive);
+    void recordCrash(Millis now);
+    void addCrash(const Run &run, bool suspected, Millis now);
+    bool mayHaveCausedCrash(const LocalRun &run) const;
+    void expireCrashes(Millis now);
     void reportTarget();
     bool isLossy(Millis now) const;
     bool mayRequestLease(Millis now) const;
@@ -226,7 +256,7 @@
     void requestLease(TargetCall &call, Millis now);
     void renew(Millis wait, Millis now);
     void sendStop(const TaskId &task, LocalRun &run, Millis now);
-    void onTargetRestarted(std::int64_t incarnation);
+    void onTargetRestarted(std::int64_t incarnation, Millis now);
     void markAllRunsLost();
     void recordResult(const RunResult &result);
     std::uint64_t releasable() const;
@@ -249,6 +279,16 @@
     bool responsive_ = true;
     /// The current incarnation of the target has deregistered, so later announcements of it are outdated.
     bool departed_ = false;
+    /// Time of the first call that failed since the target last replied, 0 for none.
+    Millis failingSince_;
+    /// Time of the first call that was refused since the target last replied, 0 for none.
+    Millis refusedSince_;
+    /// Whether the crash of the current incarnation has been recorded.
+    bool crashRecorded_ = false;
+    /// Runs whose lease has expired since the target last replied: whether it crashed is not known yet.
+    std::vector<Run> unexplainedLosses_;
+    /// In order of time, at most maxCrashes_.
+    std::deque<RecordedCrash> crashes_;
     /// Time of the latest call without a reply, 0 for never.
     Millis lastTimeoutAt_;
     /// Number of renewals sent.
--- a/include/ibiswall/net/httppool.hpp
+++ b/include/ibiswall/net/httppool.hpp
@@ -36,6 +36,8 @@
     Code code_ = Code::Ok;
     int status_ = 0;
     std::string body_;
+    /// The connection was refused: nothing listens at the server's address.
+    bool refused_ = false;
 };
 
 /// A pool of connections to one server.
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -51,7 +51,7 @@
         return;
     }
     if (info.targetIncarnation_ > targetIncarnation_) {
-        onTargetRestarted(info.targetIncarnation_);
+        onTargetRestarted(info.targetIncarnation_, now);
     }
     if (!clock_) {
         clock_ = clock;
@@ -100,8 +100,11 @@
 
 // The target has restarted: no run of the earlier incarnation exists any more, and result numbers and clock start
 // again.
-void TargetSupervisor::onTargetRestarted(std::int64_t incarnation)
+void TargetSupervisor::onTargetRestarted(std::int64_t incarnation, Millis now)
 {
+    if (targetIncarnation_ != 0 && info_ && !info_->leaving_) {
+        recordCrash(now);
+    }
     for (RunResult &result : report_.results_) {
         // The report will be read as one of the new incarnation, whose numbers start again.
         result.number_ = 0;
@@ -109,6 +112,10 @@
     markAllRunsLost();
     responsive_ = true;
     departed_ = false;
+    failingSince_ = {};
+    refusedSince_ = {};
+    crashRecorded_ = false;
+    unexplainedLosses_.clear();
     if (info_ && info_->targetIncarnation_ != incarnation) {
         // The new incarnation has not announced itself yet.
         info_.reset();
@@ -183,12 +190,18 @@
     if (outcome == CallOutcome::Unknown) {
         lastTimeoutAt_ = now;
     }
-    if (outcome == CallOutcome::NotSent || outcome == CallOutcome::Unknown) {
-        if (outcome == CallOutcome::NotSent || now > lastContactAt_ + settings_.unresponsiveAfter_) {
+    const bool refused = outcome == CallOutcome::Refused;
+    if (outcome == CallOutcome::NotSent || outcome == CallOutcome::Unknown || refused) {
+        failingSince_ = failingSince_ == Millis{0} ? now : failingSince_;
+        refusedSince_ = refused && refusedSince_ == Millis{0} ? now : refusedSince_;
+        if (outcome != CallOutcome::Unknown || now > lastContactAt_ + settings_.unresponsiveAfter_) {
             setResponsive(false);
         }
         return;
     }
+    failingSince_ = {};
+    refusedSince_ = {};
+    unexplainedLosses_.clear();
     lastContactAt_ = now;
     setResponsive(true);
 }
@@ -217,7 +230,7 @@
         // No calls were due while nothing ran, so the time without contact says nothing about the target.
         lastContactAt_ = now;
     }
-    runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true, ephemeral};
+    runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true, ephemeral, now};
     TargetCall call = makeCall(TargetCall::Kind::Start, run, now);
     call.payload_ = payload;
     call.checkpoint_ = checkpoint;
@@ -310,6 +323,7 @@
     case CallOutcome::NoRoom:
     case CallOutcome::Rejected:
     case CallOutcome::NotSent:
+    case CallOutcome::Refused:
         report_.rejected_.emplace_back(call.run_, outcome == CallOutcome::NoRoom);
         runs_.erase(found);
         break;
@@ -348,7 +362,7 @@
         return;
     }
     if (reply.targetIncarnation_ > targetIncarnation_) {
-        onTargetRestarted(reply.targetIncarnation_);
+        onTargetRestarted(reply.targetIncarnation_, now);
     }
     if (reply.targetIncarnation_ == targetIncarnation_ && call.epoch_ == epoch_) {
         clock_ = reply.clock_;
@@ -376,7 +390,7 @@
         running.insert(run.task_);
         auto [entry, added] = runs_.try_emplace(run.task_);
         if (added) {
-            entry->second = {run.number_, Phase::Running, now, {}, false, false};
+            entry->second = {run.number_, Phase::Running, now, {}, false, false, {}};
             // Started by an earlier agent process, with a lease that is unknown here.
             leaseUntil_ = {std::max(leaseUntil_.count_, (now + settings_.maxLease_).count_)};
             if (!fullReportDue_) {
@@ -406,6 +420,11 @@
         for (const auto &[task, run] : runs_) {
             report_.running_.push_back({task, run.number_});
         }
+        expireCrashes(now);
+        report_.crashes_.clear();
+        for (const RecordedCrash &crash : crashes_) {
+            report_.crashes_.push_back({crash.run_, crash.suspected_, now - crash.at_});
+        }
     }
 }
 
@@ -424,8 +443,14 @@
 
 void TargetSupervisor::tick(Millis now)
 {
+    if (refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_ && info_ && !info_->leaving_) {
+        recordCrash(now);
+    }
     if (!runs_.empty() && leasesInFlight_ == 0 && now > leaseUntil_ + settings_.leaseExpiryMargin_) {
         // Neither starts nor renewals have extended the lease.
+        for (const auto &[task, run] : runs_) {
+            unexplainedLosses_.push_back({task, run.number_});
+        }
         markAllRunsLost();
     }
     for (auto &[task, run] : runs_) {
@@ -458,6 +483,43 @@
     }
 }
 
+// Records the crash of the current incarnation for each run that was active on it.
+void TargetSupervisor::recordCrash(Millis now)
+{
+    if (std::exchange(crashRecorded_, true)) {
+        return;
+    }
+    for (const Run &run : std::exchange(unexplainedLosses_, {})) {
+        addCrash(run, false, now);
+    }
+    for (const auto &[task, run] : runs_) {
+        // A start without a reply yet may have reached the next incarnation.
+        if (run.phase_ != Phase::Starting || !run.calling_) {
+            addCrash({task, run.number_}, mayHaveCausedCrash(run), now);
+        }
+    }
+}
+
+void TargetSupervisor::addCrash(const Run &run, bool suspected, Millis now)
+{
+    crashes_.push_back({run, suspected, now});
+    report_.crashes_.push_back({run, suspected, {}});
+    expireCrashes(now);
+}
+
+bool TargetSupervisor::mayHaveCausedCrash(const LocalRun &run) const
+{
+    return run.phase_ == Phase::Starting
+        || (run.startSentAt_ != Millis{0} && run.startSentAt_ + settings_.crashSuspicionWindow_ >= failingSince_);
+}
+
+void TargetSupervisor::expireCrashes(Millis now)
+{
+    while (!crashes_.empty() && (crashes_.size() > settings_.maxCrashes_ || now > crashes_.front().at_ + settings_.crashRetention_)) {
+        crashes_.pop_front();
+    }
+}
+
 std::vector<TargetCall> TargetSupervisor::takeCalls()
 {
     return std::exchange(calls_, {});
--- a/src/ibiswall/cell/targetsupervisorfixture.hpp
+++ b/src/ibiswall/cell/targetsupervisorfixture.hpp
@@ -53,6 +53,21 @@
         }
     }
 
+    void failRenewals(CallOutcome outcome)
+    {
+        supervisor_.tick(now_);
+        for (const TargetCall &call : calls(TargetCall::Kind::Renew)) {
+            RenewalReply reply;
+            reply.outcome_ = outcome;
+            supervisor_.onRenewalReply(call, reply, now_);
+        }
+    }
+
+    void refuseRenewals()
+    {
+        failRenewals(CallOutcome::Refused);
+    }
+
     void advance(std::int64_t millis)
     {
         now_ = now_ + Millis{millis};
--- a/src/ibiswall/cell/targetsupervisorloss_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorloss_test.cpp
@@ -178,6 +178,80 @@
     BOOST_TEST(fixture.supervisor_.runs() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(refused_connections_report_the_crash_of_the_target_and_its_latest_start)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("old", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(200);
+    fixture.start("new", 2);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(10);
+    fixture.refuseRenewals();
+    BOOST_TEST(fixture.supervisor_.takeReport().crashes_.empty());
+    fixture.advance(30);
+    fixture.supervisor_.tick(fixture.now_);
+    const std::vector<RunCrash> crashes = fixture.supervisor_.takeReport().crashes_;
+    BOOST_REQUIRE(crashes.size() == 2U);
+    BOOST_TEST(crashes[0].run_.number_ == 2U);
+    BOOST_TEST(crashes[0].suspected_);
+    BOOST_TEST(crashes[1].run_.number_ == 1U);
+    BOOST_TEST(!crashes[1].suspected_);
+}
+
+BOOST_AUTO_TEST_CASE(restart_after_a_silent_end_is_reported_as_a_crash_of_the_runs_lost)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(3000);
+    fixture.failRenewals(CallOutcome::Unknown);
+    fixture.supervisor_.tick(fixture.now_);
+    const AgentReport lost = fixture.supervisor_.takeReport();
+    BOOST_REQUIRE(lost.results_.size() == 1U);
+    BOOST_TEST(lost.crashes_.empty());
+    TargetInfo restarted = testTarget("t");
+    restarted.targetIncarnation_ = 2;
+    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    BOOST_TEST(fixture.supervisor_.takeReport().crashes_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(end_of_a_leaving_target_is_not_a_crash)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    TargetInfo leaving = testTarget("t");
+    leaving.draining_ = true;
+    fixture.supervisor_.onAnnouncement(leaving, 0, fixture.now_);
+    fixture.refuseRenewals();
+    fixture.advance(30);
+    fixture.supervisor_.tick(fixture.now_);
+    TargetInfo restarted = testTarget("t");
+    restarted.targetIncarnation_ = 2;
+    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    BOOST_TEST(fixture.supervisor_.takeReport().crashes_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(full_report_repeats_the_crashes_of_the_last_minute)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    TargetInfo restarted = testTarget("t");
+    restarted.targetIncarnation_ = 2;
+    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    for (const bool expired : {false, true}) {
+        fixture.advance(expired ? 60000 : 500);
+        fixture.supervisor_.follow(expired ? 3 : 2, 0, fixture.now_);
+        fixture.answerRenewals({}, {}, 2);
+        const AgentReport report = fixture.supervisor_.takeReport();
+        BOOST_REQUIRE(report.full_);
+        BOOST_REQUIRE(report.crashes_.size() == (expired ? 0U : 1U));
+        BOOST_TEST((expired || report.crashes_[0].age_ == Millis{500}));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/net/httppool.cpp
+++ b/src/ibiswall/net/httppool.cpp
@@ -77,14 +77,14 @@
         beast::error_code addressError;
         const tcp::endpoint endpoint(asio::ip::make_address(state_->server_.host_, addressError), state_->server_.port_);
         if (addressError) {
-            finish({Code::ConnectRefused, 0, {}});
+            finish({Code::ConnectRefused, 0, {}, false});
             return;
         }
         stream_ = std::make_unique<beast::tcp_stream>(state_->io_);
         stream_->expires_after(std::chrono::milliseconds(std::min(connectTimeoutMillis, call_.timeout_.count_)));
         stream_->async_connect(endpoint, [self = this->shared_from_this()](beast::error_code error) {
             if (error) {
-                self->finish({Code::ConnectRefused, 0, {}});
+                self->finish({Code::ConnectRefused, 0, {}, error == asio::error::connection_refused});
                 return;
             }
             beast::error_code ignored;
@@ -105,7 +105,7 @@
         stream_->expires_after(std::chrono::milliseconds(call_.timeout_.count_));
         // Checked immediately before sending, so that a process that was frozen does not start a task after its lease expired.
         if (bootClock() >= call_.startBy_) {
-            finish({Code::NoLease, 0, {}});
+            finish({Code::NoLease, 0, {}, false});
             return;
         }
         http::async_write(*stream_, request_, [self = this->shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
@@ -133,7 +133,7 @@
     void onReply()
     {
         const bool keep = parser_->get().keep_alive() && state_->idle_.size() < state_->maxIdle_;
-        PoolResult result{Code::Ok, static_cast<int>(parser_->get().result_int()), std::move(parser_->get().body())};
+        PoolResult result{Code::Ok, static_cast<int>(parser_->get().result_int()), std::move(parser_->get().body()), false};
         if (keep) {
             stream_->expires_never();
             state_->idle_.push_back(std::move(stream_));
@@ -143,7 +143,7 @@
 
     void failAfterSend(beast::error_code error)
     {
-        finish({error == beast::error::timeout ? Code::CallTimeout : Code::ConnectionLost, 0, {}});
+        finish({error == beast::error::timeout ? Code::CallTimeout : Code::ConnectionLost, 0, {}, false});
     }
 
     void finish(PoolResult result)
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -6,6 +6,7 @@
 #include "eventloop.hpp"
 #include "keys.hpp"
 #include "pinginterval.hpp"
+#include <algorithm>
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -32,7 +33,7 @@
 
 const char *outcomeName(cell::CallOutcome outcome)
 {
-    constexpr const char *names[] = {"ok", "no_room", "rejected", "not_sent", "unknown"};
+    constexpr const char *names[] = {"ok", "no_room", "rejected", "not_sent", "refused", "unknown"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -218,6 +219,13 @@
         call(each);
     }
     cell::AgentReport report = supervisor_.takeReport();
+    if (!report.full_ && !report.crashes_.empty()) {
+        const auto suspected
+            = std::count_if(report.crashes_.begin(), report.crashes_.end(), [](const auto &each) { return each.suspected_; });
+        logEvent(
+            "target.crashed",
+            {{"born", lastIncarnation_}, {"runs", logNumber(report.crashes_.size())}, {"suspected", static_cast<std::int64_t>(suspected)}});
+    }
     if (!report.isEmpty() && !leader_.empty()) {
         mesh_.send(leader_, formatFrame(ReportFrame{supervisor_.epoch(), std::move(report)}));
     }
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -105,9 +105,13 @@
     for (const auto &[run, noRoom] : frame.report_.rejected_) {
         rejected.push_back(Json::array({toJson(run), noRoom}));
     }
+    Json crashes = Json::array();
+    for (const cell::RunCrash &crash : frame.report_.crashes_) {
+        crashes.push_back(Json::array({toJson(crash.run_), crash.suspected_, crash.age_.count_}));
+    }
     return Json::array({frame.epoch_, frame.report_.number_, frame.report_.part_,
                         frame.report_.info_ ? toJson(*frame.report_.info_) : Json(), frame.report_.targetIncarnation_, std::move(running),
-                        std::move(results), std::move(rejected)});
+                        std::move(results), std::move(rejected), std::move(crashes)});
 }
 
 // Several tasks of a job often go to the same agent, so each payload is sent once and referred to by index.
@@ -189,6 +193,12 @@
     for (const Json &each : json.at(at++)) {
         report.rejected_.emplace_back(parseRun(each.at(0)), each.at(1).get<bool>());
     }
+    // Earlier versions do not send them.
+    if (json.size() > at) {
+        for (const Json &each : json.at(at++)) {
+            report.crashes_.push_back({parseRun(each.at(0)), each.at(1).get<bool>(), {each.at(2).get<std::int64_t>()}});
+        }
+    }
     return frame;
 }
 
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -112,6 +112,16 @@
         }
         return;
     }
+    for (const cell::RunCrash &crash : report.crashes_) {
+        count("ibiswall_run_crashes_total", crash.suspected_ ? "suspected" : "beside");
+        logEvent("run.crashed",
+                 {{"job", std::string_view(crash.run_.task_.job_)},
+                  {"task", crash.run_.task_.index_},
+                  {"run", logNumber(crash.run_.number_)},
+                  {"agent", std::string_view(from)},
+                  {"suspected", crash.suspected_ ? 1 : 0},
+                  {"age_ms", crash.age_.count_}});
+    }
     if (report.full_) {
         logEvent("agent.reported",
                  {{"agent", std::string_view(from)},
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -38,6 +38,7 @@
         {"ibiswall_agents_lost_total", {"Agents whose right ran out", ""}},
         {"ibiswall_placements_total", {"Runs placed by this leader", ""}},
         {"ibiswall_ends_total", {"Ends of runs told to this leader, by kind", "how"}},
+        {"ibiswall_run_crashes_total", {"Runs during which their target crashed, as reported to this leader", "cause"}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
         {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
         {"ibiswall_open_jobs", {"Jobs of this leader that have not ended", ""}},
