--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a target of the users' platform: checks fences and its lease, lists runs and results, and sends heartbeats.
 //
 // A task runs for the number of milliseconds that follows "ms=" in its payload. Each start and each end is recorded as one line.
+// A payload with "crash" ends the process when the task is started; the worker is back after crashDowntime.
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
@@ -10,6 +11,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <unistd.h>
 
 namespace ibiswall {
 
@@ -21,6 +23,8 @@
 
 constexpr std::chrono::milliseconds heartbeatInterval(300);
 constexpr std::int64_t defaultRunMillis = 50;
+constexpr std::chrono::milliseconds crashDelay(5);
+constexpr unsigned crashDowntimeSeconds = 2;
 
 struct WorkerOptions
 {
@@ -35,12 +39,28 @@
     std::uint32_t seed_ = 1;
 };
 
+// Ends this process and starts the program again after the downtime. All connections are reset, and until then nothing
+// listens at the worker's address.
+[[noreturn]] void crashAndRestart(char **arguments)
+{
+    constexpr int firstSocket = 3;
+    constexpr int maxDescriptors = 4096;
+    for (int descriptor = firstSocket; descriptor < maxDescriptors; ++descriptor) {
+        close(descriptor);
+    }
+    sleep(crashDowntimeSeconds);
+    execv(arguments[0], arguments);
+    _exit(1);
+}
+
 class Worker
 {
 public:
-    Worker(boost::asio::io_context &io, WorkerOptions options)
+    Worker(boost::asio::io_context &io, WorkerOptions options, char **arguments)
         : io_(io)
+        , arguments_(arguments)
         , options_(std::move(options))
+        , crashTimer_(io)
         , heartbeatTimer_(io)
         , tickTimer_(io)
         , agent_(io, options_.agentAddress_, 1)
@@ -149,6 +169,10 @@
         const auto at = spec.find("ms=");
         running_[task] = {run, elapsedMillis() + (at == std::string::npos ? defaultRunMillis : std::stoll(spec.substr(at + 3))), 0};
         recordEvent("start", task, run);
+        if (spec.find("crash") != std::string::npos) {
+            crashTimer_.expires_after(crashDelay);
+            crashTimer_.async_wait([this](boost::system::error_code) { crashAndRestart(arguments_); });
+        }
         respond(jsonReply(Ok, Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}}.dump()));
     }
 
@@ -259,7 +283,9 @@
     }
 
     boost::asio::io_context &io_;
+    char **arguments_;
     WorkerOptions options_;
+    boost::asio::steady_timer crashTimer_;
     boost::asio::steady_timer heartbeatTimer_;
     boost::asio::steady_timer tickTimer_;
     HttpPool agent_;
@@ -301,7 +327,7 @@
     po::notify(values);
     workerOptions.agentAddress_ = ibiswall::parseAddress(control).value();
     boost::asio::io_context io(1);
-    ibiswall::Worker worker(io, workerOptions);
+    ibiswall::Worker worker(io, workerOptions, argv);
     ibiswall::HttpLimits limits;
     limits.extraHeader_ = "expect-instance";
     ibiswall::HttpServer server(
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -162,8 +162,22 @@
 
 SubmitResult Cell::submit(const std::string &id, int tasks, int runMillis, bool bestEffort, Millis timeout) const
 {
+    return submitPayload(id, tasks, "ms=" + std::to_string(runMillis), bestEffort, timeout);
+}
+
+std::string Cell::state(const std::string &id) const
+{
+    const auto answer = call(0, "GET", id);
+    const Json json = answer ? Json::parse(answer.value().body_, nullptr, false) : Json();
+    return json.is_object() ? json.value("state", "") : "";
+}
+
+SubmitResult Cell::submitPayload(const std::string &id, int tasks, const std::string &payload, bool bestEffort, Millis timeout) const
+{
+    const auto at = payload.find("ms=");
+    const int runMillis = at == std::string::npos ? 1 : std::stoi(payload.substr(at + 3));
     const Json step = {{"count", tasks}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", runMillis}};
-    Json body = {{"spec", "ms=" + std::to_string(runMillis)}, {"steps", Json::array({step})}};
+    Json body = {{"spec", payload}, {"steps", Json::array({step})}};
     if (bestEffort) {
         body["best_effort"] = true;
     }
@@ -240,6 +254,17 @@
     return result;
 }
 
+std::size_t Cell::starts(const std::string &id) const
+{
+    std::size_t result = 0;
+    for (const WorkerNode &node : workerNodes_) {
+        for (const Json &line : readRunRecord(node.runRecordFile_)) {
+            result += line.at("what") == "start" && line.at("task").get<std::string>().rfind(id, 0) == 0 ? 1 : 0;
+        }
+    }
+    return result;
+}
+
 std::map<std::string, int> Cell::completedRuns() const
 {
     std::map<std::string, int> result;
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -81,6 +81,15 @@
     /// Submits a job of identical tasks. Without a 200 answer it retries through the next entry until the timeout.
     SubmitResult submit(const std::string &id, int tasks, int runMillis, bool bestEffort, Millis timeout) const;
 
+    /// Same, with the payload of the tasks.
+    SubmitResult submitPayload(const std::string &id, int tasks, const std::string &payload, bool bestEffort, Millis timeout) const;
+
+    /// State of a job according to an entry; empty if it gives none.
+    std::string state(const std::string &id) const;
+
+    /// Number of starts of a job's tasks that the workers recorded.
+    std::size_t starts(const std::string &id) const;
+
     Result<HttpResponse> call(std::size_t entry, const std::string &method, const std::string &path, const std::string &body = {}) const;
 
     std::vector<CellEntry> &entries();
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <fstream>
 #include <thread>
 
 namespace ibiswall::system {
@@ -50,17 +49,6 @@
     BOOST_TEST(cell.overlappingTasks().empty());
 }
 
-std::size_t countStarts(const WorkerNode &node, const std::string &job)
-{
-    std::ifstream record(node.runRecordFile_);
-    std::string line;
-    std::size_t starts = 0;
-    while (std::getline(record, line)) {
-        starts += line.find("\"start\"") != std::string::npos && line.find(job) != std::string::npos ? 1 : 0;
-    }
-    return starts;
-}
-
 void sleepFor(int millis)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(millis));
@@ -215,7 +203,7 @@
     WorkerNode &node = cell.workerNodes()[0];
     SubmitResult answer;
     std::thread caller([&] { answer = cell.submit(jobId(4500), 2, 1000, true, {1}); });
-    await("the job is running", [&] { return countStarts(node, jobId(4500)) == 2; });
+    await("the job is running", [&] { return cell.starts(jobId(4500)) == 2; });
     for (int i = 0; i < 3; ++i) {
         entry.process_->signal(SIGTERM);
         node.agent_->signal(SIGTERM);
