Do not report a start as not carried out when only its retry was rejected

Callers saw a job fail or run twice: a start had no reply, its retry was refused or rejected, and the agent reported that the run was not started. The leader placed the task again at once, although the first call may have been carried out.

Cause: onStartReply judged the last call alone. Such a run is stopped now, and ends with the list of its target or its lease. Before, refused_retry_of_an_unanswered_start_is_not_reported_as_not_started and rejected_retry_of_a_start_that_was_carried_out_does_not_hide_its_result failed.

--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -324,6 +324,11 @@
     case CallOutcome::Rejected:
     case CallOutcome::NotSent:
     case CallOutcome::Refused:
+        if (call.retries_ > 0) {
+            // An earlier call for the same start had no reply and may have been carried out, or may still be.
+            sendStop(call.run_.task_, run, now);
+            break;
+        }
         report_.rejected_.emplace_back(call.run_, outcome == CallOutcome::NoRoom);
         runs_.erase(found);
         break;
--- a/src/ibiswall/cell/targetsupervisorloss_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorloss_test.cpp
@@ -199,6 +199,32 @@
     BOOST_TEST(!crashes[1].suspected_);
 }
 
+BOOST_AUTO_TEST_CASE(refused_retry_of_an_unanswered_start_is_not_reported_as_not_started)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Unknown, fixture.now_);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Refused, fixture.now_);
+    BOOST_TEST(fixture.supervisor_.takeReport().rejected_.empty());
+    BOOST_TEST(fixture.supervisor_.runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(rejected_retry_of_a_start_that_was_carried_out_does_not_hide_its_result)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Unknown, fixture.now_);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Rejected, fixture.now_);
+    BOOST_TEST(fixture.supervisor_.takeReport().rejected_.empty());
+    fixture.advance(5);
+    fixture.supervisor_.onStopReply(fixture.calls(TargetCall::Kind::Stop).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {{1, {{"j1", 0, 0}, 1}, RunOutcome::Done, {}}});
+    const AgentReport report = fixture.supervisor_.takeReport();
+    BOOST_REQUIRE(report.results_.size() == 1U);
+    BOOST_TEST((report.results_[0].kind_ == RunOutcome::Done));
+}
+
 BOOST_AUTO_TEST_CASE(restart_after_a_silent_end_is_reported_as_a_crash_of_the_runs_lost)
 {
     TargetSupervisorFixture fixture;
