Contain queues whose jobs crash targets in a quarter of the targets

The other callers were not served while jobs of one queue crashed targets: three such jobs a second and 3 s of downtime take all 11 targets down. Cause: every target was exposed to every job.

A queue is contained after three crashes in 3 s, or a second probable crash by one task. Its jobs then run on a quarter of the targets of their service, which run nothing else, one job at a time; they are refused at once when the backlog is too long.

--- /dev/null
+++ b/include/ibiswall/cell/containment.hpp
@@ -0,0 +1,53 @@
+// Decides which queues are contained: their jobs crash targets so often that they may use only a part of them.
+
+#pragma once
+
+#include <deque>
+#include <ibiswall/cell/model.hpp>
+#include <set>
+
+namespace ibiswall::cell {
+
+/// Targets of a service that contained queues may use, out of the number that takes starts. 0 for services that are too small
+/// to be divided.
+/// @param underused whether less than half of the capacity of the service is in use
+std::size_t containedTargets(std::size_t targets, bool underused);
+
+/// Tracks crashes of targets by the queues of the jobs that may have caused them.
+class CrashContainment
+{
+public:
+    /// A target crashed.
+    /// @param queues queues of the runs that may have been the cause
+    void recordCrash(const std::set<std::string> &queues, Millis at);
+
+    /// A task of the queue has probably crashed two targets.
+    void recordRepeatedCrash(const std::string &queue, Millis at);
+
+    /// A job of the queue has completed.
+    void recordCompletion(const std::string &queue);
+
+    /// Ends the containment of queues without recent crashes.
+    void update(Millis now);
+
+    bool isContained(const std::string &queue) const;
+
+    const std::set<std::string> &contained() const;
+
+private:
+    struct QueueHistory
+    {
+        /// Recent crashes that no other queue may have caused, in order of time.
+        std::deque<Millis> crashes_;
+        Millis latestCrash_;
+        /// Jobs completed since the latest crash while contained.
+        int completed_ = 0;
+    };
+
+    void contain(const std::string &queue, Millis at);
+
+    std::map<std::string, QueueHistory> histories_;
+    std::set<std::string> contained_;
+};
+
+} // namespace ibiswall::cell
--- a/include/ibiswall/cell/crashhistory.hpp
+++ b/include/ibiswall/cell/crashhistory.hpp
@@ -31,6 +31,9 @@
     /// shows which one is the cause.
     bool isSuspect(const TaskId &task) const;
 
+    /// Whether the task has probably crashed two targets.
+    bool isRepeated(const TaskId &task) const;
+
     /// Whether the task is not to be started again.
     /// @param waiting whether a caller waits for the job, which is better served by an early answer. Other jobs are given up
     ///        one crash later, since a run that had ended unnoticed just before a crash counts as well.
--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <ibiswall/cell/containment.hpp>
 #include <ibiswall/cell/crashhistory.hpp>
 #include <ibiswall/cell/record.hpp>
 #include <ibiswall/cell/targets.hpp>
@@ -142,10 +143,14 @@
 
     void applyResult(const std::string &agent, const RunResult &result, Millis now);
 
-    /// A target crashed during a run. To be called before the end of the run is applied, so that the task is not placed as if
+    /// Targets crashed during runs. To be called before the ends of the runs are applied, so that the tasks are not placed as if
     /// nothing had happened.
-    /// @return whether the run's job was given up because of it
-    bool recordCrash(const RunCrash &crash, Millis now);
+    /// @param crashes from one agent; those of one crash have the same age
+    /// @return tasks whose jobs were given up because of it
+    std::vector<TaskId> recordCrashes(Span<const RunCrash> crashes, Millis now);
+
+    /// Queues that may use only a part of the targets, since their jobs crash targets.
+    const std::set<std::string> &containedQueues() const;
 
     /// Forgets the crashes of jobs that are not open if the latest one was before the given time.
     void expireCrashes(Millis before);
@@ -257,8 +262,13 @@
         Millis latestStart_;
         /// A job with no task started by then will probably end too late to be useful to its caller.
         Millis lastUsefulStart_;
-        /// Whether the job missed latestStart_ with no task started; such jobs are placed last.
+        /// Whether the job missed latestStart_ with no task started, or may crash targets and its queue is contained; such jobs
+        /// are placed last.
         bool late_ = false;
+        /// Whether one of its tasks may have crashed a target.
+        bool suspect_ = false;
+        /// When it was added, or its latest task was placed.
+        Millis activeAt_;
         /// When its caller times out; 0 for never.
         Millis callerTimeoutAt_;
         std::uint64_t sequence_ = 0;
@@ -306,6 +316,15 @@
         std::vector<std::pair<ResultRef, RunResult>> results_;
     };
 
+    /// Targets of a service that contained queues use.
+    struct ContainedPool
+    {
+        /// Number of them that reply.
+        std::size_t up_ = 0;
+        /// Whether less than half of the capacity of the service is in use.
+        bool underused_ = false;
+    };
+
     /// Priority, late or not, due time, order of arrival.
     using ReadyKey = std::tuple<std::uint32_t, bool, std::int64_t, std::uint64_t>;
 
@@ -314,6 +333,12 @@
     void setWaiting(Job &job, Task &task);
     void applyDoneOrFailed(Job &job, Task &task, const std::string &agent, const RunResult &result, Millis now);
     void scheduleWrite(Job &job, const std::string &agent, const RunResult &result, Millis due);
+    bool applyCrash(const TaskId &id, Millis now);
+    void recordSuspects(Span<const RunCrash> crashes, Millis at);
+    bool isContained(const Job &job, Millis now) const;
+    bool isBacklogged(const Job &job, std::size_t jobsAhead, Millis now) const;
+    void updateContainment(Millis now);
+    void updateContainedPool(const std::string &service);
     void applyKnownCrashes(Job &job, Millis now);
     std::vector<StoredCrash> crashesToStore(const Job &job) const;
     void finish(Job &job, JobState state, Millis now);
@@ -328,6 +353,7 @@
     void eraseOrphanRuns(Predicate drop);
     void onResultSaved(const ResultRef &result);
     bool isLate(const Job &job, Millis now) const;
+    static bool isRefusable(const Job &job);
     bool isUnservable(const Job &job, Millis now) const;
     bool placeTasks(Job &job, Millis now);
     bool isStepReady(const Job &job, std::size_t step) const;
@@ -355,6 +381,9 @@
     std::vector<std::pair<Millis, TaskId>> lostTasks_;
     Targets targets_;
     CrashHistory crashes_;
+    CrashContainment containment_;
+    /// By service, if it has contained queues.
+    std::map<std::string, ContainedPool> containedPools_;
     bool reconciled_ = false;
     DispatcherActions actions_;
 };
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -26,6 +26,8 @@
     Millis pausedUntil_;
     /// Consecutive rejected starts.
     std::uint32_t rejections_ = 0;
+    /// Whether it runs only tasks of contained queues, of one job at a time.
+    bool contained_ = false;
     /// Moving average of run time over expected run time; 1 is as expected.
     double slowness_ = 1;
     /// Moving average of failed runs, from 0 to 1.
@@ -46,6 +48,8 @@
     /// Set if the task may have crashed a target: only targets without such a task of another job are considered.
     const CrashHistory *suspects_ = nullptr;
     std::string_view job_;
+    /// Whether the queue of the task is contained.
+    bool contained_ = false;
 };
 
 /// Chooses the target with the largest share of free CPU, less penalties for slow or failing targets and for targets
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -515,9 +515,7 @@
         if (verdict != ReportVerdict::Accept && (!settings_.acceptStaleReports_ || verdict != ReportVerdict::Stale)) {
             return;
         }
-        for (const RunCrash &crash : report.crashes_) {
-            leader.dispatcher_.recordCrash(crash, {now_});
-        }
+        leader.dispatcher_.recordCrashes(report.crashes_, {now_});
         if (report.full_) {
             state.mayHoldLease_ = true;
             state.leaseGrantedAt_ = now_;
--- a/src/ibiswall/cell/crashhistory.cpp
+++ b/src/ibiswall/cell/crashhistory.cpp
@@ -38,10 +38,16 @@
         || crashes.end() - crashes.begin() == maxCrashes - 1;
 }
 
+bool CrashHistory::isRepeated(const TaskId &task) const
+{
+    return countProbable(crashesOf(task)) > 1;
+}
+
 bool CrashHistory::isGivenUp(const TaskId &task, bool waiting) const
 {
     const Span<const KnownCrash> crashes = crashesOf(task);
-    return countProbable(crashes) >= (waiting ? maxProbableCrashesWaiting : maxProbableCrashes) || crashes.end() - crashes.begin() >= maxCrashes;
+    return countProbable(crashes) >= (waiting ? maxProbableCrashesWaiting : maxProbableCrashes)
+        || crashes.end() - crashes.begin() >= maxCrashes;
 }
 
 Span<const KnownCrash> CrashHistory::crashesOf(const TaskId &task) const
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -99,6 +99,7 @@
     job.id_ = std::move(offer.id_);
     job.record_ = std::move(offer.record_);
     job.revision_ = offer.revision_;
+    job.activeAt_ = now;
     job.sequence_ = nextSequence_++;
     const Queue *queue = queueOf(job);
     job.priority_ = queue == nullptr ? 0 : queue->priority_;
@@ -475,6 +476,9 @@
 void Dispatcher::finish(Job &job, JobState state, Millis now)
 {
     job.state_ = state;
+    if (state == JobState::Completed) {
+        containment_.recordCompletion(job.record_.spec_.queue_);
+    }
     if (job.waiting_ > 0) {
         job.waiting_ = 0;
         ready_.erase(keyOf(job));
--- a/src/ibiswall/cell/dispatchercrashes.cpp
+++ b/src/ibiswall/cell/dispatchercrashes.cpp
@@ -15,12 +15,48 @@
 
 } // namespace
 
-bool Dispatcher::recordCrash(const RunCrash &crash, Millis now)
+std::vector<TaskId> Dispatcher::recordCrashes(Span<const RunCrash> crashes, Millis now)
 {
-    const TaskId &id = crash.run_.task_;
-    if (!crashes_.record(id, {crash.run_.number_, crash.suspected_, crash.started_, now - crash.age_})) {
-        return false;
+    std::vector<TaskId> givenUp;
+    std::map<Millis, std::vector<RunCrash>> added;
+    for (const RunCrash &crash : crashes) {
+        const TaskId &task = crash.run_.task_;
+        if (crashes_.record(task, {crash.run_.number_, crash.suspected_, crash.started_, now - crash.age_})) {
+            added[now - crash.age_].push_back(crash);
+        }
+    }
+    for (const auto &[at, each] : added) {
+        recordSuspects(each, at);
+        for (const RunCrash &crash : each) {
+            if (applyCrash(crash.run_.task_, now)) {
+                givenUp.push_back(crash.run_.task_);
+            }
+        }
     }
+    return givenUp;
+}
+
+// Records which queues may have caused a crash.
+void Dispatcher::recordSuspects(Span<const RunCrash> crashes, Millis at)
+{
+    std::set<std::string> queues;
+    for (const RunCrash &crash : crashes) {
+        Job *job = nullptr;
+        if (!crash.suspected_ || findTask(crash.run_.task_, job) == nullptr) {
+            continue;
+        }
+        job->suspect_ = true;
+        queues.insert(job->record_.spec_.queue_);
+        if (crashes_.isRepeated(crash.run_.task_)) {
+            containment_.recordRepeatedCrash(job->record_.spec_.queue_, at);
+        }
+    }
+    containment_.recordCrash(queues, at);
+}
+
+// Returns whether the job was given up.
+bool Dispatcher::applyCrash(const TaskId &id, Millis now)
+{
     Job *job = nullptr;
     const Task *task = findTask(id, job);
     if (task == nullptr || task->phase_ == Phase::Done || isFinal(job->state_)) {
@@ -37,6 +73,11 @@
     return true;
 }
 
+const std::set<std::string> &Dispatcher::containedQueues() const
+{
+    return containment_.contained();
+}
+
 void Dispatcher::expireCrashes(Millis before)
 {
     crashes_.expire(before, [this](const std::string &job) { return jobs_.count(job) != 0; });
--- a/src/ibiswall/cell/dispatchercrashes_test.cpp
+++ b/src/ibiswall/cell/dispatchercrashes_test.cpp
@@ -55,8 +55,8 @@
     DispatcherFixture fixture;
     fixture.add("a");
     const TaskId task{"j1", 0, 0};
-    fixture.dispatcher_.recordCrash({{task, 1}, true, true, {}}, fixture.now_);
-    fixture.dispatcher_.recordCrash({{task, 2}, true, true, {}}, fixture.now_);
+    const std::vector<RunCrash> crashes{{{task, 1}, true, true, {900}}, {{task, 2}, true, true, {}}};
+    fixture.dispatcher_.recordCrashes(crashes, fixture.now_);
     fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
     const DispatcherActions actions = fixture.schedule();
     BOOST_TEST(actions.starts_.empty());
--- a/src/ibiswall/cell/dispatcherfixture.hpp
+++ b/src/ibiswall/cell/dispatcherfixture.hpp
@@ -37,9 +37,11 @@
     /// The target crashes during the given runs, and is back as another incarnation once their ends are certain.
     void crash(const std::string &agent, const std::vector<StartOrder> &runs, bool suspected = true)
     {
+        std::vector<RunCrash> crashes;
         for (const StartOrder &run : runs) {
-            dispatcher_.recordCrash({run.run_, suspected, true, {}}, now_);
+            crashes.push_back({run.run_, suspected, true, {}});
         }
+        dispatcher_.recordCrashes(crashes, now_);
         now_ = now_ + Millis{3000};
         TargetInfo info = testTarget("t-" + agent);
         info.targetIncarnation_ = ++incarnations_[agent] + 1;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -28,15 +28,19 @@
 
 void Dispatcher::schedule(Millis now)
 {
+    updateContainment(now);
     std::uint32_t priority = 0;
     int misses = 0;
+    int containedMisses = 0;
     for (auto next = ready_.begin(); next != ready_.end();) {
         Job &job = *(next++)->second;
         if (job.priority_ != priority) {
             priority = job.priority_;
-            misses = 0;
+            // Jobs of lower urgency must not overtake waiting ones.
+            misses = misses < maxMisses ? 0 : misses;
         }
-        if (!job.late_ && isLate(job, now)) {
+        const bool contained = isContained(job, now);
+        if (!job.late_ && (isLate(job, now) || (contained && job.suspect_))) {
             // Visited again later in this loop, after the jobs of its priority that can still meet their objective.
             ready_.erase(keyOf(job));
             job.late_ = true;
@@ -44,8 +48,13 @@
             if (next == ready_.end() || moved->first < next->first) {
                 next = moved;
             }
-        } else if (!isUnservable(job, now) && !placeTasks(job, now) && ++misses == maxMisses) {
-            // Jobs of lower urgency must not overtake waiting ones.
+            continue;
+        }
+        int &missed = contained ? containedMisses : misses;
+        if (missed < maxMisses && !isUnservable(job, now) && !placeTasks(job, now)) {
+            ++missed;
+        }
+        if (misses == maxMisses && (containedPools_.empty() || containedMisses == maxMisses)) {
             return;
         }
     }
@@ -86,6 +95,7 @@
                 continue;
             }
             Placement placement{stepSpec, queue->service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
+            placement.contained_ = isContained(job, now);
             if (crashes_.isSuspect({job.id_, step, i})) {
                 placement.suspects_ = &crashes_;
             }
@@ -115,6 +125,7 @@
     task.run_ = epoch_ * runsPerEpoch + ++runsAssigned_;
     task.agent_ = target.agent_;
     task.placedAt_ = now;
+    job.activeAt_ = now;
     const Resources &need = job.record_.spec_.steps_[step].need_;
     target.allocated_ = target.allocated_ + need;
     target.runs_[id] = need;
@@ -130,19 +141,26 @@
     actions_.starts_.push_back({target.agent_, {id, task.run_}, job.record_.spec_.payload_, task.checkpoint_, job.isEphemeral()});
 }
 
-// Whether a job is to be refused: no task of it has run, and running it now would be useless to its caller.
-bool Dispatcher::isUnservable(const Job &job, Millis now) const
+// Whether a caller waits for the job and no task of it has run.
+bool Dispatcher::isRefusable(const Job &job)
 {
     const bool neverStarted = !job.mayHaveStarted_ && job.state_ == JobState::Pending && job.waiting_ == job.tasks_.size();
-    const bool hasCaller = job.isEphemeral() && job.callerTimeoutAt_ != Millis{0};
-    return hasCaller && neverStarted && (now > job.lastUsefulStart_ || now >= job.callerTimeoutAt_);
+    return neverStarted && job.isEphemeral() && job.callerTimeoutAt_ != Millis{0};
+}
+
+// Whether a job is to be refused, since running it now would be useless to its caller.
+bool Dispatcher::isUnservable(const Job &job, Millis now) const
+{
+    return isRefusable(job) && (now > job.lastUsefulStart_ || now >= job.callerTimeoutAt_);
 }
 
 void Dispatcher::refuseUnservable(Millis now)
 {
     std::vector<Job *> unservable;
+    std::map<std::string_view, std::size_t> containedJobs;
     for (const auto &[key, job] : ready_) {
-        if (isUnservable(*job, now)) {
+        const bool backlogged = isContained(*job, now) && isBacklogged(*job, containedJobs[queueOf(*job)->service_]++, now);
+        if (isUnservable(*job, now) || (backlogged && isRefusable(*job))) {
             unservable.push_back(job);
         }
     }
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -19,6 +19,9 @@
 // Penalty for running away from the data, as a share of the target's capacity.
 constexpr double remoteDataWeight = 0.4;
 
+// Preference for a target that already runs the same job, more than the sum of all penalties.
+constexpr double sameJobWeight = 100;
+
 bool hasLabel(const TargetInfo &info, std::string_view label)
 {
     return std::find(info.labels_.begin(), info.labels_.end(), label) != info.labels_.end();
@@ -31,6 +34,12 @@
     });
 }
 
+bool runsOtherJob(const Target &target, std::string_view job)
+{
+    // In order of job.
+    return !target.runs_.empty() && (target.runs_.begin()->first.job_ != job || target.runs_.rbegin()->first.job_ != job);
+}
+
 bool canPlace(const Target &target, const Placement &placement, Millis now)
 {
     const TargetInfo &info = target.info_;
@@ -43,6 +52,9 @@
     if (!placement.step_.requiredLabel_.empty() && !hasLabel(info, placement.step_.requiredLabel_)) {
         return false;
     }
+    if (placement.contained_ != target.contained_ || (placement.contained_ && runsOtherJob(target, placement.job_))) {
+        return false;
+    }
     if (placement.suspects_ != nullptr && runsSuspectOfOtherJob(target, placement)) {
         return false;
     }
@@ -62,6 +74,10 @@
     if (!placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_)) {
         score -= remoteDataWeight;
     }
+    if (placement.contained_ && !target.runs_.empty()) {
+        // Tasks of one job stay together, so that one that crashes its target exposes no more targets than needed.
+        score += sameJobWeight;
+    }
     return score;
 }
 
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -196,7 +196,8 @@
     // Earlier versions do not send them.
     if (json.size() > at) {
         for (const Json &each : json.at(at++)) {
-            report.crashes_.push_back({parseRun(each.at(0)), each.at(1).get<bool>(), each.at(2).get<bool>(), {each.at(3).get<std::int64_t>()}});
+            report.crashes_.push_back(
+                {parseRun(each.at(0)), each.at(1).get<bool>(), each.at(2).get<bool>(), {each.at(3).get<std::int64_t>()}});
         }
     }
     return frame;
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -122,10 +122,10 @@
                   {"suspected", crash.suspected_ ? 1 : 0},
                   {"started", crash.started_ ? 1 : 0},
                   {"age_ms", crash.age_.count_}});
-        if (dispatcher_.recordCrash(crash, now)) {
-            count("ibiswall_jobs_given_up_total");
-            logEvent("job.given_up", {{"job", std::string_view(crash.run_.task_.job_)}, {"task", crash.run_.task_.index_}});
-        }
+    }
+    for (const cell::TaskId &task : dispatcher_.recordCrashes(report.crashes_, now)) {
+        count("ibiswall_jobs_given_up_total");
+        logEvent("job.given_up", {{"job", std::string_view(task.job_)}, {"task", task.index_}});
     }
     if (report.full_) {
         logEvent("agent.reported",
