--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -127,6 +127,7 @@
     void lookUpOrphan(const std::string &job);
     void sweep();
     void dispatch();
+    void logContainment();
     void scheduleDispatch();
     void send(cell::DispatcherActions &&actions);
     void store();
@@ -172,6 +173,8 @@
     /// When it stepped down, 0 if it has not.
     Millis steppedDownAt_;
     bool dispatchScheduled_ = false;
+    /// Contained queues as logged last.
+    std::set<std::string> loggedContained_;
     bool storing_ = false;
     /// When the latest transaction was sent; set to a later time to delay a retry.
     Millis storedAt_;
