--- a/src/ibiswall/cell/dispatchercontainment.cpp
+++ b/src/ibiswall/cell/dispatchercontainment.cpp
@@ -80,7 +80,8 @@
         return;
     }
     if (chosen < wanted) {
-        std::stable_sort(candidates.begin(), candidates.end(), [](const Target *a, const Target *b) { return isBetterForContainment(*a, *b); });
+        std::stable_sort(candidates.begin(), candidates.end(),
+                         [](const Target *a, const Target *b) { return isBetterForContainment(*a, *b); });
         for (Target *target : candidates) {
             if (chosen++ == wanted) {
                 break;
--- a/src/ibiswall/cell/dispatchercrashes_test.cpp
+++ b/src/ibiswall/cell/dispatchercrashes_test.cpp
@@ -101,6 +101,84 @@
     BOOST_TEST(fixture.schedule().starts_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(contained_queue_and_others_do_not_share_targets)
+{
+    DispatcherFixture fixture;
+    for (const char *agent : {"a", "b", "c", "d"}) {
+        fixture.add(agent, 1000);
+    }
+    fixture.containUrgent();
+    fixture.dispatcher_.addJob(testJob("u1", {testStep(4)}), fixture.now_);
+    fixture.dispatcher_.addJob(testJob("l1", {testStep(4)}, true, "later"), fixture.now_);
+    std::set<std::string> urgent;
+    std::set<std::string> later;
+    for (const StartOrder &start : fixture.schedule().starts_) {
+        (start.run_.task_.job_ == "u1" ? urgent : later).insert(start.agent_);
+    }
+    // All targets are idle, so half of them are for the contained queue.
+    BOOST_TEST(urgent.size() == 2U);
+    BOOST_TEST(later.size() == 2U);
+    BOOST_TEST(std::none_of(urgent.begin(), urgent.end(), [&later](const std::string &agent) { return later.count(agent) != 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(target_of_contained_queues_runs_one_job_at_a_time)
+{
+    DispatcherFixture fixture;
+    for (const char *agent : {"a", "b", "c", "d"}) {
+        fixture.add(agent);
+    }
+    fixture.containUrgent();
+    for (const char *job : {"u1", "u2", "u3"}) {
+        fixture.dispatcher_.addJob(testJob(job, {testStep(2)}), fixture.now_);
+    }
+    std::map<std::string, std::set<std::string>> jobsByAgent;
+    for (const StartOrder &start : fixture.schedule().starts_) {
+        jobsByAgent[start.agent_].insert(start.run_.task_.job_);
+    }
+    BOOST_TEST(jobsByAgent.size() == 2U);
+    for (const auto &[agent, jobs] : jobsByAgent) {
+        BOOST_TEST(jobs.size() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(job_of_contained_queue_is_refused_at_once_while_its_targets_are_down)
+{
+    DispatcherFixture fixture;
+    for (const char *agent : {"a", "b", "c", "d"}) {
+        fixture.add(agent);
+    }
+    fixture.containUrgent();
+    fixture.schedule();
+    for (const char *agent : {"a", "b", "c", "d"}) {
+        TargetInfo down = testTarget("t-" + std::string(agent));
+        down.responsive_ = false;
+        fixture.dispatcher_.updateTarget(agent, down);
+    }
+    JobOffer offer = testJob("u1", {testStep(1)});
+    offer.callerTimeout_ = {1500};
+    fixture.dispatcher_.addJob(offer, fixture.now_);
+    fixture.schedule();
+    fixture.dispatcher_.refuseUnservable(fixture.now_);
+    const DispatcherActions actions = fixture.schedule();
+    BOOST_REQUIRE(actions.notices_.size() == 1U);
+    BOOST_TEST((actions.notices_[0].state_ == JobState::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(stored_job_of_contained_queue_does_not_wait_while_most_targets_are_idle)
+{
+    DispatcherFixture fixture;
+    for (const char *agent : {"a", "b", "c", "d", "e", "f"}) {
+        fixture.add(agent);
+    }
+    fixture.containUrgent();
+    for (const char *job : {"u1", "u2", "u3", "u4"}) {
+        fixture.dispatcher_.addJob(testJob(job, {testStep(1)}, false), fixture.now_);
+    }
+    BOOST_TEST(fixture.schedule().starts_.size() == 3U);
+    fixture.now_ = fixture.now_ + Millis{2000};
+    BOOST_TEST(fixture.schedule().starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/dispatcherfixture.hpp
+++ b/src/ibiswall/cell/dispatcherfixture.hpp
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Contains the queue "urgent": a job of it crashes two targets.
+    void containUrgent()
+    {
+        const TaskId task{"crashing", 0, 0};
+        dispatcher_.addJob(testJob(task.job_, {testStep(1)}), now_);
+        const std::vector<RunCrash> crashes{{{task, 1}, true, true, {}}, {{task, 2}, true, true, {}}};
+        dispatcher_.recordCrashes(crashes, now_);
+        dispatcher_.takeActions();
+    }
+
     Millis now_{1000};
     Dispatcher dispatcher_;
     std::map<std::string, std::uint64_t> results_;
