Let the agent of a crashed target report to a new leader from its own records

Callers saw a new leader serve nobody for 1.2 s and more: it waits for a full report of each agent, and the agent for a list of runs from a target that was down. A target at whose address nothing listens runs nothing that its agent does not know of, or any earlier lease has expired. full_report_does_not_wait_for_a_target_that_has_crashed and restarted_agent_reports_without_its_target_once_earlier_leases_have_expired failed before.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -264,6 +264,8 @@
     void recordResult(const RunResult &result);
     std::uint64_t releasable() const;
     void reconcileRuns(const TargetCall &call, const RenewalReply &reply, Millis now);
+    bool isStateKnownWithoutTarget(Millis now) const;
+    void completeFullReport(Millis now);
 
     TargetSupervisorSettings settings_;
     std::optional<TargetInfo> info_;
@@ -315,6 +317,8 @@
     std::uint32_t incrementalReports_ = 0;
     bool fullReportDue_ = false;
     bool reportRenewalSent_ = false;
+    /// Whether a list of the target has been applied, so that runs_ has every run that may be active on it.
+    bool listApplied_ = false;
     std::vector<TargetCall> calls_;
     AgentReport report_;
 };
--- a/src/ibiswall/cell/crashload_test.cpp
+++ b/src/ibiswall/cell/crashload_test.cpp
@@ -134,6 +134,7 @@
         info.responsive_ = false;
         const auto lost = std::exchange(running_[agent], {});
         std::vector<RunCrash> crashes;
+        crashes.reserve(lost.size());
         for (const auto &[run, startedAt] : lost) {
             crashes.push_back({run, now_.count_ - startedAt.count_ <= suspicionWindow, true, {}});
         }
--- a/src/ibiswall/cell/dispatchercontainment.cpp
+++ b/src/ibiswall/cell/dispatchercontainment.cpp
@@ -27,8 +27,11 @@
 bool Dispatcher::isContained(const Job &job, Millis now) const
 {
     const Queue *queue = queueOf(job);
-    const auto found = queue == nullptr ? containedPools_.end() : containedPools_.find(queue->service_);
-    if (found == containedPools_.end() || !containment_.isContained(queue->name_)) {
+    if (queue == nullptr || !containment_.isContained(queue->name_)) {
+        return false;
+    }
+    const auto found = containedPools_.find(queue->service_);
+    if (found == containedPools_.end()) {
         return false;
     }
     return job.isEphemeral() || !found->second.underused_ || now < job.activeAt_ + maxContainedWait;
--- a/src/ibiswall/cell/dispatcherfixture.hpp
+++ b/src/ibiswall/cell/dispatcherfixture.hpp
@@ -38,6 +38,7 @@
     void crash(const std::string &agent, const std::vector<StartOrder> &runs, bool suspected = true)
     {
         std::vector<RunCrash> crashes;
+        crashes.reserve(runs.size());
         for (const StartOrder &run : runs) {
             crashes.push_back({run.run_, suspected, true, {}});
         }
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -389,6 +389,7 @@
         return;
     }
     latestAppliedRenewal_ = call.serial_;
+    listApplied_ = true;
     std::set<TaskId> running;
     for (const Run &run : reply.running_) {
         running.insert(run.task_);
@@ -414,22 +415,35 @@
         }
     }
     if (fullReportDue_ && reportRenewalSent_) {
-        fullReportDue_ = false;
-        report_.full_ = true;
-        reportTarget();
-        report_.targetIncarnation_ = targetIncarnation_;
-        report_.results_.clear();
-        for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
-            report_.results_.push_back(unacknowledged.result_);
-        }
-        for (const auto &[task, run] : runs_) {
-            report_.running_.push_back({task, run.number_});
-        }
-        expireCrashes(now);
-        report_.crashes_.clear();
-        for (const RecordedCrash &crash : crashes_) {
-            report_.crashes_.push_back({crash.run_, crash.suspected_, crash.started_, now - crash.at_});
-        }
+        completeFullReport(now);
+    }
+}
+
+// Whether a full report needs no list of the target: the target has crashed, and either all runs that may have been active on
+// it are known, or any lease that an earlier agent process had requested has expired.
+bool TargetSupervisor::isStateKnownWithoutTarget(Millis now) const
+{
+    const bool leasesExpired = now >= refusedSince_ + settings_.maxLease_ + settings_.leaseExpiryMargin_;
+    return refusedSince_ != Millis{0} && (listApplied_ || leasesExpired);
+}
+
+void TargetSupervisor::completeFullReport(Millis now)
+{
+    fullReportDue_ = false;
+    report_.full_ = true;
+    reportTarget();
+    report_.targetIncarnation_ = targetIncarnation_;
+    report_.results_.clear();
+    for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
+        report_.results_.push_back(unacknowledged.result_);
+    }
+    for (const auto &[task, run] : runs_) {
+        report_.running_.push_back({task, run.number_});
+    }
+    expireCrashes(now);
+    report_.crashes_.clear();
+    for (const RecordedCrash &crash : crashes_) {
+        report_.crashes_.push_back({crash.run_, crash.suspected_, crash.started_, now - crash.at_});
     }
 }
 
@@ -463,6 +477,9 @@
             sendStop(task, run, now);
         }
     }
+    if (epoch_ != 0 && fullReportDue_ && isStateKnownWithoutTarget(now)) {
+        completeFullReport(now);
+    }
     if (epoch_ == 0 || now < renewRetryAt_) {
         return;
     }
--- a/src/ibiswall/cell/targetsupervisorloss_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorloss_test.cpp
@@ -278,6 +278,47 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(full_report_does_not_wait_for_a_target_that_has_crashed)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(10);
+    fixture.refuseRenewals();
+    fixture.supervisor_.follow(2, 0, fixture.now_);
+    fixture.supervisor_.tick(fixture.now_);
+    const AgentReport report = fixture.supervisor_.takeReport();
+    BOOST_REQUIRE(report.full_);
+    BOOST_REQUIRE(report.info_.has_value());
+    BOOST_TEST(!report.info_->responsive_);
+    // The lease of the run has not expired, so another dispatcher must not start the task again yet.
+    BOOST_TEST(report.running_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_agent_reports_without_its_target_once_earlier_leases_have_expired)
+{
+    TargetSupervisorFixture fixture;
+    TargetSupervisor restarted({}, 100);
+    restarted.follow(1, 0, fixture.now_);
+    const auto refuse = [&restarted, &fixture] {
+        for (const TargetCall &call : restarted.takeCalls()) {
+            RenewalReply reply;
+            reply.outcome_ = CallOutcome::Refused;
+            restarted.onRenewalReply(call, reply, fixture.now_);
+        }
+    };
+    refuse();
+    fixture.advance(1100);
+    restarted.tick(fixture.now_);
+    refuse();
+    BOOST_TEST(restarted.takeReport().isEmpty());
+    fixture.advance(100);
+    restarted.tick(fixture.now_);
+    const AgentReport report = restarted.takeReport();
+    BOOST_TEST(report.full_);
+    BOOST_TEST(report.running_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
