Hand the contained queues over to a successor of the leader

After the loss of the leader its successor exposed all targets again until it had seen three crashes of its own. Heartbeats of the leader name the contained queues, and a successor starts with them.

--- a/include/ibiswall/cell/containment.hpp
+++ b/include/ibiswall/cell/containment.hpp
@@ -21,8 +21,8 @@
     /// @param queues queues of the runs that may have been the cause
     void recordCrash(const std::set<std::string> &queues, Millis at);
 
-    /// A task of the queue has probably crashed two targets.
-    void recordRepeatedCrash(const std::string &queue, Millis at);
+    /// Contains a queue: a task of it has probably crashed two targets, or an earlier dispatcher contained it.
+    void contain(const std::string &queue, Millis at);
 
     /// A job of the queue has completed.
     void recordCompletion(const std::string &queue);
@@ -44,8 +44,6 @@
         int completed_ = 0;
     };
 
-    void contain(const std::string &queue, Millis at);
-
     std::map<std::string, QueueHistory> histories_;
     std::set<std::string> contained_;
 };
--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -149,6 +149,9 @@
     /// @return tasks whose jobs were given up because of it
     std::vector<TaskId> recordCrashes(Span<const RunCrash> crashes, Millis now);
 
+    /// Takes over the containment of an earlier dispatcher.
+    void containQueues(const std::set<std::string> &queues, Millis now);
+
     /// Queues that may use only a part of the targets, since their jobs crash targets.
     const std::set<std::string> &containedQueues() const;
 
--- a/src/ibiswall/cell/containment.cpp
+++ b/src/ibiswall/cell/containment.cpp
@@ -49,11 +49,6 @@
     }
 }
 
-void CrashContainment::recordRepeatedCrash(const std::string &queue, Millis at)
-{
-    contain(queue, at);
-}
-
 void CrashContainment::contain(const std::string &queue, Millis at)
 {
     QueueHistory &history = histories_[queue];
--- a/src/ibiswall/cell/containment_test.cpp
+++ b/src/ibiswall/cell/containment_test.cpp
@@ -54,14 +54,14 @@
 BOOST_AUTO_TEST_CASE(second_crash_by_one_task_contains_its_queue_at_once)
 {
     CrashContainment containment;
-    containment.recordRepeatedCrash("q", {1000});
+    containment.contain("q", {1000});
     BOOST_TEST(containment.isContained("q"));
 }
 
 BOOST_AUTO_TEST_CASE(queue_is_released_after_a_series_of_completed_jobs)
 {
     CrashContainment containment;
-    containment.recordRepeatedCrash("q", {1000});
+    containment.contain("q", {1000});
     for (int i = 1; i < completionsToRelease; ++i) {
         containment.recordCompletion("q");
     }
@@ -81,7 +81,7 @@
 BOOST_AUTO_TEST_CASE(queue_without_jobs_is_released_after_a_quiet_time)
 {
     CrashContainment containment;
-    containment.recordRepeatedCrash("q", {1000});
+    containment.contain("q", {1000});
     containment.update({11000});
     BOOST_TEST(containment.isContained("q"));
     containment.update({11001});
--- a/src/ibiswall/cell/dispatchercrashes.cpp
+++ b/src/ibiswall/cell/dispatchercrashes.cpp
@@ -48,7 +48,7 @@
         job->suspect_ = true;
         queues.insert(job->record_.spec_.queue_);
         if (crashes_.isRepeated(crash.run_.task_)) {
-            containment_.recordRepeatedCrash(job->record_.spec_.queue_, at);
+            containment_.contain(job->record_.spec_.queue_, at);
         }
     }
     containment_.recordCrash(queues, at);
@@ -73,6 +73,13 @@
     return true;
 }
 
+void Dispatcher::containQueues(const std::set<std::string> &queues, Millis now)
+{
+    for (const std::string &queue : queues) {
+        containment_.contain(queue, now);
+    }
+}
+
 const std::set<std::string> &Dispatcher::containedQueues() const
 {
     return containment_.contained();
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -42,6 +42,7 @@
         }
         if (from == leadership_.leaderInfo().leader_) {
             waiting_ = heartbeat->waiting_;
+            contained_ = heartbeat->contained_;
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -230,6 +231,8 @@
     if (leaderSession_) {
         frame.waiting_ = leaderSession_->waitingJobs();
         waiting_ = frame.waiting_;
+        frame.contained_ = leaderSession_->containedQueues();
+        contained_ = frame.contained_;
     }
     return frame;
 }
@@ -376,6 +379,7 @@
     };
     leaderSession_ = std::make_shared<LeaderSession>(io_, store_, hooks, epoch, acquiredAt, first, settings_.stateRetention_);
     leaderSession_->setConfig(config_, evacuatedDomains_);
+    leaderSession_->containQueues(contained_);
     leaderSession_->start();
     onLeaderChanged();
     sendHeartbeats();
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -143,6 +143,8 @@
     std::vector<std::string> offerQueue_;
     /// The leader's count of jobs with no task started, by queue.
     std::map<std::string, std::size_t> waiting_;
+    /// Queues that the leader contains.
+    std::set<std::string> contained_;
     /// Addresses of the other entries; empty before the first read.
     std::map<std::string, Address> entries_;
     bool entriesKnown_ = false;
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -139,7 +139,7 @@
 {
     return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.steppedDown_,
                         frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_,
-                        frame.nextIn_.count_});
+                        frame.nextIn_.count_, Json(frame.contained_)});
 }
 
 Json body(const OffersFrame &frame)
@@ -244,6 +244,9 @@
     if (json.size() > at) {
         frame.nextIn_ = {json.at(at++).get<std::int64_t>()};
     }
+    if (json.size() > at) {
+        frame.contained_ = json.at(at++).get<std::set<std::string>>();
+    }
     return frame;
 }
 
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -79,6 +79,8 @@
     Millis holdOffFrom_;
     /// From the leader: number of jobs in each queue with no started task.
     std::map<std::string, std::size_t> waiting_;
+    /// From the leader: contained queues, which a successor has to contain from its start.
+    std::set<std::string> contained_;
 };
 
 /// Jobs that an entry registers with the leader.
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -36,6 +36,7 @@
     heartbeat.accepting_ = true;
     heartbeat.holdOffFrom_ = {77};
     heartbeat.waiting_ = {{"q", 2}};
+    heartbeat.contained_ = {"q"};
     return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}}, report,
             orders,       heartbeat,         CancelFrame{"j", true}, UnknownJobFrame{"j"}};
 }
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -72,6 +72,10 @@
 
     void setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut);
 
+    /// Takes over the containment of the previous leader.
+    void containQueues(const std::set<std::string> &queues);
+    const std::set<std::string> &containedQueues() const;
+
     /// Stops placing tasks on an agent's target until the agent has sent a full report, and asks for it. To be called when the
     /// agent has connected and whenever frames of it may have been lost.
     void requestFullReport(const std::string &agent);
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -67,6 +67,16 @@
     store();
 }
 
+void LeaderSession::containQueues(const std::set<std::string> &queues)
+{
+    dispatcher_.containQueues(queues, bootClock());
+}
+
+const std::set<std::string> &LeaderSession::containedQueues() const
+{
+    return dispatcher_.containedQueues();
+}
+
 void LeaderSession::logContainment()
 {
     const std::set<std::string> &contained = dispatcher_.containedQueues();
