Start a task again only after its crash has been stored

Leaders that overlap each used up the attempts of a task: a dispatcher that has been succeeded starts it once more, and the successor knows nothing of that crash. A succeeded leader cannot store, so waiting for the write excludes it.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -278,6 +278,10 @@
         /// When the record is to be stored; empty when the stored record is up to date.
         std::optional<Millis> writeDue_;
         bool writing_ = false;
+        /// Whether a crash during one of its runs is in no stored record yet, and in none but the write in progress. Until it is
+        /// stored, the task is not started again: a dispatcher that has been succeeded cannot store it, nor use up attempts.
+        bool unsavedCrash_ = false;
+        bool savingCrash_ = false;
         /// Results that are not in a stored record yet, and those in the write in progress.
         std::vector<ResultRef> unsaved_;
         std::vector<ResultRef> saving_;
@@ -337,6 +341,7 @@
     void applyDoneOrFailed(Job &job, Task &task, const std::string &agent, const RunResult &result, Millis now);
     void scheduleWrite(Job &job, const std::string &agent, const RunResult &result, Millis due);
     bool applyCrash(const TaskId &id, Millis now);
+    bool awaitsStoredCrash(const Job &job, const TaskId &task) const;
     void recordSuspects(Span<const RunCrash> crashes, Millis at);
     bool isContained(const Job &job, Millis now) const;
     bool isBacklogged(const Job &job, std::size_t jobsAhead, Millis now) const;
--- a/src/ibiswall/cell/dispatchercrashes.cpp
+++ b/src/ibiswall/cell/dispatchercrashes.cpp
@@ -63,6 +63,7 @@
         return false;
     }
     if (!job->isEphemeral()) {
+        job->unsavedCrash_ = true;
         job->writeDue_ = now;
         dirty_.insert(job->id_);
     }
@@ -85,6 +86,11 @@
     return containment_.contained();
 }
 
+bool Dispatcher::awaitsStoredCrash(const Job &job, const TaskId &task) const
+{
+    return (job.unsavedCrash_ || job.savingCrash_) && !crashes_.crashesOf(task).empty();
+}
+
 void Dispatcher::expireCrashes(Millis before)
 {
     crashes_.expire(before, [this](const std::string &job) { return jobs_.count(job) != 0; });
--- a/src/ibiswall/cell/dispatchercrashes_test.cpp
+++ b/src/ibiswall/cell/dispatchercrashes_test.cpp
@@ -83,6 +83,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stored_job_is_not_started_again_before_the_crash_is_stored)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}, false), fixture.now_);
+    const DispatcherActions first = fixture.schedule();
+    fixture.crash("a", first.starts_);
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    BOOST_REQUIRE(fixture.dispatcher_.takeWrites(9, fixture.now_).size() == 1U);
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    fixture.dispatcher_.onWriteFailed("j1", 7);
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    BOOST_REQUIRE(fixture.dispatcher_.takeWrites(9, fixture.now_).size() == 1U);
+    fixture.dispatcher_.onWritten("j1", 8, fixture.now_);
+    BOOST_TEST(fixture.schedule().starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(suspects_of_two_jobs_do_not_share_a_target_and_hold_up_nobody)
 {
     DispatcherFixture fixture;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -91,7 +91,7 @@
         }
         for (std::uint32_t i = 0; i < stepSpec.count_; ++i) {
             const Task &task = job.tasks_[job.offsets_[step] + i];
-            if (task.phase_ != Phase::Waiting) {
+            if (task.phase_ != Phase::Waiting || awaitsStoredCrash(job, {job.id_, step, i})) {
                 continue;
             }
             Placement placement{stepSpec, queue->service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
--- a/src/ibiswall/cell/dispatcherwrites.cpp
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -55,6 +55,7 @@
         job->writing_ = true;
         job->writeDue_.reset();
         dirty_.erase(job->id_);
+        job->savingCrash_ = std::exchange(job->unsavedCrash_, false);
         job->saving_ = std::exchange(job->unsaved_, {});
         writes.push_back({job->id_, job->revision_, job->record_});
     }
@@ -83,6 +84,7 @@
     Job &job = found->second;
     job.revision_ = revision;
     job.writing_ = false;
+    job.savingCrash_ = false;
     for (const ResultRef &result : std::exchange(job.saving_, {})) {
         onResultSaved(result);
     }
@@ -100,6 +102,7 @@
     Job &job = found->second;
     job.revision_ = revision;
     job.writing_ = false;
+    job.unsavedCrash_ = job.unsavedCrash_ || std::exchange(job.savingCrash_, false);
     job.unsaved_.insert(job.unsaved_.end(), job.saving_.begin(), job.saving_.end());
     job.saving_.clear();
     job.writeDue_ = Millis{0};
