Place nothing beside runs of unknown need on targets without admission control

A start could bring a target that does not guard its capacity over it: runs of jobs that nobody had offered yet, and runs being stopped, did not count as capacity in use. The dispatcher keeps them apart by target, and places nothing beside them unless the target rejects what does not fit.

--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -18,6 +18,9 @@
     Resources allocated_;
     /// Runs placed on the target with the resources that each needs.
     std::map<TaskId, Resources> runs_;
+    /// Runs that the target has reported and whose needs are not known: of jobs that nobody has offered yet, or being stopped.
+    /// None of them is in runs_ with the same number.
+    std::map<TaskId, std::uint64_t> unknownRuns_;
     /// Numbers of results whose effect has not been stored yet.
     std::set<std::uint64_t> unsavedResults_;
     std::uint64_t highestResult_ = 0;
@@ -50,6 +53,8 @@
     std::string_view job_;
     /// Whether the queue of the task is contained.
     bool contained_ = false;
+    /// Whether the targets reject tasks that do not fit.
+    bool admissionControl_ = false;
 };
 
 /// Chooses the target with the largest share of free CPU, less penalties for slow or failing targets and for targets
--- a/src/ibiswall/cell/cellsimulation.hpp
+++ b/src/ibiswall/cell/cellsimulation.hpp
@@ -24,6 +24,8 @@
     double lostCalls_ = 0.15;
     /// Share of jobs whose first task crashes every target that starts it.
     double crashingJobs_ = 0;
+    /// Times that the capacity of a target shrinks or grows.
+    int capacityChanges_ = 0;
     /// Disables a safeguard to verify that the checks detect it: orders do not name the report that they are based on.
     bool ignoreReportNumbers_ = false;
     /// Same: reports older than the accepted ones are applied.
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -17,6 +17,10 @@
 constexpr std::int64_t agentLease = 1000;
 constexpr std::int64_t leaderLease = 3500;
 constexpr std::int64_t leaseMargin = 200;
+// Runs that fit on a target at most.
+constexpr std::size_t maxRuns = 8;
+// Time for a leader to follow a capacity that has shrunk: the contact time of the users' rules and one announcement.
+constexpr std::int64_t capacityDelay = 4500;
 
 // A target as its agent sees it.
 struct SimulatedTarget
@@ -34,6 +38,8 @@
     std::uint64_t fence_ = 0;
     std::map<TaskId, Running> running_;
     std::map<TaskId, std::uint64_t> endedRuns_;
+    /// Number of runs that fit, by the time from which on.
+    std::map<std::int64_t, std::size_t> capacities_{{0, maxRuns}};
     std::vector<RunResult> results_;
     std::uint64_t lastResult_ = 0;
     /// By number of the result.
@@ -50,6 +56,19 @@
         running_.erase(task);
     }
 
+    // Largest capacity that a leader may count on.
+    std::size_t usableCapacity(std::int64_t now) const
+    {
+        std::size_t largest = 0;
+        for (auto each = capacities_.rbegin(); each != capacities_.rend(); ++each) {
+            largest = std::max(largest, each->second);
+            if (each->first <= now - capacityDelay) {
+                break;
+            }
+        }
+        return largest;
+    }
+
     void crash()
     {
         up_ = false;
@@ -123,6 +142,12 @@
         for (int i = 0; i < settings_.jobs_; ++i) {
             at(eventsBegin + randomBelow(eventsEnd - eventsBegin), [this, i] { submit(i); });
         }
+        for (int i = 0; i < settings_.capacityChanges_; ++i) {
+            at(eventsBegin + randomBelow(eventsEnd - eventsBegin), [this] {
+                SimulatedTarget &target = agent(static_cast<int>(randomBelow(settings_.agents_))).target_;
+                target.capacities_[now_] = 1 + static_cast<std::size_t>(randomBelow(maxRuns));
+            });
+        }
         for (int i = 0; i < settings_.faults_; ++i) {
             at(eventsBegin + randomBelow(eventsEnd - eventsBegin), [this] { injectFault(); });
         }
@@ -258,6 +283,9 @@
                 violation(task, "runs twice at the same time, on " + other.name_ + " and " + each.name_);
             }
         }
+        if (target.running_.size() >= target.usableCapacity(now_)) {
+            violation(task, "started beyond the capacity of " + each.name_);
+        }
         if (releasedDone_.count(task) != 0) {
             violation(task, "started again after its result was released");
         }
@@ -388,7 +416,9 @@
         SimulatedAgent &each = agent(i);
         if (each.target_.up_ && now_ >= each.announcedAt_ + 1500) {
             each.announcedAt_ = now_;
-            TargetInfo info = testTarget("t-" + each.name_);
+            constexpr std::int64_t cpuOfRun = 1000;
+            const auto capacity = static_cast<std::int64_t>(each.target_.capacities_.rbegin()->second);
+            TargetInfo info = testTarget("t-" + each.name_, cpuOfRun * capacity);
             info.targetIncarnation_ = each.target_.targetIncarnation_;
             each.supervisor_->onAnnouncement(info, now_ + clockOffset, {now_});
         }
@@ -864,6 +894,19 @@
     std::cout << crashes << " crashes by tasks\n";
 }
 
+BOOST_AUTO_TEST_CASE(targets_whose_capacity_changes_are_not_overloaded)
+{
+    for (int i = 0; i < simulationCount() / 2; ++i) {
+        SimulationSettings settings;
+        settings.seed_ = firstSeed() + static_cast<std::uint32_t>(i);
+        settings.jobs_ = 200;
+        settings.capacityChanges_ = 40;
+        for (const std::string &violation : runSimulation(settings).violations_) {
+            BOOST_TEST(false, "seed " << settings.seed_ << ": " << violation);
+        }
+    }
+}
+
 // Seed 8493: a report with a result was lost while the leader's path to the agent stayed up. The next report contained
 // a later result, and its acknowledgement covered both.
 BOOST_AUTO_TEST_CASE(never_acknowledges_result_whose_report_was_lost)
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -234,6 +234,7 @@
         updateTarget(agent, unknown);
     }
     target.present_ = true;
+    target.unknownRuns_.clear();
     eraseOrphanRuns([&agent](const OrphanRuns::Running &each) { return each.agent_ == agent; });
     for (const RunResult &result : results) {
         applyResult(agent, result, now);
@@ -253,6 +254,7 @@
     if (job == nullptr && finalJobs_.count(run.task_.job_) == 0) {
         OrphanRuns &orphan = orphans_[run.task_.job_];
         orphan.running_.push_back({agent, run, {}});
+        targets_[agent].unknownRuns_[run.task_] = run.number_;
         actions_.lookups_.push_back(run.task_.job_);
         return;
     }
@@ -260,6 +262,7 @@
     const bool canAdopt = task != nullptr
         && (task->phase_ == Phase::Unreconciled || task->phase_ == Phase::Lost || task->phase_ == Phase::Waiting) && !isFinal(job->state_);
     if (!isPlacedHere && !canAdopt) {
+        targets_[agent].unknownRuns_[run.task_] = run.number_;
         actions_.stops_.push_back({agent, run});
         return;
     }
@@ -282,6 +285,7 @@
     Target &target = targets_[agent];
     target.allocated_ = target.allocated_ + need;
     target.runs_[run.task_] = need;
+    target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
 }
 
@@ -318,6 +322,7 @@
     const bool restarted = otherId || target.info_.targetIncarnation_ != info.targetIncarnation_;
     if (restarted) {
         // The agent reports which runs were lost: a start in flight may have reached the new incarnation.
+        target.unknownRuns_.clear();
         target.unsavedResults_.clear();
         target.highestResult_ = 0;
         target.acknowledged_ = 0;
@@ -390,6 +395,10 @@
         return;
     }
     target.highestResult_ = std::max(target.highestResult_, result.number_);
+    if (const auto unknown = target.unknownRuns_.find(result.run_.task_);
+        unknown != target.unknownRuns_.end() && unknown->second <= result.run_.number_) {
+        target.unknownRuns_.erase(unknown);
+    }
     Job *job = nullptr;
     Task *task = findTask(result.run_.task_, job);
     if (job == nullptr && finalJobs_.count(result.run_.task_.job_) == 0) {
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -635,6 +635,40 @@
     BOOST_TEST((fixture.dispatcher_.cancel("j2", fixture.now_) == CancelOutcome::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(target_without_admission_control_gets_no_task_beside_runs_of_unknown_need)
+{
+    for (const bool admissionControl : {false, true}) {
+        DispatcherFixture fixture;
+        CellConfig config = testConfig();
+        config.admissionControl_["desk"] = admissionControl;
+        fixture.dispatcher_.setConfig(config, {});
+        const std::vector<Run> running{{{"unknown", 0, 0}, 3}};
+        fixture.dispatcher_.applyFullReport("a", testTarget("t-a"), 1, running, {}, fixture.now_);
+        fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+        BOOST_TEST(fixture.schedule().starts_.size() == (admissionControl ? 1U : 0U));
+        fixture.dispatcher_.applyResult("a", {1, running[0], RunOutcome::Stopped, {}}, fixture.now_);
+        BOOST_TEST(fixture.schedule().starts_.size() == (admissionControl ? 0U : 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(target_whose_capacity_has_shrunk_gets_no_task_until_it_fits)
+{
+    DispatcherFixture fixture;
+    fixture.add("a", 4000);
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(3)}), fixture.now_);
+    const DispatcherActions first = fixture.schedule();
+    fixture.dispatcher_.updateTarget("a", testTarget("t-a", 2000));
+    fixture.dispatcher_.addJob(testJob("j2", {testStep(1)}), fixture.now_);
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    fixture.finishRun(first.starts_.at(0));
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    fixture.finishRun(first.starts_.at(1));
+    BOOST_TEST(fixture.schedule().starts_.size() == 1U);
+    fixture.dispatcher_.updateTarget("a", testTarget("t-a", 4000));
+    fixture.dispatcher_.addJob(testJob("j3", {testStep(2)}), fixture.now_);
+    BOOST_TEST(fixture.schedule().starts_.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -96,6 +96,8 @@
             }
             Placement placement{stepSpec, queue->service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
             placement.contained_ = isContained(job, now);
+            const auto control = config_.admissionControl_.find(queue->service_);
+            placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
             if (crashes_.isSuspect({job.id_, step, i})) {
                 placement.suspects_ = &crashes_;
             }
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -52,6 +52,9 @@
     if (!placement.step_.requiredLabel_.empty() && !hasLabel(info, placement.step_.requiredLabel_)) {
         return false;
     }
+    if (!placement.admissionControl_ && !target.unknownRuns_.empty()) {
+        return false;
+    }
     if (placement.contained_ != target.contained_ || (placement.contained_ && runsOtherJob(target, placement.job_))) {
         return false;
     }
