Let a crash that an unknown job may have caused count against no queue

A queue without crashing jobs could be contained for crashes of jobs that the leader did not know yet.

--- a/include/ibiswall/cell/containment.hpp
+++ b/include/ibiswall/cell/containment.hpp
@@ -17,6 +17,9 @@
 class CrashContainment
 {
 public:
+    /// Stands for the queue of a job that is not known.
+    static constexpr const char *unknownQueue = "";
+
     /// A target crashed.
     /// @param queues queues of the runs that may have been the cause
     void recordCrash(const std::set<std::string> &queues, Millis at);
--- a/src/ibiswall/cell/containment.cpp
+++ b/src/ibiswall/cell/containment.cpp
@@ -33,6 +33,9 @@
 void CrashContainment::recordCrash(const std::set<std::string> &queues, Millis at)
 {
     for (const std::string &queue : queues) {
+        if (queue == unknownQueue) {
+            continue;
+        }
         QueueHistory &history = histories_[queue];
         history.latestCrash_ = {std::max(history.latestCrash_.count_, at.count_)};
         history.completed_ = 0;
--- a/src/ibiswall/cell/containment_test.cpp
+++ b/src/ibiswall/cell/containment_test.cpp
@@ -37,6 +37,14 @@
     BOOST_TEST(containment.contained().empty());
 }
 
+BOOST_AUTO_TEST_CASE(crashes_that_an_unknown_job_may_have_caused_contain_none)
+{
+    CrashContainment containment;
+    crashRepeatedly(containment, {"q", CrashContainment::unknownQueue}, 500);
+    crashRepeatedly(containment, {CrashContainment::unknownQueue}, 500);
+    BOOST_TEST(containment.contained().empty());
+}
+
 BOOST_AUTO_TEST_CASE(crashes_of_many_targets_at_once_count_once)
 {
     CrashContainment containment;
--- a/src/ibiswall/cell/dispatchercrashes.cpp
+++ b/src/ibiswall/cell/dispatchercrashes.cpp
@@ -42,7 +42,11 @@
     std::set<std::string> queues;
     for (const RunCrash &crash : crashes) {
         Job *job = nullptr;
-        if (!crash.suspected_ || findTask(crash.run_.task_, job) == nullptr) {
+        if (!crash.suspected_) {
+            continue;
+        }
+        if (findTask(crash.run_.task_, job) == nullptr) {
+            queues.insert(CrashContainment::unknownQueue);
             continue;
         }
         job->suspect_ = true;
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -61,9 +61,11 @@
         HeartbeatFrame heartbeat;
         heartbeat.leaving_ = leaving;
         nlohmann::json json = nlohmann::json::from_cbor(formatFrame(heartbeat));
-        // Neither the interval of the heartbeats nor whether it accepts jobs.
-        json.at(1).erase(json.at(1).size() - 1);
-        json.at(1).erase(json.at(1).size() - 1);
+        // Neither the contained queues nor the interval of the heartbeats nor whether it accepts jobs.
+        constexpr std::size_t laterFields = 3;
+        for (std::size_t i = 0; i < laterFields; ++i) {
+            json.at(1).erase(json.at(1).size() - 1);
+        }
         const auto bytes = nlohmann::json::to_cbor(json);
         const auto decoded = parseFrame({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
         BOOST_REQUIRE(decoded.has_value());
