Run an abandoned job again when its caller returns

A caller that was sent back by a 504 was told `cancelled`, although nobody had cancelled its job: the leader had ended it since all callers had left, and repeated that state. Such a job is run again once none of its runs is active. abandoned_job_whose_caller_returns_runs_again_once_its_runs_have_ended failed before.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -304,6 +304,10 @@
         bool ephemeral_ = false;
         /// Revision of the stored record; unused for an ephemeral job.
         std::int64_t revision_ = 0;
+        /// Cancelled because all callers had left. A caller that returns is not told so: the job is run again.
+        bool abandoned_ = false;
+        /// A target with a run of the job was lost, and the run may go on under a later dispatcher.
+        bool mayRun_ = false;
     };
 
     /// What targets report of a job that nobody has offered yet.
@@ -347,6 +351,8 @@
     bool isBacklogged(const Job &job, std::size_t jobsAhead, Millis now) const;
     void updateContainment(Millis now);
     void updateContainedPool(const std::string &service);
+    bool mayRunSomewhere(const std::string &job) const;
+    void addReturnedJobs(Millis now);
     void applyKnownCrashes(Job &job, Millis now);
     std::vector<StoredCrash> crashesToStore(const Job &job) const;
     void finish(Job &job, JobState state, Millis now);
@@ -377,6 +383,8 @@
     std::unordered_map<std::string, Job> jobs_;
     /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
     std::unordered_map<std::string, FinalJob> finalJobs_;
+    /// Offers of abandoned jobs of which a run may still be active.
+    std::vector<JobOffer> returned_;
     /// Records of jobs that are in none of the other tables.
     std::vector<JobRemoval> removals_;
     /// None of these jobs is in jobs_ or finalJobs_.
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -69,6 +69,11 @@
 std::optional<JobState> Dispatcher::addJob(JobOffer offer, Millis now)
 {
     if (const auto finalJob = finalJobs_.find(offer.id_); finalJob != finalJobs_.end()) {
+        if (finalJob->second.abandoned_) {
+            returned_.push_back(std::move(offer));
+            addReturnedJobs(now);
+            return std::nullopt;
+        }
         // A refused job may be submitted again, but a repeated offer of the refused submission stays refused.
         if (finalJob->second.state_ != JobState::Refused || !offer.fresh_) {
             return finalJob->second.state_;
@@ -79,7 +84,7 @@
     if (isFinal(state)) {
         // Final states never change, so the stored state takes precedence over the one known here.
         if (const auto known = jobs_.find(offer.id_); known == jobs_.end()) {
-            finalJobs_[offer.id_] = {state, now, false, offer.revision_};
+            finalJobs_[offer.id_] = {state, now, false, offer.revision_, false, false};
         }
         return state;
     }
@@ -353,6 +358,9 @@
     const std::map<TaskId, Resources> runs = target.runs_;
     for (const auto &[id, need] : runs) {
         markRunLost(agent, id, now);
+        if (const auto finalJob = finalJobs_.find(id.job_); finalJob != finalJobs_.end()) {
+            finalJob->second.mayRun_ = true;
+        }
     }
     for (auto &[id, orphan] : orphans_) {
         for (OrphanRuns::Running &each : orphan.running_) {
@@ -510,7 +518,7 @@
     } else if (!job.origins_.empty()) {
         actions_.notices_.push_back({id, job.state_, job.origins_});
     }
-    finalJobs_[id] = {job.state_, now, job.isEphemeral(), job.revision_};
+    finalJobs_[id] = {job.state_, now, job.isEphemeral(), job.revision_, false, false};
     std::vector<ResultRef> results = std::move(job.unsaved_);
     dirty_.erase(id);
     jobs_.erase(id);
@@ -521,6 +529,9 @@
 
 void Dispatcher::abandon(const std::string &id, const std::string &origin, Millis now)
 {
+    returned_.erase(std::remove_if(returned_.begin(), returned_.end(),
+                                   [&id, &origin](const JobOffer &each) { return each.id_ == id && each.origin_ == origin; }),
+                    returned_.end());
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.isEphemeral()) {
         return;
@@ -528,6 +539,40 @@
     found->second.origins_.erase(origin);
     if (found->second.origins_.empty()) {
         finish(found->second, JobState::Cancelled, now);
+        if (const auto finalJob = finalJobs_.find(id); finalJob != finalJobs_.end()) {
+            finalJob->second.abandoned_ = true;
+        }
+    }
+}
+
+bool Dispatcher::mayRunSomewhere(const std::string &job) const
+{
+    const auto hasRun = [&job](const auto &runs) {
+        const auto first = runs.lower_bound({job, 0, 0});
+        return first != runs.end() && first->first.job_ == job;
+    };
+    return finalJobs_.at(job).mayRun_ || std::any_of(targets_.begin(), targets_.end(), [&hasRun](const auto &each) {
+               return hasRun(each.second.runs_) || hasRun(each.second.unknownRuns_);
+           });
+}
+
+// Adds abandoned jobs whose callers have returned, once none of their runs is active.
+void Dispatcher::addReturnedJobs(Millis now)
+{
+    for (JobOffer &offer : std::exchange(returned_, {})) {
+        const auto finalJob = finalJobs_.find(offer.id_);
+        if (finalJob != finalJobs_.end() && finalJob->second.abandoned_) {
+            if (mayRunSomewhere(offer.id_)) {
+                returned_.push_back(std::move(offer));
+                continue;
+            }
+            finalJobs_.erase(finalJob);
+        }
+        const std::string id = offer.id_;
+        addJob(std::move(offer), now);
+        if (const auto job = jobs_.find(id); job != jobs_.end()) {
+            job->second.mayHaveStarted_ = true;
+        }
     }
 }
 
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -669,6 +669,39 @@
     BOOST_TEST(fixture.schedule().starts_.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(abandoned_job_whose_caller_returns_runs_again_once_its_runs_have_ended)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    fixture.add("b");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+    const DispatcherActions first = fixture.schedule();
+    fixture.dispatcher_.abandon("j1", "entry-1", fixture.now_);
+    const std::optional<JobState> state = fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+    BOOST_TEST(!state.has_value());
+    BOOST_TEST(fixture.schedule().starts_.empty());
+    fixture.finishRun(first.starts_.at(0), RunOutcome::Stopped);
+    const DispatcherActions second = fixture.schedule();
+    BOOST_REQUIRE(second.starts_.size() == 1U);
+    fixture.finishRun(second.starts_[0]);
+    const DispatcherActions last = fixture.schedule();
+    BOOST_REQUIRE(last.notices_.size() == 1U);
+    BOOST_TEST((last.notices_[0].state_ == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(abandoned_job_does_not_run_again_while_a_lost_target_may_run_it)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+    fixture.schedule();
+    fixture.dispatcher_.abandon("j1", "entry-1", fixture.now_);
+    fixture.dispatcher_.markTargetLost("a", fixture.now_);
+    fixture.add("b");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+    BOOST_TEST(fixture.schedule().starts_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -28,6 +28,7 @@
 
 void Dispatcher::schedule(Millis now)
 {
+    addReturnedJobs(now);
     updateContainment(now);
     std::uint32_t priority = 0;
     int misses = 0;
