Contain the queue that alone may have caused all recent crashes

The queue that is common to all crashes of the last 3 s is contained. queue_that_alone_may_have_caused_all_recent_crashes_is_contained failed before.

--- a/include/ibiswall/cell/containment.hpp
+++ b/include/ibiswall/cell/containment.hpp
@@ -38,15 +38,25 @@
     const std::set<std::string> &contained() const;
 
 private:
+    /// Targets that crashed at about the same time.
+    struct CrashEvent
+    {
+        Millis at_;
+        /// Queues that may have been the cause.
+        std::set<std::string> queues_;
+    };
+
     struct QueueHistory
     {
-        /// Recent crashes that no other queue may have caused, in order of time.
-        std::deque<Millis> crashes_;
         Millis latestCrash_;
         /// Jobs completed since the latest crash while contained.
         int completed_ = 0;
     };
 
+    std::set<std::string> commonCauses() const;
+
+    /// Recent crashes, in order of time.
+    std::deque<CrashEvent> events_;
     std::map<std::string, QueueHistory> histories_;
     std::set<std::string> contained_;
 };
--- a/src/ibiswall/cell/containment.cpp
+++ b/src/ibiswall/cell/containment.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/cell/containment.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace ibiswall::cell {
 
@@ -11,7 +12,7 @@
 // Contained queues may use one target in so many.
 constexpr std::size_t targetsPerContained = 4;
 constexpr std::size_t targetsPerContainedIfUnderused = 2;
-// Crashes within crashWindow that only one queue may have caused, after which it is contained.
+// Crashes within crashWindow after which a queue is contained if it is the only one that may have caused all of them.
 constexpr std::size_t crashesToContain = 3;
 constexpr Millis crashWindow{3000};
 // Crashes closer together than this may have a common cause outside of the cell and count once.
@@ -33,23 +34,34 @@
 void CrashContainment::recordCrash(const std::set<std::string> &queues, Millis at)
 {
     for (const std::string &queue : queues) {
-        if (queue == unknownQueue) {
-            continue;
-        }
         QueueHistory &history = histories_[queue];
         history.latestCrash_ = {std::max(history.latestCrash_.count_, at.count_)};
         history.completed_ = 0;
-        const bool counts = queues.size() == 1 && (history.crashes_.empty() || at >= history.crashes_.back() + sameCause);
-        if (counts) {
-            history.crashes_.push_back(at);
-        }
-        while (!history.crashes_.empty() && history.crashes_.front() + crashWindow < at) {
-            history.crashes_.pop_front();
-        }
-        if (history.crashes_.size() >= crashesToContain) {
-            contain(queue, at);
-        }
     }
+    if (!events_.empty() && at < events_.back().at_ + sameCause) {
+        events_.back().queues_.insert(queues.begin(), queues.end());
+    } else {
+        events_.push_back({at, queues});
+    }
+    while (events_.front().at_ + crashWindow < at) {
+        events_.pop_front();
+    }
+    const std::set<std::string> causes = commonCauses();
+    if (events_.size() >= crashesToContain && causes.size() == 1 && causes.count(unknownQueue) == 0) {
+        contain(*causes.begin(), at);
+    }
+}
+
+// Queues that may have caused every recent crash.
+std::set<std::string> CrashContainment::commonCauses() const
+{
+    std::set<std::string> common = events_.front().queues_;
+    for (const CrashEvent &event : events_) {
+        std::set<std::string> both;
+        std::set_intersection(common.begin(), common.end(), event.queues_.begin(), event.queues_.end(), std::inserter(both, both.end()));
+        common = std::move(both);
+    }
+    return common;
 }
 
 void CrashContainment::contain(const std::string &queue, Millis at)
--- a/src/ibiswall/cell/containment_test.cpp
+++ b/src/ibiswall/cell/containment_test.cpp
@@ -37,6 +37,17 @@
     BOOST_TEST(containment.contained().empty());
 }
 
+BOOST_AUTO_TEST_CASE(queue_that_alone_may_have_caused_all_recent_crashes_is_contained)
+{
+    CrashContainment containment;
+    containment.recordCrash({"q", "r"}, {1000});
+    containment.recordCrash({"q", "s"}, {1500});
+    BOOST_TEST(containment.contained().empty());
+    containment.recordCrash({"q", "r", "s"}, {2000});
+    BOOST_TEST(containment.isContained("q"));
+    BOOST_TEST(containment.contained().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_that_an_unknown_job_may_have_caused_contain_none)
 {
     CrashContainment containment;
