--- a/include/ibiswall/core/dispatcher.hpp
+++ b/include/ibiswall/core/dispatcher.hpp
@@ -34,6 +34,9 @@
     std::size_t maxTombstones_ = 1000000;
     /// Placements of a task before it is reported as not run.
     int maxAttempts_ = 4;
+    /// Calls of a task that targets did not answer because they broke the connection, after which it is not tried again: the task
+    /// may be what crashes them.
+    int maxBrokenCalls_ = 2;
     /// Time after its issue during which an id may be used to submit a job.
     Millis idLifetime_{600000};
     /// Retry delay given in refusals.
@@ -45,6 +48,7 @@
 {
     TaskOutcome outcome_;
     int attempts_ = 0;
+    int brokenCalls_ = 0;
     /// Why an earlier attempt may have run, or Ok. A task with any other code is never reported as not run.
     Code lossCode_ = Code::Ok;
     /// Position in the queue; valid only in state Queued.
--- a/src/ibiswall/core/dispatcher.cpp
+++ b/src/ibiswall/core/dispatcher.cpp
@@ -297,6 +297,11 @@
         return;
     }
     if (report.outcome_.state_ == TaskState::MayHaveRun) {
+        Task &task = job->tasks_[report.key_.task_];
+        if (report.outcome_.code_ == Code::ConnectionLost && ++task.brokenCalls_ >= dispatcher.limits_.maxBrokenCalls_) {
+            finishTask(dispatcher, *job, report.key_.task_, report.outcome_, actions);
+            return;
+        }
         handleLostTask(dispatcher, now, *job, report.key_.task_, report.outcome_.code_, actions);
         return;
     }
--- a/src/ibiswall/core/dispatcher_test.cpp
+++ b/src/ibiswall/core/dispatcher_test.cpp
@@ -127,6 +127,25 @@
     BOOST_TEST((actions.answers_.front().answer_->tasks_.front().code_ == Code::NoLease));
 }
 
+BOOST_AUTO_TEST_CASE(repeatable_task_that_crashes_two_targets_is_not_tried_on_a_third)
+{
+    Dispatcher entry = makeDispatcher();
+    entry.configuration_.kinds_["note"].repeatable_ = true;
+    DispatchActions actions;
+    joinAgent(entry, start, 1, makeAgent("a", "east", 4), actions);
+    submit(entry, start, makeJob(entry, 1), 1, actions);
+    for (int crashes = 0; crashes < 2; ++crashes) {
+        BOOST_TEST(actions.answers_.empty());
+        const auto reports = reportAll(actions, TaskState::MayHaveRun, Code::ConnectionLost);
+        BOOST_REQUIRE(reports.size() == 1U);
+        actions.orders_.clear();
+        applyReports(entry, start, 1, reports, actions);
+    }
+    BOOST_TEST(actions.orders_.empty());
+    BOOST_REQUIRE(actions.answers_.size() == 1U);
+    BOOST_TEST((actions.answers_.front().answer_->tasks_.front().state_ == TaskState::MayHaveRun));
+}
+
 BOOST_AUTO_TEST_CASE(never_reports_repeatable_task_that_may_have_run_as_not_run)
 {
     Dispatcher entry = makeDispatcher();
