Return targets of contained queues to the others when the service is busy

Contained queues kept half of the targets, which they may use while the service is underused, when the others needed them. Their share follows the utilization now: half below 0.5, a quarter above 0.65, unchanged in between.

Found while reading, without a test that failed before: suspects are marked when a job is loaded, a crash is recorded again after the target has replied, and a crash without suspects is not an event.

--- a/include/ibiswall/cell/containment.hpp
+++ b/include/ibiswall/cell/containment.hpp
@@ -8,10 +8,24 @@
 
 namespace ibiswall::cell {
 
-/// Targets of a service that contained queues may use, out of the number that takes starts. 0 for services that are too small
-/// to be divided.
-/// @param underused whether less than half of the capacity of the service is in use
-std::size_t containedTargets(std::size_t targets, bool underused);
+/// Targets of a service that contained queues use.
+struct ContainedPool
+{
+    /// Number of them that reply.
+    std::size_t up_ = 0;
+    /// Whether less than half of the capacity of the service is in use.
+    bool underused_ = false;
+};
+
+/// How many targets of a service contained queues may use: a quarter of those that take starts, half of them while the service is
+/// underused, and in between as many as before. 0 for services that are too small to be divided.
+/// @param targets number of targets that take starts
+/// @param chosen how many of them contained queues use now
+/// @param utilization share of the capacity that is in use
+std::size_t containedTargets(std::size_t targets, std::size_t chosen, double utilization);
+
+/// Utilization below which a service is underused.
+constexpr double underusedBelow = 0.5;
 
 /// Tracks crashes of targets by the queues of the jobs that may have caused them.
 class CrashContainment
--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -327,15 +327,6 @@
         std::vector<std::pair<ResultRef, RunResult>> results_;
     };
 
-    /// Targets of a service that contained queues use.
-    struct ContainedPool
-    {
-        /// Number of them that reply.
-        std::size_t up_ = 0;
-        /// Whether less than half of the capacity of the service is in use.
-        bool underused_ = false;
-    };
-
     /// Priority, late or not, due time, order of arrival.
     using ReadyKey = std::tuple<std::uint32_t, bool, std::int64_t, std::uint64_t>;
 
--- a/src/ibiswall/cell/containment.cpp
+++ b/src/ibiswall/cell/containment.cpp
@@ -12,6 +12,8 @@
 // Contained queues may use one target in so many.
 constexpr std::size_t targetsPerContained = 4;
 constexpr std::size_t targetsPerContainedIfUnderused = 2;
+// Utilization of a service above which contained queues get their smallest share.
+constexpr double busyAbove = 0.65;
 // Crashes within crashWindow after which a queue is contained if it is the only one that may have caused all of them.
 constexpr std::size_t crashesToContain = 3;
 constexpr Millis crashWindow{3000};
@@ -25,14 +27,27 @@
 
 } // namespace
 
-std::size_t containedTargets(std::size_t targets, bool underused)
+std::size_t containedTargets(std::size_t targets, std::size_t chosen, double utilization)
 {
-    const std::size_t divisor = underused ? targetsPerContainedIfUnderused : targetsPerContained;
-    return targets < targetsPerContained ? 0 : (targets + divisor - 1) / divisor;
+    if (targets < targetsPerContained) {
+        return 0;
+    }
+    const auto share = [targets](std::size_t divisor) {
+        return (targets + divisor - 1) / divisor;
+    };
+    const std::size_t least = share(targetsPerContained);
+    const std::size_t most = share(targetsPerContainedIfUnderused);
+    if (utilization < underusedBelow) {
+        return most;
+    }
+    return utilization > busyAbove ? least : std::clamp(chosen, least, most);
 }
 
 void CrashContainment::recordCrash(const std::set<std::string> &queues, Millis at)
 {
+    if (queues.empty()) {
+        return;
+    }
     for (const std::string &queue : queues) {
         QueueHistory &history = histories_[queue];
         history.latestCrash_ = {std::max(history.latestCrash_.count_, at.count_)};
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -527,55 +527,6 @@
     }
 }
 
-void Dispatcher::abandon(const std::string &id, const std::string &origin, Millis now)
-{
-    returned_.erase(std::remove_if(returned_.begin(), returned_.end(),
-                                   [&id, &origin](const JobOffer &each) { return each.id_ == id && each.origin_ == origin; }),
-                    returned_.end());
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end() || !found->second.isEphemeral()) {
-        return;
-    }
-    found->second.origins_.erase(origin);
-    if (found->second.origins_.empty()) {
-        finish(found->second, JobState::Cancelled, now);
-        if (const auto finalJob = finalJobs_.find(id); finalJob != finalJobs_.end()) {
-            finalJob->second.abandoned_ = true;
-        }
-    }
-}
-
-bool Dispatcher::mayRunSomewhere(const std::string &job) const
-{
-    const auto hasRun = [&job](const auto &runs) {
-        const auto first = runs.lower_bound({job, 0, 0});
-        return first != runs.end() && first->first.job_ == job;
-    };
-    return finalJobs_.at(job).mayRun_ || std::any_of(targets_.begin(), targets_.end(), [&hasRun](const auto &each) {
-               return hasRun(each.second.runs_) || hasRun(each.second.unknownRuns_);
-           });
-}
-
-// Adds abandoned jobs whose callers have returned, once none of their runs is active.
-void Dispatcher::addReturnedJobs(Millis now)
-{
-    for (JobOffer &offer : std::exchange(returned_, {})) {
-        const auto finalJob = finalJobs_.find(offer.id_);
-        if (finalJob != finalJobs_.end() && finalJob->second.abandoned_) {
-            if (mayRunSomewhere(offer.id_)) {
-                returned_.push_back(std::move(offer));
-                continue;
-            }
-            finalJobs_.erase(finalJob);
-        }
-        const std::string id = offer.id_;
-        addJob(std::move(offer), now);
-        if (const auto job = jobs_.find(id); job != jobs_.end()) {
-            job->second.mayHaveStarted_ = true;
-        }
-    }
-}
-
 void Dispatcher::expireFinalJobs(Millis ephemeralBefore, Millis storedBefore)
 {
     for (auto each = finalJobs_.begin(); each != finalJobs_.end();) {
--- a/src/ibiswall/cell/dispatchercontainment.cpp
+++ b/src/ibiswall/cell/dispatchercontainment.cpp
@@ -51,13 +51,11 @@
     }
 }
 
-// Chooses the targets of a service that contained queues use. A chosen target stays while it takes starts.
+// Chooses the targets of a service that contained queues use. A chosen target stays while it takes starts and is needed.
 void Dispatcher::updateContainedPool(const std::string &service)
 {
-    std::vector<Target *> candidates;
-    std::size_t chosen = 0;
-    std::size_t total = 0;
-    ContainedPool pool;
+    std::vector<Target *> chosen;
+    std::vector<Target *> others;
     std::int64_t capacity = 0;
     std::int64_t allocated = 0;
     for (auto &[agent, target] : targets_) {
@@ -66,34 +64,33 @@
         }
         const bool usable = takesStarts(target, domainsOut_);
         target.contained_ = target.contained_ && usable;
-        total += usable ? 1 : 0;
-        chosen += target.contained_ ? 1 : 0;
-        pool.up_ += target.contained_ && target.info_.responsive_ ? 1 : 0;
+        if (usable) {
+            (target.contained_ ? chosen : others).push_back(&target);
+        }
         if (usable && target.info_.responsive_) {
             capacity += target.info_.capacity_.cpu_;
             allocated += target.allocated_.cpu_;
         }
-        if (usable && !target.contained_) {
-            candidates.push_back(&target);
-        }
     }
-    pool.underused_ = 2 * allocated < capacity;
-    const std::size_t wanted = containedTargets(total, pool.underused_);
+    const double utilization = capacity > 0 ? static_cast<double>(allocated) / static_cast<double>(capacity) : 1;
+    const std::size_t wanted = containedTargets(chosen.size() + others.size(), chosen.size(), utilization);
     if (wanted == 0) {
         return;
     }
-    if (chosen < wanted) {
-        std::stable_sort(candidates.begin(), candidates.end(),
-                         [](const Target *a, const Target *b) { return isBetterForContainment(*a, *b); });
-        for (Target *target : candidates) {
-            if (chosen++ == wanted) {
-                break;
-            }
-            target->contained_ = true;
-            pool.up_ += target->info_.responsive_ ? 1 : 0;
-        }
+    std::stable_sort(others.begin(), others.end(), [](const Target *a, const Target *b) { return isBetterForContainment(*a, *b); });
+    for (std::size_t i = 0; i < others.size() && chosen.size() < wanted; ++i) {
+        others[i]->contained_ = true;
+        chosen.push_back(others[i]);
+    }
+    for (std::size_t i = 0, surplus = chosen.size() - wanted; i < chosen.size() && surplus > 0; ++i) {
+        const bool idle = chosen[i]->info_.responsive_ && chosen[i]->runs_.empty();
+        chosen[i]->contained_ = !idle;
+        surplus -= idle ? 1 : 0;
     }
-    containedPools_[service] = pool;
+    ContainedPool &pool = containedPools_[service];
+    pool.underused_ = utilization < underusedBelow;
+    pool.up_ = static_cast<std::size_t>(
+        std::count_if(chosen.begin(), chosen.end(), [](const Target *each) { return each->contained_ && each->info_.responsive_; }));
 }
 
 // Whether a job of a contained queue can only be placed too late, since the targets that it may use are down or busy.
--- a/src/ibiswall/cell/dispatchercrashes.cpp
+++ b/src/ibiswall/cell/dispatchercrashes.cpp
@@ -116,6 +116,7 @@
     if (crashes_.isEmpty()) {
         return;
     }
+    job.suspect_ = std::any_of(tasks.begin(), tasks.end(), [this](const TaskId &task) { return crashes_.isSuspect(task); });
     const bool givenUp = std::any_of(tasks.begin(), tasks.end(), [this, &job](const TaskId &task) {
         return job.tasks_[indexOf(job.offsets_, task)].phase_ != Phase::Done && crashes_.isGivenUp(task, job.isEphemeral());
     });
--- a/src/ibiswall/cell/dispatchercrashes_test.cpp
+++ b/src/ibiswall/cell/dispatchercrashes_test.cpp
@@ -196,6 +196,21 @@
     BOOST_TEST(fixture.schedule().starts_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(successor_contains_the_queues_of_the_previous_dispatcher)
+{
+    DispatcherFixture fixture;
+    for (const char *agent : {"a", "b", "c", "d"}) {
+        fixture.add(agent);
+    }
+    fixture.dispatcher_.containQueues({"urgent"}, fixture.now_);
+    fixture.dispatcher_.addJob(testJob("u1", {testStep(4)}), fixture.now_);
+    std::set<std::string> agents;
+    for (const StartOrder &start : fixture.schedule().starts_) {
+        agents.insert(start.agent_);
+    }
+    BOOST_TEST(agents.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -198,6 +198,7 @@
         return;
     }
     refusedSince_ = {};
+    crashRecorded_ = false;
     unexplainedLosses_.clear();
     lastContactAt_ = now;
     setResponsive(true);
@@ -505,43 +506,6 @@
     }
 }
 
-// Records the crash of the current incarnation for each run that was active on it.
-void TargetSupervisor::recordCrash(Millis now)
-{
-    if (std::exchange(crashRecorded_, true)) {
-        return;
-    }
-    for (const auto &[run, started] : std::exchange(unexplainedLosses_, {})) {
-        addCrash(run, false, started, now);
-    }
-    for (const auto &[task, run] : runs_) {
-        // A start without a reply yet may have reached the next incarnation.
-        if (run.phase_ != Phase::Starting || !run.calling_) {
-            addCrash({task, run.number_}, mayHaveCausedCrash(run), run.started_, now);
-        }
-    }
-}
-
-void TargetSupervisor::addCrash(const Run &run, bool suspected, bool started, Millis now)
-{
-    crashes_.push_back({run, suspected, started, now});
-    report_.crashes_.push_back({run, suspected, started, {}});
-    expireCrashes(now);
-}
-
-bool TargetSupervisor::mayHaveCausedCrash(const LocalRun &run) const
-{
-    return run.phase_ == Phase::Starting
-        || (run.startSentAt_ != Millis{0} && run.startSentAt_ + settings_.crashSuspicionWindow_ >= lastContactAt_);
-}
-
-void TargetSupervisor::expireCrashes(Millis now)
-{
-    while (!crashes_.empty() && (crashes_.size() > settings_.maxCrashes_ || now > crashes_.front().at_ + settings_.crashRetention_)) {
-        crashes_.pop_front();
-    }
-}
-
 std::vector<TargetCall> TargetSupervisor::takeCalls()
 {
     return std::exchange(calls_, {});
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -127,6 +127,36 @@
     scheduleDispatch();
 }
 
+void LeaderSession::containQueues(const std::set<std::string> &queues)
+{
+    dispatcher_.containQueues(queues, bootClock());
+}
+
+const std::set<std::string> &LeaderSession::containedQueues() const
+{
+    return dispatcher_.containedQueues();
+}
+
+void LeaderSession::logContainment()
+{
+    const std::set<std::string> &contained = dispatcher_.containedQueues();
+    if (contained == loggedContained_) {
+        return;
+    }
+    for (const std::string &queue : contained) {
+        if (loggedContained_.count(queue) == 0) {
+            count("ibiswall_containments_total");
+            logEvent("queue.contained", {{"queue", std::string_view(queue)}});
+        }
+    }
+    for (const std::string &queue : loggedContained_) {
+        if (contained.count(queue) == 0) {
+            logEvent("queue.released", {{"queue", std::string_view(queue)}});
+        }
+    }
+    loggedContained_ = contained;
+}
+
 void LeaderSession::onFrame(const std::string &from, Frame &&frame)
 {
     if (stopped_) {
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -67,36 +67,6 @@
     store();
 }
 
-void LeaderSession::containQueues(const std::set<std::string> &queues)
-{
-    dispatcher_.containQueues(queues, bootClock());
-}
-
-const std::set<std::string> &LeaderSession::containedQueues() const
-{
-    return dispatcher_.containedQueues();
-}
-
-void LeaderSession::logContainment()
-{
-    const std::set<std::string> &contained = dispatcher_.containedQueues();
-    if (contained == loggedContained_) {
-        return;
-    }
-    for (const std::string &queue : contained) {
-        if (loggedContained_.count(queue) == 0) {
-            count("ibiswall_containments_total");
-            logEvent("queue.contained", {{"queue", std::string_view(queue)}});
-        }
-    }
-    for (const std::string &queue : loggedContained_) {
-        if (contained.count(queue) == 0) {
-            logEvent("queue.released", {{"queue", std::string_view(queue)}});
-        }
-    }
-    loggedContained_ = contained;
-}
-
 void LeaderSession::send(cell::DispatcherActions &&actions)
 {
     std::map<std::string, OrdersFrame> orders;
