Run more jobs at a time on contained targets while their queue does no harm

A large queue with few crashing jobs was served an eighth of the time while it was contained. Each 8 completed jobs without a crash allow one more job at a time on its targets.

--- a/include/ibiswall/cell/containment.hpp
+++ b/include/ibiswall/cell/containment.hpp
@@ -49,6 +49,9 @@
 
     bool isContained(const std::string &queue) const;
 
+    /// How many jobs of a contained queue a target may run at a time: one after a crash, more with each series of completed jobs.
+    std::size_t jobsAtOnce(const std::string &queue) const;
+
     const std::set<std::string> &contained() const;
 
 private:
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -29,7 +29,7 @@
     Millis pausedUntil_;
     /// Consecutive rejected starts.
     std::uint32_t rejections_ = 0;
-    /// Whether it runs only tasks of contained queues, of one job at a time.
+    /// Whether it runs only tasks of contained queues.
     bool contained_ = false;
     /// Moving average of run time over expected run time; 1 is as expected.
     double slowness_ = 1;
@@ -51,8 +51,9 @@
     /// Set if the task may have crashed a target: only targets without such a task of another job are considered.
     const CrashHistory *suspects_ = nullptr;
     std::string_view job_;
-    /// Whether the queue of the task is contained.
+    /// Whether the queue of the task is contained, and how many jobs may share a target then.
     bool contained_ = false;
+    std::size_t jobsAtOnce_ = 1;
     /// Whether the targets reject tasks that do not fit.
     bool admissionControl_ = false;
 };
--- a/src/ibiswall/cell/containment.cpp
+++ b/src/ibiswall/cell/containment.cpp
@@ -24,6 +24,8 @@
 constexpr int completionsToRelease = 32;
 // The same for queues with few jobs; longer than a target needs to start again.
 constexpr Millis quietPeriod{10000};
+// Completed jobs without a crash after which each target may run one more job at a time.
+constexpr int completionsPerJob = 8;
 
 } // namespace
 
@@ -111,6 +113,12 @@
     return contained_.count(queue) != 0;
 }
 
+std::size_t CrashContainment::jobsAtOnce(const std::string &queue) const
+{
+    const auto found = histories_.find(queue);
+    return 1 + (found == histories_.end() ? 0 : static_cast<std::size_t>(found->second.completed_ / completionsPerJob));
+}
+
 const std::set<std::string> &CrashContainment::contained() const
 {
     return contained_;
--- a/src/ibiswall/cell/containment_test.cpp
+++ b/src/ibiswall/cell/containment_test.cpp
@@ -98,6 +98,19 @@
     BOOST_TEST(!containment.isContained("q"));
 }
 
+BOOST_AUTO_TEST_CASE(targets_run_more_jobs_at_a_time_the_longer_a_queue_does_no_harm)
+{
+    CrashContainment containment;
+    containment.contain("q", {1000});
+    BOOST_TEST(containment.jobsAtOnce("q") == 1U);
+    for (int i = 0; i < 16; ++i) {
+        containment.recordCompletion("q");
+    }
+    BOOST_TEST(containment.jobsAtOnce("q") == 3U);
+    containment.recordCrash({"q"}, {2000});
+    BOOST_TEST(containment.jobsAtOnce("q") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(queue_without_jobs_is_released_after_a_quiet_time)
 {
     CrashContainment containment;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -99,11 +99,13 @@
             placement.contained_ = isContained(job, now);
             const auto control = config_.admissionControl_.find(queue->service_);
             placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
-            if (crashes_.isSuspect({job.id_, step, i})) {
+            const bool suspect = crashes_.isSuspect({job.id_, step, i});
+            placement.jobsAtOnce_ = suspect || !placement.contained_ ? 1 : containment_.jobsAtOnce(queue->name_);
+            if (suspect || placement.jobsAtOnce_ > 1) {
                 placement.suspects_ = &crashes_;
             }
             Target *target = chooseTarget(targets_, placement, now);
-            if (target == nullptr && placement.suspects_ != nullptr) {
+            if (target == nullptr && suspect) {
                 // Other tasks may still find a target.
                 continue;
             }
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -34,10 +34,22 @@
     });
 }
 
-bool runsOtherJob(const Target &target, std::string_view job)
+bool runsJob(const Target &target, std::string_view job)
 {
+    const auto first = target.runs_.lower_bound({std::string(job), 0, 0});
+    return first != target.runs_.end() && first->first.job_ == job;
+}
+
+std::size_t countOtherJobs(const Target &target, std::string_view job)
+{
+    std::size_t count = 0;
+    std::string_view previous = job;
     // In order of job.
-    return !target.runs_.empty() && (target.runs_.begin()->first.job_ != job || target.runs_.rbegin()->first.job_ != job);
+    for (const auto &[task, need] : target.runs_) {
+        count += task.job_ != previous && task.job_ != job ? 1 : 0;
+        previous = task.job_;
+    }
+    return count;
 }
 
 bool canPlace(const Target &target, const Placement &placement, Millis now)
@@ -55,7 +67,8 @@
     if (!placement.admissionControl_ && !target.unknownRuns_.empty()) {
         return false;
     }
-    if (placement.contained_ != target.contained_ || (placement.contained_ && runsOtherJob(target, placement.job_))) {
+    if (placement.contained_ != target.contained_
+        || (placement.contained_ && countOtherJobs(target, placement.job_) >= placement.jobsAtOnce_)) {
         return false;
     }
     if (placement.suspects_ != nullptr && runsSuspectOfOtherJob(target, placement)) {
@@ -77,7 +90,7 @@
     if (!placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_)) {
         score -= remoteDataWeight;
     }
-    if (placement.contained_ && !target.runs_.empty()) {
+    if (placement.contained_ && runsJob(target, placement.job_)) {
         // Tasks of one job stay together, so that one that crashes its target exposes no more targets than needed.
         score += sameJobWeight;
     }
