--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -2,6 +2,7 @@
 //
 // A task runs for the number of milliseconds that follows "ms=" in its payload. Each start and each end is recorded as one line.
 // A payload with "crash" ends the process when the task is started; the worker is back after crashDowntime.
+// POST /standin/cpu with {"cpu":N} changes the capacity that the worker announces. It does not reject what does not fit.
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
@@ -75,6 +76,11 @@
 
     void handle(const HttpRequest &request, const Respond &respond)
     {
+        if (request.path_ == "/standin/cpu") {
+            options_.cpu_ = Json::parse(request.body_).at("cpu").get<std::int64_t>();
+            respond(jsonReply(Ok, "{}"));
+            return;
+        }
         const auto expected = request.customHeaders_.find("expect-instance");
         if (expected != request.customHeaders_.end() && expected->second != options_.id_) {
             respond(jsonReply(MisdirectedRequest, {}));
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -21,11 +21,11 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-Json makeConfiguration()
+Json makeConfiguration(bool admissionControl)
 {
     const Json route = {{"name", "r-desk"},  {"host", host},  {"prefix", prefix},  {"kind", "non_idempotent"}, {"timeout_ms", 1500},
                         {"service", "desk"}, {"priority", 0}, {"max_attempts", 3}, {"stretch", 1.6},           {"target_duration_ms", 60}};
-    const Json service = {{"name", "desk"}, {"admission_control", true}};
+    const Json service = {{"name", "desk"}, {"admission_control", admissionControl}};
     return {{"version", 1}, {"routes", Json::array({route})}, {"services", Json::array({service})}};
 }
 
@@ -45,7 +45,7 @@
     folder_ = mkdtemp(pattern.data());
     storePort_ = freePort();
     store_.emplace(std::vector<std::string>{STANDIN_STORE, "--listen", loopback(storePort_)});
-    putKey("op/config", makeConfiguration());
+    putKey("op/config", makeConfiguration(config.admissionControl_));
     for (int i = 1; i <= config.entries_; ++i) {
         const std::string name = "entry-" + std::to_string(i);
         entries_.push_back({name, freePort(), freePort(), freePort(), folder_ / (name + ".json"), std::nullopt});
@@ -160,11 +160,49 @@
     return callHttp({"127.0.0.1", entries_[entry].callersPort_}, {method, prefix + path, body, {}, {12000}, host});
 }
 
+namespace {
+
+std::vector<Json> readRunRecord(const std::filesystem::path &file)
+{
+    std::vector<Json> lines;
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) {
+        lines.push_back(Json::parse(line));
+    }
+    return lines;
+}
+
+} // namespace
+
 SubmitResult Cell::submit(const std::string &id, int tasks, int runMillis, bool bestEffort, Millis timeout) const
 {
     return submitPayload(id, tasks, "ms=" + std::to_string(runMillis), bestEffort, timeout);
 }
 
+void Cell::setWorkerCpu(std::size_t index, int cpu) const
+{
+    const auto answer
+        = callHttp({"127.0.0.1", workerNodes_[index].workerPort_}, {"POST", "/standin/cpu", Json{{"cpu", cpu}}.dump(), {}, {5000}, {}});
+    if (answer.has_error()) {
+        throw std::runtime_error(answer.error().text_);
+    }
+}
+
+std::size_t Cell::mostRunsAtOnce(std::size_t index, Millis from, Millis until) const
+{
+    std::size_t running = 0;
+    std::size_t most = 0;
+    for (const Json &line : readRunRecord(workerNodes_[index].runRecordFile_)) {
+        const bool started = line.at("what") == "start";
+        running += started ? 1 : -1;
+        const Millis at{line.at("at").get<std::int64_t>()};
+        if (started && at >= from && at <= until) {
+            most = std::max(most, running);
+        }
+    }
+    return most;
+}
+
 std::string Cell::state(const std::string &id) const
 {
     const auto answer = call(0, "GET", id);
@@ -208,20 +246,6 @@
     return workerNodes_;
 }
 
-namespace {
-
-std::vector<Json> readRunRecord(const std::filesystem::path &file)
-{
-    std::vector<Json> lines;
-    std::ifstream in(file);
-    for (std::string line; std::getline(in, line);) {
-        lines.push_back(Json::parse(line));
-    }
-    return lines;
-}
-
-} // namespace
-
 std::vector<std::string> Cell::overlappingTasks() const
 {
     struct Span
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -21,6 +21,8 @@
     double lateOrderRatio_ = 0;
     /// How long an entry keeps the final state of a job.
     Millis stateRetention_{120000};
+    /// Whether the workers are said to reject tasks that do not fit.
+    bool admissionControl_ = true;
 };
 
 /// A worker process and its agent.
@@ -84,6 +86,12 @@
     /// Same, with the payload of the tasks.
     SubmitResult submitPayload(const std::string &id, int tasks, const std::string &payload, bool bestEffort, Millis timeout) const;
 
+    /// Changes the capacity that a worker announces, in thousandths of a core.
+    void setWorkerCpu(std::size_t index, int cpu) const;
+
+    /// Largest number of tasks that ran on a worker at a time, of those started in a span of wall-clock time.
+    std::size_t mostRunsAtOnce(std::size_t index, Millis from, Millis until) const;
+
     /// State of a job according to an entry; empty if it gives none.
     std::string state(const std::string &id) const;
 
