--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -344,6 +344,7 @@
     void updateContainedPool(const std::string &service);
     bool mayRunSomewhere(const std::string &job) const;
     void addReturnedJobs(Millis now);
+    static std::vector<TaskId> tasksOf(const Job &job);
     void applyKnownCrashes(Job &job, Millis now);
     std::vector<StoredCrash> crashesToStore(const Job &job) const;
     void finish(Job &job, JobState state, Millis now);
@@ -362,7 +363,7 @@
     bool isUnservable(const Job &job, Millis now) const;
     bool placeTasks(Job &job, Millis now);
     bool isStepReady(const Job &job, std::size_t step) const;
-    void place(Job &job, std::size_t step, std::uint32_t index, Target &target, Millis now);
+    void place(Job &job, const TaskId &id, Target &target, Millis now);
     void acknowledge(Target &target);
     const Queue *queueOf(const Job &job) const;
 
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -140,6 +140,9 @@
     Millis age_;
 };
 
+/// How long agents and dispatchers remember crashes of runs of jobs that are not open.
+constexpr Millis crashRetention{60000};
+
 /// What a target announces about itself.
 struct TargetInfo
 {
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -40,6 +40,14 @@
 /// Targets by agent name.
 using Targets = std::map<std::string, Target>;
 
+/// Whether a map with runs by task has any of a job.
+template<typename Runs>
+bool hasRunsOf(const Runs &runs, std::string_view job)
+{
+    const auto first = runs.lower_bound({std::string(job), 0, 0});
+    return first != runs.end() && first->first.job_ == job;
+}
+
 /// Constraints on the placement of a task.
 struct Placement
 {
--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -136,7 +136,7 @@
     /// A run whose start was sent at most this long before the target's last reply may have caused the crash.
     Millis crashSuspicionWindow_{50};
     /// How long crashes are repeated in full reports, so that a new dispatcher knows of them.
-    Millis crashRetention_{60000};
+    Millis crashRetention_ = crashRetention;
     /// Crashes that are repeated at most; the oldest are dropped.
     std::size_t maxCrashes_ = 256;
 };
@@ -230,15 +230,6 @@
         bool started_ = false;
     };
 
-    /// A run during which the target crashed.
-    struct RecordedCrash
-    {
-        Run run_;
-        bool suspected_ = false;
-        bool started_ = false;
-        Millis at_;
-    };
-
     /// A result that the dispatcher has not acknowledged.
     struct UnacknowledgedResult
     {
@@ -249,7 +240,7 @@
     void recordOutcome(const TargetCall &call, CallOutcome outcome, Millis now);
     void setResponsive(bool responsive);
     void recordCrash(Millis now);
-    void addCrash(const Run &run, bool suspected, bool started, Millis now);
+    void addCrash(const RunCrash &crash, Millis now);
     bool mayHaveCausedCrash(const LocalRun &run) const;
     void expireCrashes(Millis now);
     void reportTarget();
@@ -291,8 +282,8 @@
     /// Runs whose lease has expired since the target last replied, each with whether its start was confirmed. Whether the
     /// target crashed is not known yet.
     std::vector<std::pair<Run, bool>> unexplainedLosses_;
-    /// In order of time, at most maxCrashes_.
-    std::deque<RecordedCrash> crashes_;
+    /// With the time of each, in order of time, at most maxCrashes_.
+    std::deque<std::pair<Millis, RunCrash>> crashes_;
     /// Time of the latest call without a reply, 0 for never.
     Millis lastTimeoutAt_;
     /// Number of renewals sent.
--- a/src/ibiswall/cell/crashload_test.cpp
+++ b/src/ibiswall/cell/crashload_test.cpp
@@ -57,6 +57,7 @@
     static constexpr std::int64_t suspicionWindow = 50;
     static constexpr std::int64_t callerTimeout = 1500;
     static constexpr unsigned crashingJobs = 10;
+    static constexpr std::int64_t lastCounted = 8000;
 
     void at(std::int64_t delay, std::function<void()> action)
     {
@@ -83,8 +84,9 @@
         step.estimate_ = {duration};
         JobOffer offer = testJob(id, {step}, true, queue);
         offer.callerTimeout_ = {callerTimeout};
-        (crashes ? crashing_ : harmless_).insert(id);
-        constexpr std::int64_t lastCounted = 8000;
+        if (crashes) {
+            crashing_.insert(id);
+        }
         if (!crashes && now_.count_ < lastCounted) {
             ++submitted_[queue];
         }
@@ -96,8 +98,7 @@
     {
         for (const Notice &notice : actions.notices_) {
             const std::string queue = notice.job_[0] == 'u' ? "urgent" : "later";
-            constexpr std::int64_t lastCounted = 8000;
-            if (notice.state_ == JobState::Completed && harmless_.count(notice.job_) != 0 && now_.count_ < lastCounted) {
+            if (notice.state_ == JobState::Completed && crashing_.count(notice.job_) == 0 && now_.count_ < lastCounted) {
                 ++completed_[queue];
             }
         }
@@ -163,7 +164,6 @@
     std::map<std::string, std::vector<std::pair<Run, Millis>>> running_;
     std::map<std::string, std::uint64_t> results_;
     std::set<std::string> crashing_;
-    std::set<std::string> harmless_;
     std::map<std::string, int> submitted_;
     std::map<std::string, int> completed_;
     int jobs_ = 0;
--- a/src/ibiswall/cell/dispatcherabandoned.cpp
+++ b/src/ibiswall/cell/dispatcherabandoned.cpp
@@ -26,12 +26,8 @@
 
 bool Dispatcher::mayRunSomewhere(const std::string &job) const
 {
-    const auto hasRun = [&job](const auto &runs) {
-        const auto first = runs.lower_bound({job, 0, 0});
-        return first != runs.end() && first->first.job_ == job;
-    };
-    return finalJobs_.at(job).mayRun_ || std::any_of(targets_.begin(), targets_.end(), [&hasRun](const auto &each) {
-               return hasRun(each.second.runs_) || hasRun(each.second.unknownRuns_);
+    return finalJobs_.at(job).mayRun_ || std::any_of(targets_.begin(), targets_.end(), [&job](const auto &each) {
+               return hasRunsOf(each.second.runs_, job) || hasRunsOf(each.second.unknownRuns_, job);
            });
 }
 
--- a/src/ibiswall/cell/dispatchercontainment.cpp
+++ b/src/ibiswall/cell/dispatchercontainment.cpp
@@ -40,9 +40,14 @@
 void Dispatcher::updateContainment(Millis now)
 {
     containment_.update(now);
+    if (containment_.contained().empty() && containedPools_.empty()) {
+        // No target is contained either.
+        return;
+    }
     containedPools_.clear();
     for (const std::string &name : containment_.contained()) {
-        if (const auto queue = config_.queues_.find(name); queue != config_.queues_.end()) {
+        const auto queue = config_.queues_.find(name);
+        if (queue != config_.queues_.end() && containedPools_.count(queue->second.service_) == 0) {
             updateContainedPool(queue->second.service_);
         }
     }
--- a/src/ibiswall/cell/dispatchercrashes.cpp
+++ b/src/ibiswall/cell/dispatchercrashes.cpp
@@ -6,15 +6,6 @@
 
 namespace ibiswall::cell {
 
-namespace {
-
-std::size_t indexOf(const std::vector<std::uint32_t> &offsets, const TaskId &task)
-{
-    return offsets[task.step_] + task.index_;
-}
-
-} // namespace
-
 std::vector<TaskId> Dispatcher::recordCrashes(Span<const RunCrash> crashes, Millis now)
 {
     std::vector<TaskId> givenUp;
@@ -100,40 +91,52 @@
     crashes_.expire(before, [this](const std::string &job) { return jobs_.count(job) != 0; });
 }
 
-// Takes over the crashes in the stored record of a new job, and gives the job up if one of its tasks has crashed too many targets.
-// Invalidates the reference if it does.
-void Dispatcher::applyKnownCrashes(Job &job, Millis now)
+// Tasks of a job in step order.
+std::vector<TaskId> Dispatcher::tasksOf(const Job &job)
 {
     std::vector<TaskId> tasks;
+    tasks.reserve(job.tasks_.size());
     for (std::uint32_t step = 0; step < job.offsets_.size(); ++step) {
         for (std::uint32_t i = 0; i < job.record_.spec_.steps_[step].count_; ++i) {
             tasks.push_back({job.id_, step, i});
         }
     }
-    for (const StoredCrash &crash : job.record_.progress_.crashes_) {
+    return tasks;
+}
+
+// Takes over the crashes in the stored record of a new job, and gives the job up if one of its tasks has crashed too many targets.
+// Invalidates the reference if it does.
+void Dispatcher::applyKnownCrashes(Job &job, Millis now)
+{
+    const std::vector<StoredCrash> &stored = job.record_.progress_.crashes_;
+    if (stored.empty() && crashes_.isEmpty()) {
+        return;
+    }
+    const std::vector<TaskId> tasks = tasksOf(job);
+    for (const StoredCrash &crash : stored) {
         crashes_.record(tasks[crash.task_], {crash.run_, crash.suspected_, crash.started_, now});
     }
-    if (crashes_.isEmpty()) {
-        return;
+    bool givenUp = false;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        job.suspect_ = job.suspect_ || crashes_.isSuspect(tasks[i]);
+        givenUp = givenUp || (job.tasks_[i].phase_ != Phase::Done && crashes_.isGivenUp(tasks[i], job.isEphemeral()));
     }
-    job.suspect_ = std::any_of(tasks.begin(), tasks.end(), [this](const TaskId &task) { return crashes_.isSuspect(task); });
-    const bool givenUp = std::any_of(tasks.begin(), tasks.end(), [this, &job](const TaskId &task) {
-        return job.tasks_[indexOf(job.offsets_, task)].phase_ != Phase::Done && crashes_.isGivenUp(task, job.isEphemeral());
-    });
     if (givenUp) {
         finish(job, JobState::Failed, now);
     }
 }
 
-// Crashes during the runs of a job's unfinished tasks, to be stored.
+// Crashes during the runs of a job's tasks, to be stored.
 std::vector<StoredCrash> Dispatcher::crashesToStore(const Job &job) const
 {
     std::vector<StoredCrash> stored;
-    for (std::uint32_t step = 0; step < job.offsets_.size() && !crashes_.isEmpty(); ++step) {
-        for (std::uint32_t i = 0; i < job.record_.spec_.steps_[step].count_; ++i) {
-            for (const KnownCrash &crash : crashes_.crashesOf({job.id_, step, i})) {
-                stored.push_back({job.offsets_[step] + i, crash.run_, crash.suspected_, crash.started_});
-            }
+    if (crashes_.isEmpty()) {
+        return stored;
+    }
+    const std::vector<TaskId> tasks = tasksOf(job);
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        for (const KnownCrash &crash : crashes_.crashesOf(tasks[i])) {
+            stored.push_back({i, crash.run_, crash.suspected_, crash.started_});
         }
     }
     return stored;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -78,6 +78,8 @@
     if (queue == nullptr) {
         return true;
     }
+    const auto control = config_.admissionControl_.find(queue->service_);
+    const bool admissionControl = control != config_.admissionControl_.end() && control->second;
     for (std::uint32_t step = 0; step < job.offsets_.size(); ++step) {
         if (job.openInStep_[step] == 0 || !isStepReady(job, step)) {
             continue;
@@ -92,14 +94,17 @@
         }
         for (std::uint32_t i = 0; i < stepSpec.count_; ++i) {
             const Task &task = job.tasks_[job.offsets_[step] + i];
-            if (task.phase_ != Phase::Waiting || awaitsStoredCrash(job, {job.id_, step, i})) {
+            if (task.phase_ != Phase::Waiting) {
+                continue;
+            }
+            const TaskId id{job.id_, step, i};
+            if (awaitsStoredCrash(job, id)) {
                 continue;
             }
             Placement placement{stepSpec, queue->service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
             placement.contained_ = isContained(job, now);
-            const auto control = config_.admissionControl_.find(queue->service_);
-            placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
-            const bool suspect = crashes_.isSuspect({job.id_, step, i});
+            placement.admissionControl_ = admissionControl;
+            const bool suspect = crashes_.isSuspect(id);
             placement.jobsAtOnce_ = suspect || !placement.contained_ ? 1 : containment_.jobsAtOnce(queue->name_);
             if (suspect || placement.jobsAtOnce_ > 1) {
                 placement.suspects_ = &crashes_;
@@ -113,7 +118,7 @@
                 return false;
             }
             ++onAgent[target->agent_];
-            place(job, step, i, *target, now);
+            place(job, id, *target, now);
             if (job.waiting_ == 0) {
                 return true;
             }
@@ -122,16 +127,15 @@
     return true;
 }
 
-void Dispatcher::place(Job &job, std::size_t step, std::uint32_t index, Target &target, Millis now)
+void Dispatcher::place(Job &job, const TaskId &id, Target &target, Millis now)
 {
-    Task &task = job.tasks_[job.offsets_[step] + index];
-    const TaskId id{job.id_, static_cast<std::uint32_t>(step), index};
+    Task &task = job.tasks_[job.offsets_[id.step_] + id.index_];
     task.phase_ = Phase::Placed;
     task.run_ = epoch_ * runsPerEpoch + ++runsAssigned_;
     task.agent_ = target.agent_;
     task.placedAt_ = now;
     job.activeAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[step].need_;
+    const Resources &need = job.record_.spec_.steps_[id.step_].need_;
     target.allocated_ = target.allocated_ + need;
     target.runs_[id] = need;
     if (--job.waiting_ == 0) {
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -34,12 +34,6 @@
     });
 }
 
-bool runsJob(const Target &target, std::string_view job)
-{
-    const auto first = target.runs_.lower_bound({std::string(job), 0, 0});
-    return first != target.runs_.end() && first->first.job_ == job;
-}
-
 std::size_t countOtherJobs(const Target &target, std::string_view job)
 {
     std::size_t count = 0;
@@ -90,7 +84,7 @@
     if (!placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_)) {
         score -= remoteDataWeight;
     }
-    if (placement.contained_ && runsJob(target, placement.job_)) {
+    if (placement.contained_ && hasRunsOf(target.runs_, placement.job_)) {
         // Tasks of one job stay together, so that one that crashes its target exposes no more targets than needed.
         score += sameJobWeight;
     }
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -102,7 +102,7 @@
 // again.
 void TargetSupervisor::onTargetRestarted(std::int64_t incarnation, Millis now)
 {
-    if (targetIncarnation_ != 0 && info_ && !info_->leaving_) {
+    if (targetIncarnation_ != 0) {
         recordCrash(now);
     }
     for (RunResult &result : report_.results_) {
@@ -443,8 +443,8 @@
     }
     expireCrashes(now);
     report_.crashes_.clear();
-    for (const RecordedCrash &crash : crashes_) {
-        report_.crashes_.push_back({crash.run_, crash.suspected_, crash.started_, now - crash.at_});
+    for (const auto &[at, crash] : crashes_) {
+        report_.crashes_.push_back({crash.run_, crash.suspected_, crash.started_, now - at});
     }
 }
 
@@ -463,7 +463,7 @@
 
 void TargetSupervisor::tick(Millis now)
 {
-    if (refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_ && info_ && !info_->leaving_) {
+    if (refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_) {
         recordCrash(now);
     }
     if (!runs_.empty() && leasesInFlight_ == 0 && now > leaseUntil_ + settings_.leaseExpiryMargin_) {
--- a/src/ibiswall/cell/targetsupervisorcrashes.cpp
+++ b/src/ibiswall/cell/targetsupervisorcrashes.cpp
@@ -4,27 +4,27 @@
 
 namespace ibiswall::cell {
 
-// Records the crash of the current incarnation for each run that was active on it.
+// Records the crash of the current incarnation for each run that was active on it, unless it was leaving.
 void TargetSupervisor::recordCrash(Millis now)
 {
-    if (std::exchange(crashRecorded_, true)) {
+    if (!info_ || info_->leaving_ || std::exchange(crashRecorded_, true)) {
         return;
     }
     for (const auto &[run, started] : std::exchange(unexplainedLosses_, {})) {
-        addCrash(run, false, started, now);
+        addCrash({run, false, started, {}}, now);
     }
     for (const auto &[task, run] : runs_) {
         // A start without a reply yet may have reached the next incarnation.
         if (run.phase_ != Phase::Starting || !run.calling_) {
-            addCrash({task, run.number_}, mayHaveCausedCrash(run), run.started_, now);
+            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now);
         }
     }
 }
 
-void TargetSupervisor::addCrash(const Run &run, bool suspected, bool started, Millis now)
+void TargetSupervisor::addCrash(const RunCrash &crash, Millis now)
 {
-    crashes_.push_back({run, suspected, started, now});
-    report_.crashes_.push_back({run, suspected, started, {}});
+    crashes_.emplace_back(now, crash);
+    report_.crashes_.push_back(crash);
     expireCrashes(now);
 }
 
@@ -36,7 +36,7 @@
 
 void TargetSupervisor::expireCrashes(Millis now)
 {
-    while (!crashes_.empty() && (crashes_.size() > settings_.maxCrashes_ || now > crashes_.front().at_ + settings_.crashRetention_)) {
+    while (!crashes_.empty() && (crashes_.size() > settings_.maxCrashes_ || now > crashes_.front().first + settings_.crashRetention_)) {
         crashes_.pop_front();
     }
 }
--- a/src/ibiswall/cell/targetsupervisorfixture.hpp
+++ b/src/ibiswall/cell/targetsupervisorfixture.hpp
@@ -53,6 +53,25 @@
         }
     }
 
+    void answerStart(CallOutcome outcome)
+    {
+        supervisor_.onStartReply(calls(TargetCall::Kind::Start).at(0), outcome, now_);
+    }
+
+    void startRunning(const std::string &job, std::uint64_t number)
+    {
+        start(job, number);
+        answerStart(CallOutcome::Ok);
+    }
+
+    /// The target announces itself as its second incarnation.
+    void restartTarget()
+    {
+        TargetInfo restarted = testTarget("t");
+        restarted.targetIncarnation_ = 2;
+        supervisor_.onAnnouncement(restarted, 0, now_);
+    }
+
     void failRenewals(CallOutcome outcome)
     {
         supervisor_.tick(now_);
--- a/src/ibiswall/cell/targetsupervisorloss_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorloss_test.cpp
@@ -160,8 +160,7 @@
 BOOST_AUTO_TEST_CASE(late_outdated_run_list_stops_nothing)
 {
     TargetSupervisorFixture fixture;
-    fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.startRunning("j1", 1);
     fixture.advance(10);
     fixture.supervisor_.tick(fixture.now_);
     auto lost = fixture.calls(TargetCall::Kind::Renew);
@@ -181,11 +180,9 @@
 BOOST_AUTO_TEST_CASE(refused_connections_report_the_crash_of_the_target_and_its_latest_start)
 {
     TargetSupervisorFixture fixture;
-    fixture.start("old", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.startRunning("old", 1);
     fixture.advance(200);
-    fixture.start("new", 2);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.startRunning("new", 2);
     fixture.advance(10);
     fixture.refuseRenewals();
     BOOST_TEST(fixture.supervisor_.takeReport().crashes_.empty());
@@ -203,8 +200,8 @@
 {
     TargetSupervisorFixture fixture;
     fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Unknown, fixture.now_);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Refused, fixture.now_);
+    fixture.answerStart(CallOutcome::Unknown);
+    fixture.answerStart(CallOutcome::Refused);
     BOOST_TEST(fixture.supervisor_.takeReport().rejected_.empty());
     BOOST_TEST(fixture.supervisor_.runs() == 1U);
 }
@@ -213,8 +210,8 @@
 {
     TargetSupervisorFixture fixture;
     fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Unknown, fixture.now_);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Rejected, fixture.now_);
+    fixture.answerStart(CallOutcome::Unknown);
+    fixture.answerStart(CallOutcome::Rejected);
     BOOST_TEST(fixture.supervisor_.takeReport().rejected_.empty());
     fixture.advance(5);
     fixture.supervisor_.onStopReply(fixture.calls(TargetCall::Kind::Stop).at(0), CallOutcome::Ok, fixture.now_);
@@ -228,45 +225,36 @@
 BOOST_AUTO_TEST_CASE(restart_after_a_silent_end_is_reported_as_a_crash_of_the_runs_lost)
 {
     TargetSupervisorFixture fixture;
-    fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.startRunning("j1", 1);
     fixture.advance(3000);
     fixture.failRenewals(CallOutcome::Unknown);
     fixture.supervisor_.tick(fixture.now_);
     const AgentReport lost = fixture.supervisor_.takeReport();
     BOOST_REQUIRE(lost.results_.size() == 1U);
     BOOST_TEST(lost.crashes_.empty());
-    TargetInfo restarted = testTarget("t");
-    restarted.targetIncarnation_ = 2;
-    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    fixture.restartTarget();
     BOOST_TEST(fixture.supervisor_.takeReport().crashes_.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(end_of_a_leaving_target_is_not_a_crash)
 {
     TargetSupervisorFixture fixture;
-    fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.startRunning("j1", 1);
     TargetInfo leaving = testTarget("t");
     leaving.draining_ = true;
     fixture.supervisor_.onAnnouncement(leaving, 0, fixture.now_);
     fixture.refuseRenewals();
     fixture.advance(30);
     fixture.supervisor_.tick(fixture.now_);
-    TargetInfo restarted = testTarget("t");
-    restarted.targetIncarnation_ = 2;
-    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    fixture.restartTarget();
     BOOST_TEST(fixture.supervisor_.takeReport().crashes_.empty());
 }
 
 BOOST_AUTO_TEST_CASE(full_report_repeats_the_crashes_of_the_last_minute)
 {
     TargetSupervisorFixture fixture;
-    fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
-    TargetInfo restarted = testTarget("t");
-    restarted.targetIncarnation_ = 2;
-    fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
+    fixture.startRunning("j1", 1);
+    fixture.restartTarget();
     for (const bool expired : {false, true}) {
         fixture.advance(expired ? 60000 : 500);
         fixture.supervisor_.follow(expired ? 3 : 2, 0, fixture.now_);
@@ -281,8 +269,7 @@
 BOOST_AUTO_TEST_CASE(full_report_does_not_wait_for_a_target_that_has_crashed)
 {
     TargetSupervisorFixture fixture;
-    fixture.start("j1", 1);
-    fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.startRunning("j1", 1);
     fixture.advance(10);
     fixture.refuseRenewals();
     fixture.supervisor_.follow(2, 0, fixture.now_);
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -18,8 +18,6 @@
 constexpr Millis batchInterval{12};
 // Time in which entries can offer a job that a target already runs; callers retry within it.
 constexpr Millis offerGrace{2500};
-// How long crashes of targets are remembered for a caller that submits the job again.
-constexpr Millis crashRetention{60000};
 // How long the final state of an ephemeral job is kept for a caller that lost the answer and retries.
 constexpr Millis ephemeralRetention{10000};
 // Longest time for which an acknowledgement waits for orders to be sent with.
@@ -349,7 +347,7 @@
     }
     checkAgents(now);
     dispatcher_.expireFinalJobs(now - ephemeralRetention, now - stateRetention_);
-    dispatcher_.expireCrashes(now - crashRetention);
+    dispatcher_.expireCrashes(now - cell::crashRetention);
     const auto due = std::remove_if(sweeps_.begin(), sweeps_.end(), [now](Millis at) { return at <= now; });
     if (due != sweeps_.end() && loaded_ && !sweeping_) {
         sweeps_.erase(due, sweeps_.end());
