--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <ibiswall/base/base64.hpp>
+#include <iostream>
 #include <thread>
 #include <unistd.h>
 
@@ -88,6 +89,9 @@
 
 Cell::~Cell()
 {
+    if (std::uncaught_exceptions() > 0) {
+        printLogs();
+    }
     for (WorkerNode &node : workerNodes_) {
         node.agent_.reset();
         node.worker_.reset();
@@ -98,6 +102,23 @@
     std::filesystem::remove_all(folder_, ignored);
 }
 
+// Prints what the processes have logged, so that a test that fails seldom can be traced.
+void Cell::printLogs() const
+{
+    const auto print = [](const std::string &name, const std::optional<Process> &process) {
+        if (process) {
+            std::cerr << "--- " << name << (process->isRunning() ? "\n" : ", ended\n") << process->unreadOutput();
+        }
+    };
+    for (const CellEntry &entry : entries_) {
+        print(entry.name_, entry.process_);
+    }
+    for (const WorkerNode &node : workerNodes_) {
+        print(node.name_, node.agent_);
+        print("worker of " + node.name_, node.worker_);
+    }
+}
+
 void Cell::startEntry(std::size_t index)
 {
     CellEntry &entry = entries_[index];
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -113,6 +113,7 @@
     std::size_t leader() const;
 
 private:
+    void printLogs() const;
     void postToStore(const std::string &path, const nlohmann::json &body) const;
 
     std::filesystem::path folder_;
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -2,6 +2,7 @@
 
 #include "process.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
@@ -9,6 +10,7 @@
 #include <set>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -91,6 +93,25 @@
     return firstLine_;
 }
 
+std::string Process::unreadOutput() const
+{
+    std::string output;
+    int available = 0;
+    while (ioctl(output_, FIONREAD, &available) == 0 && available > 0) {
+        const std::size_t size = output.size();
+        output.resize(size + static_cast<std::size_t>(available));
+        const ssize_t got = read(output_, output.data() + size, static_cast<std::size_t>(available));
+        output.resize(size + static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+    }
+    return output;
+}
+
+bool Process::isRunning() const
+{
+    siginfo_t info{};
+    return pid_ > 0 && waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == 0;
+}
+
 pid_t Process::pid() const
 {
     return pid_;
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -24,6 +24,12 @@
     /// First line of the standard output, without the line break.
     const std::string &firstLine() const;
 
+    /// Output after the first line that is still in the pipe. It holds the beginning of the output, since nothing else reads it.
+    std::string unreadOutput() const;
+
+    /// Whether the process has not ended yet.
+    bool isRunning() const;
+
     /// Process id, or -1 after wait() or kill().
     pid_t pid() const;
 
