Find what targets report of unknown jobs by job, not by a search through all of them

Cause: leaders replaced one another. A new leader is told thousands of results that no earlier one has acknowledged, of jobs that are not offered yet. Each of them searched all such jobs (recordOrphanResult: first in a profile of all entries), and so did each dispatch, so the leader spent seconds in full reports, sent no heartbeat, and was succeeded before it had acknowledged anything. The next leader got the same results and more.

OrphanJobs keeps them by job, with an index by agent and a list of losses; a test compares it with one list under random changes.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <ibiswall/cell/containment.hpp>
 #include <ibiswall/cell/crashhistory.hpp>
+#include <ibiswall/cell/orphans.hpp>
 #include <ibiswall/cell/record.hpp>
 #include <ibiswall/cell/targets.hpp>
 #include <optional>
@@ -238,14 +239,6 @@
         std::string checkpoint_;
     };
 
-    /// A result in the list of one incarnation of a target.
-    struct ResultRef
-    {
-        std::string agent_;
-        std::int64_t targetIncarnation_ = 0;
-        std::uint64_t number_ = 0;
-    };
-
     struct Job
     {
         std::string id_;
@@ -310,23 +303,6 @@
         bool mayRun_ = false;
     };
 
-    /// What targets report of a job that nobody has offered yet.
-    struct OrphanRuns
-    {
-        struct Running
-        {
-            std::string agent_;
-            Run run_;
-            /// When the agent was lost, 0 while it is connected.
-            Millis lostAt_;
-        };
-
-        std::vector<Running> running_;
-        /// Results with the incarnation of the target that numbered them. Includes results without effect: they prove
-        /// that the job was started.
-        std::vector<std::pair<ResultRef, RunResult>> results_;
-    };
-
     /// Priority, late or not, due time, order of arrival.
     using ReadyKey = std::tuple<std::uint32_t, bool, std::int64_t, std::uint64_t>;
 
@@ -355,8 +331,7 @@
     void markMissingRunsLost(const std::string &agent, const std::set<TaskId> &reported, Millis now);
     void adopt(Job &job, Task &task, const std::string &agent, const Run &run, Millis now);
     void applyReportedRun(const std::string &agent, const Run &run, std::set<TaskId> &reported, Millis now);
-    template<typename Predicate>
-    void eraseOrphanRuns(Predicate drop);
+    void applyOrphan(Job &job, Millis now);
     void onResultSaved(const ResultRef &result);
     bool isLate(const Job &job, Millis now) const;
     static bool isRefusable(const Job &job);
@@ -380,7 +355,7 @@
     /// Records of jobs that are in none of the other tables.
     std::vector<JobRemoval> removals_;
     /// None of these jobs is in jobs_ or finalJobs_.
-    std::unordered_map<std::string, OrphanRuns> orphans_;
+    OrphanJobs orphans_;
     /// Jobs with waiting tasks, in placement order; all are in jobs_.
     std::map<ReadyKey, Job *> ready_;
     /// Jobs whose writeDue_ is set.
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -139,63 +139,13 @@
             }
         }
     }
-    if (const auto orphan = orphans_.find(job.id_); orphan != orphans_.end()) {
-        const OrphanRuns known = std::move(orphan->second);
-        orphans_.erase(orphan);
-        job.mayHaveStarted_ = true;
-        std::set<TaskId> ignored;
-        for (const auto &[ref, result] : known.results_) {
-            RunResult adjusted = result;
-            if (targets_[ref.agent_].info_.targetIncarnation_ == ref.targetIncarnation_) {
-                targets_[ref.agent_].unsavedResults_.erase(ref.number_);
-            } else {
-                // The target has discarded this result, and its number may now belong to another one.
-                adjusted.number_ = 0;
-            }
-            applyResult(ref.agent_, adjusted, now);
-        }
-        for (const OrphanRuns::Running &each : known.running_) {
-            applyReportedRun(each.agent_, each.run_, ignored, now);
-            if (each.lostAt_ != Millis{0}) {
-                markRunLost(each.agent_, each.run_.task_, each.lostAt_);
-            }
-        }
-    }
+    applyOrphan(job, now);
     if (const auto open = jobs_.find(id); open != jobs_.end() && !isFinal(open->second.state_)) {
         applyKnownCrashes(open->second, now);
     }
     return std::nullopt;
 }
 
-void Dispatcher::discardUnknownJob(const std::string &id)
-{
-    const auto orphan = orphans_.find(id);
-    if (orphan == orphans_.end()) {
-        return;
-    }
-    for (const auto &[ref, result] : orphan->second.results_) {
-        onResultSaved(ref);
-    }
-    orphan->second.results_.clear();
-    for (const OrphanRuns::Running &each : orphan->second.running_) {
-        actions_.stops_.push_back({each.agent_, each.run_});
-    }
-    if (orphan->second.running_.empty()) {
-        orphans_.erase(orphan);
-    }
-}
-
-// Erases the orphan runs that match the predicate.
-template<typename Predicate>
-void Dispatcher::eraseOrphanRuns(Predicate drop)
-{
-    for (auto each = orphans_.begin(); each != orphans_.end();) {
-        auto &running = each->second.running_;
-        running.erase(std::remove_if(running.begin(), running.end(), drop), running.end());
-        each = running.empty() && each->second.results_.empty() ? orphans_.erase(each) : std::next(each);
-    }
-}
-
 void Dispatcher::setWaiting(Job &job, Task &task)
 {
     if (isFinal(job.state_)) {
@@ -240,7 +190,7 @@
     }
     target.present_ = true;
     target.unknownRuns_.clear();
-    eraseOrphanRuns([&agent](const OrphanRuns::Running &each) { return each.agent_ == agent; });
+    orphans_.removeRunsOf(agent);
     for (const RunResult &result : results) {
         applyResult(agent, result, now);
     }
@@ -257,8 +207,7 @@
     Job *job = nullptr;
     Task *task = findTask(run.task_, job);
     if (job == nullptr && finalJobs_.count(run.task_.job_) == 0) {
-        OrphanRuns &orphan = orphans_[run.task_.job_];
-        orphan.running_.push_back({agent, run, {}});
+        orphans_.addRun(agent, run);
         targets_[agent].unknownRuns_[run.task_] = run.number_;
         actions_.lookups_.push_back(run.task_.job_);
         return;
@@ -362,11 +311,7 @@
             finalJob->second.mayRun_ = true;
         }
     }
-    for (auto &[id, orphan] : orphans_) {
-        for (OrphanRuns::Running &each : orphan.running_) {
-            each.lostAt_ = each.agent_ == agent ? now : each.lostAt_;
-        }
-    }
+    orphans_.markLost(agent, now);
     target.runs_.clear();
     target.allocated_ = {};
 }
@@ -393,7 +338,7 @@
         }
     }
     lostTasks_.erase(confirmed, lostTasks_.end());
-    eraseOrphanRuns([confirmedAt](const OrphanRuns::Running &each) { return each.lostAt_ != Millis{0} && each.lostAt_ < confirmedAt; });
+    orphans_.removeLost(confirmedAt);
 }
 
 void Dispatcher::applyResult(const std::string &agent, const RunResult &result, Millis now)
@@ -436,20 +381,6 @@
     acknowledge(target);
 }
 
-// Keeps the result of a run of a job that nobody has offered yet.
-void Dispatcher::recordOrphanResult(Target &target, const RunResult &result)
-{
-    eraseOrphanRuns([&](const OrphanRuns::Running &each) {
-        return each.agent_ == target.agent_ && each.run_.task_ == result.run_.task_ && each.run_.number_ == result.run_.number_;
-    });
-    if (result.number_ != 0) {
-        orphans_[result.run_.task_.job_].results_.push_back({{target.agent_, target.info_.targetIncarnation_, result.number_}, result});
-        target.unsavedResults_.insert(result.number_);
-        actions_.lookups_.push_back(result.run_.task_.job_);
-    }
-    acknowledge(target);
-}
-
 // Applies a run that ended as done or failed, including one that was considered lost.
 void Dispatcher::applyDoneOrFailed(Job &job, Task &task, const std::string &agent, const RunResult &result, Millis now)
 {
