Check which jobs still run once for all callers that return

Each offer of an abandoned job, and each dispatch, looked through the runs of all targets for every caller that had returned. Found by reading, not measured. The offer is checked alone, and a dispatch collects the jobs with active runs once.

--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -68,16 +68,18 @@
 
 std::optional<JobState> Dispatcher::addJob(JobOffer offer, Millis now)
 {
+    bool mayHaveStarted = !offer.fresh_;
     if (const auto finalJob = finalJobs_.find(offer.id_); finalJob != finalJobs_.end()) {
-        if (finalJob->second.abandoned_) {
+        const bool abandoned = finalJob->second.abandoned_;
+        if (abandoned && mayRunSomewhere(offer.id_)) {
             returned_.push_back(std::move(offer));
-            addReturnedJobs(now);
             return std::nullopt;
         }
         // A refused job may be submitted again, but a repeated offer of the refused submission stays refused.
-        if (finalJob->second.state_ != JobState::Refused || !offer.fresh_) {
+        if (!abandoned && (finalJob->second.state_ != JobState::Refused || !offer.fresh_)) {
             return finalJob->second.state_;
         }
+        mayHaveStarted = mayHaveStarted || abandoned;
         finalJobs_.erase(finalJob);
     }
     const JobState state = offer.record_.progress_.state_;
@@ -96,7 +98,7 @@
     if (offer.callerTimeout_ > Millis{0}) {
         job.callerTimeoutAt_ = now + offer.callerTimeout_;
     }
-    job.mayHaveStarted_ = job.mayHaveStarted_ || !offer.fresh_;
+    job.mayHaveStarted_ = job.mayHaveStarted_ || mayHaveStarted;
     if (!added) {
         return std::nullopt;
     }
--- a/src/ibiswall/cell/dispatcherabandoned.cpp
+++ b/src/ibiswall/cell/dispatcherabandoned.cpp
@@ -3,6 +3,8 @@
 #include <ibiswall/cell/dispatcher.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <unordered_set>
 
 namespace ibiswall::cell {
 
@@ -34,23 +36,30 @@
 // Adds abandoned jobs whose callers have returned, once none of their runs is active.
 void Dispatcher::addReturnedJobs(Millis now)
 {
-    for (JobOffer &offer : std::exchange(returned_, {})) {
-        const auto finalJob = finalJobs_.find(offer.id_);
-        if (finalJob != finalJobs_.end() && finalJob->second.abandoned_) {
-            if (mayRunSomewhere(offer.id_)) {
-                returned_.push_back(std::move(offer));
-                continue;
-            }
-            finalJobs_.erase(finalJob);
+    if (returned_.empty()) {
+        return;
+    }
+    std::unordered_set<std::string_view> active;
+    for (const auto &[agent, target] : targets_) {
+        for (const auto &[task, need] : target.runs_) {
+            active.insert(task.job_);
+        }
+        for (const auto &[task, run] : target.unknownRuns_) {
+            active.insert(task.job_);
         }
+    }
+    const auto ready = std::stable_partition(returned_.begin(), returned_.end(), [this, &active](const JobOffer &offer) {
+        const auto finalJob = finalJobs_.find(offer.id_);
+        return finalJob != finalJobs_.end() && finalJob->second.abandoned_ && (finalJob->second.mayRun_ || active.count(offer.id_) != 0);
+    });
+    std::vector<JobOffer> offers(std::make_move_iterator(ready), std::make_move_iterator(returned_.end()));
+    returned_.erase(ready, returned_.end());
+    for (JobOffer &offer : offers) {
         const std::string id = offer.id_;
         const std::string origin = offer.origin_;
         if (const auto state = addJob(std::move(offer), now)) {
             actions_.notices_.push_back({id, *state, {origin}});
         }
-        if (const auto job = jobs_.find(id); job != jobs_.end()) {
-            job->second.mayHaveStarted_ = true;
-        }
     }
 }
 
