Reserve the ports of system tests until the test process exits

A test process chose a port by binding it, and released it before its child listened. Another test process could get it meanwhile, or while a child restarted; the child then ended at its start, and the test waited for 30 s.

--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -152,16 +152,20 @@
         if (!tried.insert(port).second) {
             continue;
         }
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool bindable = bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
-        close(socket);
-        if (bindable) {
-            return static_cast<std::uint16_t>(port);
+        if (bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+            close(socket);
+            continue;
         }
+        // The socket stays bound, so that no other test process gets the port before a child listens or while a child restarts. With
+        // this option a child can listen nevertheless.
+        const int enabled = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+        return static_cast<std::uint16_t>(port);
     }
 }
 
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -49,7 +49,7 @@
 };
 
 /// Finds an unused TCP port of 127.0.0.1 outside the ephemeral range, so that no outgoing connection occupies it.
-/// Never returns the same port twice within a process.
+/// Never returns the same port twice within a process, and reserves it for the children of this process until it exits.
 std::uint16_t freePort();
 
 } // namespace ibiswall::system
