Let a stopping agent wait until its last results are acknowledged

The log: the runs end at the worker, the agent stops 1 ms later, and the leader sees the link close without a report.

Cause: the agent exited at the first tick without runs. Its last report was queued, but not sent. It waits now until the leader has acknowledged all results, 0.6 s after the last run at most; the leader acknowledges results of a draining target at once. Without an acknowledgement, for a result that must be stored first, the target keeps the result in its list as before.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -39,6 +39,8 @@
     /// Incarnation of the target that numbered the results.
     std::int64_t targetIncarnation_ = 0;
     std::uint64_t through_ = 0;
+    /// Whether the agent waits for it to exit.
+    bool awaited_ = false;
 };
 
 /// Notifies the entries of a change of a job's state. Final states are sent only after they are stored.
--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -135,6 +135,9 @@
     Millis crashConfirmation_{20};
     /// A run whose start was sent at most this long before the target's last reply may have caused the crash.
     Millis crashSuspicionWindow_{50};
+    /// Longest wait of a stopping agent, from the end of its last run, for the dispatcher to acknowledge the results. A result that
+    /// must be stored first stays in the list of the target.
+    Millis acknowledgementTimeout_{600};
     /// How long crashes are repeated in full reports, so that a new dispatcher knows of them.
     Millis crashRetention_ = crashRetention;
     /// Crashes that are repeated at most; the oldest are dropped.
@@ -193,6 +196,10 @@
 
     /// Number of runs that are running or may be.
     std::size_t runs() const;
+
+    /// Whether the agent of a draining target may exit: nothing runs, and the dispatcher has acknowledged all results or has had
+    /// time to.
+    bool isDrained(Millis now) const;
     std::uint64_t epoch() const;
 
     /// Number of the latest full report.
@@ -284,6 +291,8 @@
     std::vector<std::pair<Run, bool>> unexplainedLosses_;
     /// With the time of each, in order of time, at most maxCrashes_.
     std::deque<std::pair<Millis, RunCrash>> crashes_;
+    /// When a run was last active.
+    Millis lastRunAt_;
     /// Time of the latest call without a reply, 0 for never.
     Millis lastTimeoutAt_;
     /// Number of renewals sent.
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -161,6 +161,21 @@
     BOOST_TEST((fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_) == JobState::Completed));
 }
 
+BOOST_AUTO_TEST_CASE(acknowledgement_to_the_agent_of_a_draining_target_is_sent_at_once)
+{
+    for (const bool draining : {false, true}) {
+        DispatcherFixture fixture;
+        fixture.add("a");
+        fixture.dispatcher_.addJob(testJob("j1", {testStep(1)}), fixture.now_);
+        const StartOrder start = fixture.schedule().starts_.at(0);
+        TargetInfo info = testTarget("t-a");
+        info.draining_ = draining;
+        fixture.dispatcher_.updateTarget("a", info);
+        fixture.finishRun(start);
+        BOOST_TEST(fixture.dispatcher_.takeActions().acks_.at(0).awaited_ == draining);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(durable_job_is_stored_before_notice_and_acknowledgement)
 {
     DispatcherFixture fixture;
--- a/src/ibiswall/cell/dispatcherwrites.cpp
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -123,7 +123,7 @@
     const std::uint64_t through = target.unsavedResults_.empty() ? target.highestResult_ : *target.unsavedResults_.begin() - 1;
     if (through > target.acknowledged_) {
         target.acknowledged_ = through;
-        actions_.acks_.push_back({target.agent_, target.info_.targetIncarnation_, through});
+        actions_.acks_.push_back({target.agent_, target.info_.targetIncarnation_, through, target.info_.draining_});
     }
 }
 
--- a/src/ibiswall/cell/orphans.cpp
+++ b/src/ibiswall/cell/orphans.cpp
@@ -70,8 +70,7 @@
 
 void OrphanJobs::removeLost(Millis before)
 {
-    const auto removed
-        = std::stable_partition(lost_.begin(), lost_.end(), [before](const auto &each) { return each.first >= before; });
+    const auto removed = std::stable_partition(lost_.begin(), lost_.end(), [before](const auto &each) { return each.first >= before; });
     for (auto each = removed; each != lost_.end(); ++each) {
         removeRuns(each->second, [before](const OrphanRun &run) { return run.lostAt_ != Millis{0} && run.lostAt_ < before; });
     }
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -229,6 +229,7 @@
         lastContactAt_ = now;
     }
     runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true, ephemeral, now, false};
+    lastRunAt_ = now;
     TargetCall call = makeCall(TargetCall::Kind::Start, run, now);
     call.payload_ = payload;
     call.checkpoint_ = checkpoint;
@@ -463,6 +464,7 @@
 
 void TargetSupervisor::tick(Millis now)
 {
+    lastRunAt_ = runs_.empty() ? lastRunAt_ : now;
     if (refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_) {
         recordCrash(now);
     }
@@ -527,6 +529,11 @@
     return runs_.size();
 }
 
+bool TargetSupervisor::isDrained(Millis now) const
+{
+    return runs_.empty() && (unacknowledgedResults_.empty() || now > lastRunAt_ + settings_.acknowledgementTimeout_);
+}
+
 bool TargetSupervisor::isResponsive() const
 {
     return responsive_;
--- a/src/ibiswall/cell/targetsupervisor_test.cpp
+++ b/src/ibiswall/cell/targetsupervisor_test.cpp
@@ -255,6 +255,25 @@
     BOOST_TEST(renewals[0].acknowledged_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(agent_of_a_draining_target_waits_for_the_acknowledgement_of_its_last_results)
+{
+    for (const bool acknowledged : {false, true}) {
+        TargetSupervisorFixture fixture;
+        fixture.startRunning("j1", 1);
+        fixture.supervisor_.drain();
+        BOOST_TEST(!fixture.supervisor_.isDrained(fixture.now_));
+        fixture.advance(10);
+        fixture.answerRenewals({}, {{1, {{"j1", 0, 0}, 1}, RunOutcome::Done, {}}});
+        BOOST_TEST(!fixture.supervisor_.isDrained(fixture.now_));
+        if (acknowledged) {
+            fixture.supervisor_.acknowledge(1, 1);
+        } else {
+            fixture.advance(1000);
+        }
+        BOOST_TEST(fixture.supervisor_.isDrained(fixture.now_));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stops_run_that_was_not_ordered)
 {
     TargetSupervisorFixture fixture;
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -328,7 +328,8 @@
     gauge("ibiswall_target_answering", supervisor_.isResponsive() ? 1 : 0);
     supervisor_.tick(bootClock());
     flush();
-    if (stoppingSince_ && (supervisor_.runs() == 0 || bootClock() > *stoppingSince_ + settings_.gracePeriod_ - stopReserve)) {
+    const Millis now = bootClock();
+    if (stoppingSince_ && (supervisor_.isDrained(now) || now > *stoppingSince_ + settings_.gracePeriod_ - stopReserve)) {
         logEvent("process.stopped", {{"runs", static_cast<std::int64_t>(supervisor_.runs())}});
         io_.stop();
     }
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -84,6 +84,9 @@
     }
     for (const cell::AckOrder &ack : actions.acks_) {
         agents_[ack.agent_].pendingAck_ = ack;
+        if (ack.awaited_) {
+            orders.try_emplace(ack.agent_);
+        }
     }
     const Millis now = bootClock();
     if (now > acknowledgedAt_ + ackPeriod) {
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -4,6 +4,8 @@
 
 #include "cluster.hpp"
 
+#include <boost/test/framework.hpp>
+#include <boost/test/results_collector.hpp>
 #include <fstream>
 #include <ibiswall/base/base64.hpp>
 #include <iostream>
@@ -89,7 +91,8 @@
 
 Cell::~Cell()
 {
-    if (std::uncaught_exceptions() > 0) {
+    using namespace boost::unit_test;
+    if (std::uncaught_exceptions() > 0 || !results_collector.results(framework::current_test_case_id()).passed()) {
         printLogs();
     }
     for (WorkerNode &node : workerNodes_) {
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -213,6 +213,7 @@
     BOOST_TEST(node.agent_->wait() == 0);
     caller.join();
     BOOST_TEST(answer.state_ == "completed");
+    BOOST_TEST(answer.status_ == 200);
     BOOST_TEST(answer.attempts_ == 1);
 }
 
