--- a/src/ibiswall/cell/orphans_test.cpp
+++ b/src/ibiswall/cell/orphans_test.cpp
@@ -64,6 +64,7 @@
 std::vector<std::tuple<std::string, TaskId, std::uint64_t, std::int64_t>> sorted(const std::vector<OrphanRun> &runs)
 {
     std::vector<std::tuple<std::string, TaskId, std::uint64_t, std::int64_t>> result;
+    result.reserve(runs.size());
     for (const OrphanRun &each : runs) {
         result.emplace_back(each.agent_, each.run_.task_, each.run_.number_, each.lostAt_.count_);
     }
