Read only the finished lines of what stand-ins record

system_kills_test ended with a parse error in 1 of 24 runs: the last line was cut at column 88. The kernel shows an append page by page, so a reader can see the first part of a line that crosses the end of a page. A last line without a line break counts as not recorded yet; a line that is cut in the middle of the file is still an error.

--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -184,20 +184,6 @@
     return callHttp({"127.0.0.1", entries_[entry].callersPort_}, {method, prefix + path, body, {}, {12000}, host});
 }
 
-namespace {
-
-std::vector<Json> readRunRecord(const std::filesystem::path &file)
-{
-    std::vector<Json> lines;
-    std::ifstream in(file);
-    for (std::string line; std::getline(in, line);) {
-        lines.push_back(Json::parse(line));
-    }
-    return lines;
-}
-
-} // namespace
-
 SubmitResult Cell::submit(const std::string &id, int tasks, int runMillis, bool bestEffort, Millis timeout) const
 {
     return submitPayload(id, tasks, "ms=" + std::to_string(runMillis), bestEffort, timeout);
@@ -216,7 +202,7 @@
 {
     std::size_t running = 0;
     std::size_t most = 0;
-    for (const Json &line : readRunRecord(workerNodes_[index].runRecordFile_)) {
+    for (const Json &line : readJsonLines(workerNodes_[index].runRecordFile_)) {
         const bool started = line.at("what") == "start";
         running += started ? 1 : -1;
         const Millis at{line.at("at").get<std::int64_t>()};
@@ -280,7 +266,7 @@
     std::map<std::string, std::vector<Span>> spans;
     for (const WorkerNode &node : workerNodes_) {
         std::map<std::pair<std::string, std::uint64_t>, std::int64_t> open;
-        for (const Json &line : readRunRecord(node.runRecordFile_)) {
+        for (const Json &line : readJsonLines(node.runRecordFile_)) {
             const std::pair<std::string, std::uint64_t> run{line.at("task"), line.at("run")};
             if (line.at("what") == "start") {
                 open[run] = line.at("at");
@@ -306,7 +292,7 @@
 {
     std::size_t result = 0;
     for (const WorkerNode &node : workerNodes_) {
-        for (const Json &line : readRunRecord(node.runRecordFile_)) {
+        for (const Json &line : readJsonLines(node.runRecordFile_)) {
             result += line.at("what") == "start" && line.at("task").get<std::string>().rfind(id, 0) == 0 ? 1 : 0;
         }
     }
@@ -317,7 +303,7 @@
 {
     std::map<std::string, int> result;
     for (const WorkerNode &node : workerNodes_) {
-        for (const Json &line : readRunRecord(node.runRecordFile_)) {
+        for (const Json &line : readJsonLines(node.runRecordFile_)) {
             if (line.at("what") == "done") {
                 ++result[line.at("task").get<std::string>()];
             }
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -38,6 +38,17 @@
     return IBISWALL_BINARY;
 }
 
+std::vector<Json> readJsonLines(const std::filesystem::path &file)
+{
+    std::vector<Json> lines;
+    std::ifstream in(file);
+    // Without a line break at its end, the last line is still being written: the kernel shows a write page by page.
+    for (std::string line; std::getline(in, line) && !in.eof();) {
+        lines.push_back(Json::parse(line));
+    }
+    return lines;
+}
+
 void await(const std::string &what, const std::function<bool()> &condition)
 {
     const auto deadline = std::chrono::steady_clock::now() + awaitTimeout;
@@ -226,12 +237,7 @@
 
 Json Cluster::starts(std::size_t index) const
 {
-    std::ifstream file(targetNodes_[index].startsFile_);
-    Json starts = Json::array();
-    for (std::string line; std::getline(file, line);) {
-        starts.push_back(Json::parse(line));
-    }
-    return starts;
+    return readJsonLines(targetNodes_[index].startsFile_);
 }
 
 std::string Cluster::readLog(std::size_t entry) const
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -141,6 +141,9 @@
 /// Returns the path of the program under test.
 std::string programPath();
 
+/// Reads the finished lines of a file that a stand-in appends to.
+std::vector<Json> readJsonLines(const std::filesystem::path &file);
+
 /// Polls a condition until it holds; throws std::runtime_error after 30 seconds.
 void await(const std::string &what, const std::function<bool()> &condition);
 
