Start nothing just after the target broke the connection of a call

Cause: the kernel closes the connections of a killed process one after another. The first loss freed a slot, and the agent sent the next task over another connection of the same dead process, so that task, too, may have run. After a broken call the agent starts nothing for 50 ms; by then connections to a crashed target are refused, and the waiting tasks are reported as certainly not run and placed elsewhere.

--- a/include/ibiswall/core/agentscheduler.hpp
+++ b/include/ibiswall/core/agentscheduler.hpp
@@ -104,6 +104,8 @@
     /// Expiry of the lease to start tasks. Never decreases.
     Millis leaseUntil_;
     DedupTable dedup_;
+    /// No task starts until then, since the target broke the connection of a call.
+    Millis pausedUntil_;
     std::deque<PendingOrder> waiting_;
     std::map<std::uint64_t, RunningCall> running_;
     std::uint64_t nextCall_ = 1;
--- a/src/ibiswall/core/agentscheduler.cpp
+++ b/src/ibiswall/core/agentscheduler.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// How long nothing starts after the target has broken the connection of a call: a target that has crashed refuses connections by
+// then, so that the next tasks are certain not to have run.
+constexpr Millis brokenCallPause{50};
+
 // Reports that this attempt has not started and never will; a later attempt may start.
 void reject(AgentScheduler &scheduler, const PendingOrder &pending, Code code, AgentSchedulerActions &actions)
 {
@@ -23,9 +27,9 @@
     scheduler.waiting_.clear();
 }
 
-bool hasFreeSlot(const AgentScheduler &scheduler)
+bool hasFreeSlot(const AgentScheduler &scheduler, Millis now)
 {
-    return scheduler.running_.size() < static_cast<std::size_t>(scheduler.slots_);
+    return now >= scheduler.pausedUntil_ && scheduler.running_.size() < static_cast<std::size_t>(scheduler.slots_);
 }
 
 void start(AgentScheduler &scheduler, PendingOrder &&pending, AgentSchedulerActions &actions)
@@ -47,7 +51,7 @@
     if (startRejection(scheduler, now) != Code::Ok) {
         return;
     }
-    while (hasFreeSlot(scheduler) && !scheduler.waiting_.empty()) {
+    while (hasFreeSlot(scheduler, now) && !scheduler.waiting_.empty()) {
         PendingOrder pending = std::move(scheduler.waiting_.front());
         scheduler.waiting_.pop_front();
         if (pending.startBy_ < now) {
@@ -121,7 +125,7 @@
         const Code rejection = startRejection(scheduler, now);
         if (rejection != Code::Ok) {
             reject(scheduler, pending, rejection, actions);
-        } else if (hasFreeSlot(scheduler) && scheduler.waiting_.empty()) {
+        } else if (hasFreeSlot(scheduler, now) && scheduler.waiting_.empty()) {
             start(scheduler, std::move(pending), actions);
         } else if (scheduler.waiting_.size() >= scheduler.maxWaiting_) {
             reject(scheduler, pending, Code::Overloaded, actions);
@@ -143,6 +147,9 @@
     }
     actions.reports_.push_back({finished.link_, {finished.key_, outcome, finished.attempt_}});
     scheduler.running_.erase(found);
+    if (outcome.code_ == Code::ConnectionLost) {
+        scheduler.pausedUntil_ = now + brokenCallPause;
+    }
     startWaiting(scheduler, now, actions);
 }
 
--- a/src/ibiswall/core/agentscheduler_test.cpp
+++ b/src/ibiswall/core/agentscheduler_test.cpp
@@ -40,6 +40,21 @@
     BOOST_TEST(scheduler.repeats_ == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(nothing_starts_just_after_the_target_broke_a_call)
+{
+    for (const Code code : {Code::Ok, Code::ConnectionLost}) {
+        AgentScheduler scheduler = makeScheduler({1000});
+        AgentSchedulerActions actions;
+        const std::vector<Order> orders = {makeOrder(0), makeOrder(1)};
+        admitOrders(scheduler, {0}, 1, orders, actions);
+        BOOST_REQUIRE(actions.calls_.size() == 1U);
+        finishCall(scheduler, {1}, actions.calls_.front().call_, {TaskState::MayHaveRun, code, {}}, actions);
+        BOOST_TEST(actions.calls_.size() == (code == Code::Ok ? 2U : 1U));
+        tick(scheduler, {60}, actions);
+        BOOST_TEST(actions.calls_.size() == 2U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejects_start_without_lease)
 {
     AgentScheduler scheduler = makeScheduler({0});
