--- a/src/ibiswall/cell/containment.cpp
+++ b/src/ibiswall/cell/containment.cpp
@@ -19,8 +19,7 @@
 constexpr Millis crashWindow{3000};
 // Crashes closer together than this may have a common cause outside of the cell and count once.
 constexpr Millis sameCause{100};
-// Completed jobs after which a queue without a crash is no longer contained. Of a queue of which a tenth of the jobs crash
-// their targets, 3 % of such series have no crash.
+// Completed jobs after which a queue without a crash is no longer contained.
 constexpr int completionsToRelease = 32;
 // The same for queues with few jobs; longer than a target needs to start again.
 constexpr Millis quietPeriod{10000};
