--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -153,19 +153,6 @@
     }
 }
 
-Dispatcher::Task *Dispatcher::findTask(const TaskId &id, Job *&job)
-{
-    const auto found = jobs_.find(id.job_);
-    if (found == jobs_.end()) {
-        return nullptr;
-    }
-    job = &found->second;
-    if (id.step_ >= job->offsets_.size() || id.index_ >= job->record_.spec_.steps_[id.step_].count_) {
-        return nullptr;
-    }
-    return &job->tasks_[job->offsets_[id.step_] + id.index_];
-}
-
 void Dispatcher::finish(Job &job, JobState state, Millis now)
 {
     job.state_ = state;
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -18,6 +18,19 @@
 
 } // namespace
 
+Dispatcher::Task *Dispatcher::findTask(const TaskId &id, Job *&job)
+{
+    const auto found = jobs_.find(id.job_);
+    if (found == jobs_.end()) {
+        return nullptr;
+    }
+    job = &found->second;
+    if (id.step_ >= job->offsets_.size() || id.index_ >= job->record_.spec_.steps_[id.step_].count_) {
+        return nullptr;
+    }
+    return &job->tasks_[job->offsets_[id.step_] + id.index_];
+}
+
 void Dispatcher::applyFullReport(const std::string &agent,
                                  const std::optional<TargetInfo> &info,
                                  std::int64_t incarnation,
