Never refuse a returned job as not run once its kept state has expired

A caller could be told that its job had not run although it had: since a job counted as perhaps started only while its abandoned state was kept, 10 s, and a caller that waited for longer came back as a new one.

--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -717,6 +717,25 @@
     BOOST_TEST(fixture.schedule().starts_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(returned_job_that_has_run_is_not_refused_as_not_run_after_its_state_has_expired)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    JobOffer offer = testJob("j1", {testStep(1)});
+    offer.callerTimeout_ = {60000};
+    fixture.dispatcher_.addJob(offer, fixture.now_);
+    BOOST_REQUIRE(fixture.schedule().starts_.size() == 1U);
+    fixture.dispatcher_.abandon("j1", "entry-1", fixture.now_);
+    fixture.dispatcher_.markTargetLost("a", fixture.now_);
+    fixture.dispatcher_.addJob(offer, fixture.now_);
+    fixture.dispatcher_.expireFinalJobs(fixture.now_ + Millis{1}, fixture.now_ + Millis{1});
+    fixture.schedule();
+    BOOST_TEST(fixture.dispatcher_.openJobs() == 1U);
+    fixture.now_ = fixture.now_ + Millis{120000};
+    fixture.dispatcher_.refuseUnservable(fixture.now_);
+    BOOST_TEST(fixture.dispatcher_.takeActions().notices_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/dispatcherabandoned.cpp
+++ b/src/ibiswall/cell/dispatcherabandoned.cpp
@@ -60,6 +60,10 @@
         if (const auto state = addJob(std::move(offer), now)) {
             actions_.notices_.push_back({id, *state, {origin}});
         }
+        // Also if its final state has expired meanwhile.
+        if (const auto job = jobs_.find(id); job != jobs_.end()) {
+            job->second.mayHaveStarted_ = true;
+        }
     }
 }
 
