--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -235,6 +235,14 @@
                                           side.settings_);
 }
 
+void Deployment::killWorker(Side &side)
+{
+    note("kill worker i-" + side.name_);
+    side.worker_->kill();
+    const Json line = {{"at", wallClock().count_}, {"worker", "i-" + side.name_}, {"what", "killed"}, {"task", ""}, {"run", 0}};
+    std::ofstream(side.recordFile_, std::ios::app) << line.dump() << std::endl;
+}
+
 void Deployment::startAll()
 {
     for (auto &[name, entry] : entries_) {
@@ -337,18 +345,9 @@
 
 std::string Deployment::leader()
 {
-    const Json items = callStore("GET", "/kv-range?prefix=", Json());
-    if (!items.is_object()) {
-        return {};
-    }
-    for (const Json &item : items.at("items")) {
-        const auto key = item.at("key").get<std::string>();
-        if (key.find("lead") != std::string::npos) {
-            const std::string value = fromBase64(item.at("value").get<std::string>()).value_or("");
-            return value.substr(0, value.find(' '));
-        }
-    }
-    return {};
+    const Json item = callStore("GET", "/kv-key?key=ibiswall/leader", Json());
+    const std::string value = item.is_object() ? fromBase64(item.at("value").get<std::string>()).value_or("") : std::string();
+    return value.substr(0, value.find(' '));
 }
 
 void Deployment::note(const std::string &text)
@@ -379,7 +378,9 @@
             }
         }
     }
-    std::stable_sort(out.begin(), out.end(), [](const Event &a, const Event &b) { return a.at_ < b.at_; });
+    std::stable_sort(out.begin(), out.end(), [](const Event &a, const Event &b) {
+        return std::pair(a.at_, a.what_ == "start") < std::pair(b.at_, b.what_ == "start");
+    });
     return out;
 }
 
@@ -420,7 +421,7 @@
     std::vector<std::string> out;
     std::map<std::string, std::vector<std::int64_t>> lapses;
     for (const Event &event : events) {
-        if (event.what_ == "lapse" || event.what_ == "born") {
+        if (event.what_ == "lapse" || event.what_ == "born" || event.what_ == "killed") {
             lapses[event.worker_].push_back(event.at_);
         }
     }
@@ -458,7 +459,7 @@
                 }
             }
             running[run] = event.at_;
-        } else if (event.what_ == "born") {
+        } else if (event.what_ == "born" || event.what_ == "killed") {
             for (auto &[task, runs] : active) {
                 for (auto each = runs.begin(); each != runs.end();) {
                     each = each->first.first == event.worker_ ? runs.erase(each) : std::next(each);
--- a/review/common/deployment.hpp
+++ b/review/common/deployment.hpp
@@ -109,6 +109,9 @@
     void startWorker(Side &side);
     void startAgent(Side &side);
 
+    /// Kills a worker and records that its runs have ended.
+    void killWorker(Side &side);
+
     /// Starts all that were added and waits until a job completes at each entry.
     void startAll();
 
@@ -118,6 +121,10 @@
     /// Makes the store answer 503 to everyone, or serve everyone again.
     void setStoreDown(bool down);
 
+    /// Calls the stand-in store.
+    /// @return the body of a 200 answer, or null
+    Json callStore(const std::string &method, const std::string &path, const Json &body);
+
     /// Calls an entry as a client does, and records the call and the answer.
     /// @param quiet whether to leave it out of the record
     Answer call(const Entry &entry,
@@ -136,7 +143,7 @@
     void note(const std::string &text);
     void sleep(std::int64_t millis) const;
 
-    /// What the workers have recorded so far, in order of time.
+    /// What the workers have recorded so far, in order of time; ends come before starts of the same millisecond.
     std::vector<Event> events() const;
 
     /// Writes the events to the record.
@@ -149,7 +156,6 @@
     std::filesystem::path folder_;
 
 private:
-    Json callStore(const std::string &method, const std::string &path, const Json &body);
     std::string render(const std::string &file, const std::map<std::string, std::string> &values) const;
 
     std::uint16_t storePort_ = 0;
--- a/review/common/worker.cpp
+++ b/review/common/worker.cpp
@@ -168,14 +168,15 @@
         reply(respond, Ok, Json::object());
     }
 
-    void end(const std::string &task, const std::string &how)
+    // Takes the name by value, since it may be that of the entry that is erased.
+    void end(std::string task, const std::string &how)
     {
         const Run run = running_.at(task);
         running_.erase(task);
         usedCpu_ -= run.cpu_;
         highestEnded_[task] = std::max(highestEnded_[task], run.number_);
-        ends_.push_back({++lastEnd_, task, run.number_, how});
         record(how, task, run.number_);
+        ends_.push_back({++lastEnd_, std::move(task), run.number_, how});
     }
 
     void hold(const Json &body, const Respond &respond)
