--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -160,6 +160,7 @@
     entry->zone_ = zone;
     entry->callers_ = system::freePort();
     entry->storePath_ = std::make_unique<system::Relay>(storePort_);
+    entry->silencer_ = std::make_unique<Silencer>(entry->storePath_->port());
     entry->settings_ = (folder_ / (name + ".json")).string();
     std::ofstream(entry->settings_) << render("deploy/entry.json",
                                               {{"node", name},
@@ -169,7 +170,7 @@
                                                {"ip", "127.0.0.1"},
                                                {"port_range.0", std::to_string(system::freePort())},
                                                {"port_range.1", std::to_string(system::freePort())},
-                                               {"platform.address", loopback(entry->storePath_->port())},
+                                               {"platform.address", loopback(entry->silencer_->port())},
                                                {"limits.cpu_share", "0.25"},
                                                {"bounds.grace_s", "6"},
                                                {"bounds.status_s", "120"}});
@@ -278,14 +279,8 @@
     store_
         = std::make_unique<Child>(std::vector<std::string>{std::string(standinFolder) + "standin_store", "--listen", loopback(storePort_)},
                                   (folder_ / "store.log").string());
-    const Json route = {{"name", "r-desk"},  {"host", host},  {"prefix", prefix},  {"kind", "non_idempotent"}, {"timeout_ms", 1500},
-                        {"service", "desk"}, {"priority", 0}, {"max_attempts", 3}, {"stretch", 1.6},           {"target_duration_ms", 60}};
-    const Json service = {{"name", "desk"}, {"admission_control", admissionControl}};
-    const Json config = {{"version", 1}, {"routes", Json::array({route})}, {"services", Json::array({service})}};
-    const Json write = {{"key", "op/config"}, {"value", toBase64(config.dump())}, {"lease", 0}};
     for (int i = 0; i < 50; ++i) {
-        const Json body = {{"expected", Json::array()}, {"writes", Json::array({write})}, {"deletes", Json::array()}};
-        if (callStore("POST", "/kv-txn", body).is_object()) {
+        if (putConfig(1, {prefix}, admissionControl)) {
             return;
         }
         sleep(100);
@@ -293,6 +288,28 @@
     throw std::runtime_error("the store does not answer");
 }
 
+bool Deployment::putConfig(int version, const std::vector<std::string> &prefixes, bool admissionControl)
+{
+    Json routes = Json::array();
+    for (const std::string &each : prefixes) {
+        routes.push_back({{"name", "r" + each},
+                          {"host", host},
+                          {"prefix", each},
+                          {"kind", "non_idempotent"},
+                          {"timeout_ms", 1500},
+                          {"service", "desk"},
+                          {"priority", 0},
+                          {"max_attempts", 3},
+                          {"stretch", 1.6},
+                          {"target_duration_ms", 60}});
+    }
+    const Json service = {{"name", "desk"}, {"admission_control", admissionControl}};
+    const Json config = {{"version", version}, {"routes", routes}, {"services", Json::array({service})}};
+    const Json write = {{"key", "op/config"}, {"value", toBase64(config.dump())}, {"lease", 0}};
+    const Json body = {{"expected", Json::array()}, {"writes", Json::array({write})}, {"deletes", Json::array()}};
+    return callStore("POST", "/kv-txn", body).is_object();
+}
+
 Json Deployment::callStore(const std::string &method, const std::string &path, const Json &body)
 {
     PoolCall call;
@@ -315,7 +332,7 @@
 {
     PoolCall call;
     call.method_ = method;
-    call.path_ = prefix + id;
+    call.path_ = id.substr(0, 1) == "/" ? id : prefix + id;
     call.headers_ = {{"Host", host}, {"Content-Type", "application/json"}, {"Deadline-Ms", std::to_string(deadline.count_)}};
     call.body_ = body;
     call.timeout_ = deadline;
--- a/review/common/deployment.hpp
+++ b/review/common/deployment.hpp
@@ -6,6 +6,7 @@
 #include "../../tests/system/process.hpp"
 #include "../../tests/system/relay.hpp"
 
+#include "silencer.hpp"
 #include <filesystem>
 #include <fstream>
 #include <ibiswall/base.hpp>
@@ -48,6 +49,8 @@
     std::uint16_t callers_ = 0;
     std::string settings_;
     std::unique_ptr<system::Relay> storePath_;
+    /// On the path to the store as well.
+    std::unique_ptr<Silencer> silencer_;
     std::unique_ptr<Child> process_;
 };
 
@@ -118,6 +121,9 @@
     /// Starts the store with one queue, whose tasks run on the service "desk".
     void startStore(bool admissionControl = true);
 
+    /// Writes the configuration with one queue at each of the prefixes.
+    bool putConfig(int version, const std::vector<std::string> &prefixes, bool admissionControl = true);
+
     /// Makes the store answer 503 to everyone, or serve everyone again.
     void setStoreDown(bool down);
 
@@ -127,6 +133,7 @@
 
     /// Calls an entry as a client does, and records the call and the answer.
     /// @param quiet whether to leave it out of the record
+    /// @param id path after the prefix of the first queue; a whole path if it begins with a slash
     Answer call(const Entry &entry,
                 const std::string &method,
                 const std::string &id,
