--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -249,7 +249,10 @@
     for (auto &[name, entry] : entries_) {
         start(*entry);
         // The first one becomes the leader.
-        sleep(entry == entries_.begin()->second ? 200 : 0);
+        constexpr int polls = 60;
+        for (int i = 0; i < polls && leader().empty(); ++i) {
+            sleep(50);
+        }
     }
     for (auto &[name, side] : sides_) {
         startAgent(*side);
