--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -29,6 +29,7 @@
     for (const char *zone : {"z1", "z2", "z3"}) {
         entries.push_back(&cell.addEntry(std::string("front-") + zone, zone));
         cell.addSide(std::string("side-") + zone, {zone, {"a", std::string("r-") + zone}, 32000});
+        cell.addSide(std::string("side-") + zone + "-a2", {zone, {"a", std::string("r-") + zone}, 32000});
     }
     Side &special = cell.addSide("side-z3-b", {"z3", {"b", "r-z3"}, 32000});
     cell.startAll();
