--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -258,39 +258,6 @@
     calls_.push_back(makeCall(TargetCall::Kind::Stop, {task, run.number_}, now));
 }
 
-void TargetSupervisor::acknowledge(std::int64_t incarnation, std::uint64_t through)
-{
-    if (incarnation != targetIncarnation_) {
-        return;
-    }
-    unacknowledgedResults_.erase(unacknowledgedResults_.begin(), unacknowledgedResults_.upper_bound(through));
-}
-
-void TargetSupervisor::recordResult(const RunResult &result)
-{
-    const auto found = runs_.find(result.run_.task_);
-    const bool known = found != runs_.end() && found->second.number_ == result.run_.number_;
-    if (result.number_ > highestResult_) {
-        highestResult_ = result.number_;
-        unacknowledgedResults_[result.number_] = {result, known && found->second.ephemeral_};
-        report_.results_.push_back(result);
-    }
-    if (known) {
-        runs_.erase(found);
-    }
-}
-
-// Highest number up to which the target may discard results.
-std::uint64_t TargetSupervisor::releasable() const
-{
-    for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
-        if (!unacknowledged.ephemeral_) {
-            return number - 1;
-        }
-    }
-    return highestResult_;
-}
-
 void TargetSupervisor::onStartReply(const TargetCall &call, CallOutcome outcome, Millis now)
 {
     recordOutcome(call, outcome, now);
@@ -356,99 +323,6 @@
     tick(now);
 }
 
-void TargetSupervisor::onRenewalReply(const TargetCall &call, const RenewalReply &reply, Millis now)
-{
-    --renewalsInFlight_;
-    recordOutcome(call, reply.outcome_, now);
-    if (reply.outcome_ != CallOutcome::Ok) {
-        const bool timedOut = reply.outcome_ == CallOutcome::Unknown;
-        renewRetryAt_ = now + (!responsive_ ? settings_.probeInterval_ : timedOut ? settings_.lossRetryDelay_ : settings_.retryDelay_);
-        reportRenewalSent_ = false;
-        tick(now);
-        return;
-    }
-    if (reply.targetIncarnation_ > targetIncarnation_) {
-        onTargetRestarted(reply.targetIncarnation_, now);
-    }
-    if (reply.targetIncarnation_ == targetIncarnation_ && call.epoch_ == epoch_) {
-        clock_ = reply.clock_;
-        clockAt_ = now;
-        releasedThrough_ = std::max(releasedThrough_, call.acknowledged_);
-        reconcileRuns(call, reply, now);
-    } else {
-        reportRenewalSent_ = false;
-    }
-    tick(now);
-}
-
-// Reconciles runs_ with the target's lists.
-void TargetSupervisor::reconcileRuns(const TargetCall &call, const RenewalReply &reply, Millis now)
-{
-    for (const RunResult &result : reply.results_) {
-        recordResult(result);
-    }
-    if (call.serial_ < latestAppliedRenewal_) {
-        return;
-    }
-    latestAppliedRenewal_ = call.serial_;
-    listApplied_ = true;
-    std::set<TaskId> running;
-    for (const Run &run : reply.running_) {
-        running.insert(run.task_);
-        auto [entry, added] = runs_.try_emplace(run.task_);
-        entry->second.started_ = entry->second.started_ || entry->second.number_ == run.number_;
-        if (added) {
-            entry->second = {run.number_, Phase::Running, now, {}, false, false, {}, true};
-            // Started by an earlier agent process, with a lease that is unknown here.
-            leaseUntil_ = {std::max(leaseUntil_.count_, (now + settings_.maxLease_).count_)};
-            if (!fullReportDue_) {
-                sendStop(run.task_, entry->second, now);
-            }
-        }
-    }
-    for (auto each = runs_.begin(); each != runs_.end();) {
-        const LocalRun &run = each->second;
-        const bool listable = run.phase_ == Phase::Running || run.phase_ == Phase::Stopped;
-        if (listable && run.since_ < call.sentAt_ && running.count(each->first) == 0) {
-            report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
-            each = runs_.erase(each);
-        } else {
-            ++each;
-        }
-    }
-    if (fullReportDue_ && reportRenewalSent_) {
-        completeFullReport(now);
-    }
-}
-
-// Whether a full report needs no list of the target: the target has crashed, and either all runs that may have been active on
-// it are known, or any lease that an earlier agent process had requested has expired.
-bool TargetSupervisor::isStateKnownWithoutTarget(Millis now) const
-{
-    const bool leasesExpired = now >= refusedSince_ + settings_.maxLease_ + settings_.leaseExpiryMargin_;
-    return refusedSince_ != Millis{0} && (listApplied_ || leasesExpired);
-}
-
-void TargetSupervisor::completeFullReport(Millis now)
-{
-    fullReportDue_ = false;
-    report_.full_ = true;
-    reportTarget();
-    report_.targetIncarnation_ = targetIncarnation_;
-    report_.results_.clear();
-    for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
-        report_.results_.push_back(unacknowledged.result_);
-    }
-    for (const auto &[task, run] : runs_) {
-        report_.running_.push_back({task, run.number_});
-    }
-    expireCrashes(now);
-    report_.crashes_.clear();
-    for (const auto &[at, crash] : crashes_) {
-        report_.crashes_.push_back({crash.run_, crash.suspected_, crash.started_, now - at});
-    }
-}
-
 void TargetSupervisor::renew(Millis wait, Millis now)
 {
     ++renewalsInFlight_;
@@ -513,17 +387,6 @@
     return std::exchange(calls_, {});
 }
 
-AgentReport TargetSupervisor::takeReport()
-{
-    if (fullReportDue_ || report_.isEmpty()) {
-        return {};
-    }
-    incrementalReports_ = report_.full_ ? 0 : incrementalReports_ + 1;
-    report_.number_ = reportNumber_;
-    report_.part_ = incrementalReports_;
-    return std::exchange(report_, {});
-}
-
 std::size_t TargetSupervisor::runs() const
 {
     return runs_.size();
