Keep runs whose results a target has not listed yet

Cause: a target lists 500 results at a time. The agent took a run in neither list of a reply for lost, though its result was only beyond the end of the list. The same gap was in the full report of an agent that had restarted, and in the reconciliation of a new leader.

A list of 500 counts as cut off now. Until a whole one has come, missing runs stay as they are, the target gets no starts, and a new leader places no tasks of earlier epochs.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -130,6 +130,14 @@
                          Span<const RunResult> results,
                          Millis now);
 
+    /// Whether an agent's target has results that it has not listed yet. Until it has listed them, a run that is missing in its
+    /// reports may have ended in any way, so its task is not placed again, and the target gets no starts. To be called before the
+    /// full report, or after the results of an incremental one, that says so.
+    void setUnlistedResults(const std::string &agent, bool unlisted, Millis now);
+
+    /// Whether any target has unlisted results.
+    bool hasUnlistedResults() const;
+
     /// Updates what is known about a target. In a later incarnation its result numbers start again; the agent reports
     /// which runs were lost.
     void updateTarget(const std::string &agent, const TargetInfo &info);
@@ -192,7 +200,7 @@
     /// temporary overload, jobs that are already late do not delay others.
     void schedule(Millis now);
 
-    /// Whether nothing runs on an agent's target and the target is unresponsive or takes no starts.
+    /// Whether nothing runs on an agent's target, its results are known, and it is unresponsive or takes no starts.
     bool isIdle(const std::string &agent) const;
 
     DispatcherActions takeActions();
@@ -335,6 +343,7 @@
     void applyReportedRun(const std::string &agent, const Run &run, std::set<TaskId> &reported, Millis now);
     void applyOrphan(Job &job, Millis now);
     void onResultSaved(const ResultRef &result);
+    void releaseEphemeralResults(const std::string &agent);
     bool isLate(const Job &job, Millis now) const;
     static bool isRefusable(const Job &job);
     bool isUnservable(const Job &job, Millis now) const;
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -21,6 +21,11 @@
     /// Runs that the target has reported and whose needs are not known: of jobs that nobody has offered yet, or being stopped.
     /// None of them is in runs_ with the same number.
     std::map<TaskId, std::uint64_t> unknownRuns_;
+    /// Whether it has results that it has not listed yet.
+    bool unlistedResults_ = false;
+    /// Runs placed here that were missing in a full report while there were unlisted results: how they ended is not known. All are in
+    /// runs_ unless they have ended since.
+    std::map<TaskId, std::uint64_t> missingRuns_;
     /// Numbers of results whose effect has not been stored yet.
     std::set<std::uint64_t> unsavedResults_;
     std::uint64_t highestResult_ = 0;
--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -66,6 +66,8 @@
     std::int64_t targetIncarnation_ = 0;
     std::vector<Run> running_;
     std::vector<RunResult> results_;
+    /// Whether the target may have results after the listed ones. It lists them once it has been told to discard earlier ones.
+    bool hasMoreResults_ = false;
 };
 
 /// What an agent reports to the dispatcher. Apply info_ before the results: their numbers belong to the incarnation
@@ -91,10 +93,13 @@
     /// Runs during which the target crashed: in a full report those of the last minute, else new ones. The end of the run
     /// is reported separately, once it is certain.
     std::vector<RunCrash> crashes_;
+    /// Whether the target may have results that it has not listed yet, so that a run in neither list may have ended in any way.
+    /// Set in a full report and when it changed.
+    std::optional<bool> unlistedResults_;
 
     bool isEmpty() const
     {
-        return !full_ && !info_ && results_.empty() && rejected_.empty() && crashes_.empty();
+        return !full_ && !info_ && results_.empty() && rejected_.empty() && crashes_.empty() && !unlistedResults_;
     }
 };
 
@@ -127,6 +132,9 @@
     Millis unresponsiveAfter_{700};
     /// Interval between renewals sent to an unresponsive target.
     Millis probeInterval_{100};
+    /// Interval between renewals while the target has unlisted results and may not discard any: it replies at once, and the list of
+    /// results stays the same.
+    Millis unlistedPollInterval_{100};
     /// Added to a lease before it counts as expired, for clock drift of the target and for the time that it needs to
     /// stop its runs.
     Millis leaseExpiryMargin_{150};
@@ -260,6 +268,8 @@
     void onTargetRestarted(std::int64_t incarnation, Millis now);
     void markAllRunsLost();
     void recordResult(const RunResult &result);
+    void setUnlistedResults(bool unlisted);
+    bool canListMoreResults() const;
     std::uint64_t releasable() const;
     void reconcileRuns(const TargetCall &call, const RenewalReply &reply, Millis now);
     bool isStateKnownWithoutTarget(Millis now) const;
@@ -309,7 +319,11 @@
     std::uint64_t highestResult_ = 0;
     /// Highest result number that the target has confirmed to discard.
     std::uint64_t releasedThrough_ = 0;
+    /// Whether the target may have results after highestResult_. A run that is in neither of its lists has ended then, but how is
+    /// not known.
+    bool unlistedResults_ = false;
     int renewalsInFlight_ = 0;
+    Millis renewedAt_;
     Millis renewRetryAt_;
     bool agentDraining_ = false;
     std::int64_t reportNumber_ = 0;
--- a/src/ibiswall/cell/cellsimulation.hpp
+++ b/src/ibiswall/cell/cellsimulation.hpp
@@ -24,6 +24,8 @@
     double lostCalls_ = 0.15;
     /// Share of jobs whose first task crashes every target that starts it.
     double crashingJobs_ = 0;
+    /// Most results that a target lists at a time.
+    std::size_t listedResults_ = 500;
     /// Times that the capacity of a target shrinks or grows.
     int capacityChanges_ = 0;
     /// Disables a safeguard to verify that the checks detect it: orders do not name the report that they are based on.
@@ -34,6 +36,8 @@
     bool skipReconciliation_ = false;
     /// Same: a new dispatcher accepts offers of new jobs before the agents have reported.
     bool skipWaitForReports_ = false;
+    /// Same: a list of results that may be cut off is taken for a whole one.
+    bool ignoreUnlistedResults_ = false;
 };
 
 /// Outcome of a scenario.
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -261,7 +261,9 @@
             for (const auto &[task, running] : target.running_) {
                 reply.running_.push_back({task, running.run_});
             }
-            reply.results_ = target.results_;
+            const std::size_t listed = std::min(target.results_.size(), settings_.listedResults_);
+            reply.results_.assign(target.results_.begin(), target.results_.begin() + static_cast<std::ptrdiff_t>(listed));
+            reply.hasMoreResults_ = listed == settings_.listedResults_ && !settings_.ignoreUnlistedResults_;
         }
         return reply;
     }
@@ -549,6 +551,7 @@
         if (report.full_) {
             state.mayHoldLease_ = true;
             state.leaseGrantedAt_ = now_;
+            leader.dispatcher_.setUnlistedResults(name, report.unlistedResults_.value_or(false), {now_});
             leader.dispatcher_.applyFullReport(name, report.info_, report.targetIncarnation_, report.running_, report.results_, {now_});
         } else {
             if (report.info_) {
@@ -560,6 +563,9 @@
             for (const auto &[run, noRoom] : report.rejected_) {
                 leader.dispatcher_.onStartRejected(name, run, noRoom, {now_});
             }
+            if (report.unlistedResults_) {
+                leader.dispatcher_.setUnlistedResults(name, *report.unlistedResults_, {now_});
+            }
         }
     }
 
@@ -626,6 +632,9 @@
 
     bool isReconciled(const SimulatedLeader &leader) const
     {
+        if (leader.dispatcher_.hasUnlistedResults()) {
+            return false;
+        }
         if (settings_.skipReconciliation_ || leader.confirmedAt_ > leader.startedAt_ + leaderLease + leaseMargin) {
             return true;
         }
@@ -907,6 +916,19 @@
     }
 }
 
+// More results waited at a target than it lists at a time, and runs whose results were not listed counted as lost.
+BOOST_AUTO_TEST_CASE(runs_with_unlisted_results_are_not_started_again)
+{
+    for (int i = 0; i < simulationCount() / 2; ++i) {
+        SimulationSettings settings;
+        settings.seed_ = firstSeed() + static_cast<std::uint32_t>(i);
+        settings.listedResults_ = 2;
+        for (const std::string &violation : runSimulation(settings).violations_) {
+            BOOST_TEST(false, "seed " << settings.seed_ << ": " << violation);
+        }
+    }
+}
+
 // Seed 8493: a report with a result was lost while the leader's path to the agent stayed up. The next report contained
 // a later result, and its acknowledgement covered both.
 BOOST_AUTO_TEST_CASE(never_acknowledges_result_whose_report_was_lost)
@@ -942,6 +964,14 @@
     BOOST_TEST(findsViolation(settings));
 }
 
+BOOST_AUTO_TEST_CASE(detects_lists_of_results_that_are_taken_for_whole)
+{
+    SimulationSettings settings;
+    settings.listedResults_ = 2;
+    settings.ignoreUnlistedResults_ = true;
+    BOOST_TEST(findsViolation(settings));
+}
+
 BOOST_AUTO_TEST_CASE(detects_dispatcher_that_accepts_offers_too_early)
 {
     SimulationSettings settings;
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -68,7 +68,7 @@
         return true;
     }
     const TargetInfo &info = found->second.info_;
-    return found->second.runs_.empty() && (info.id_.empty() || info.draining_ || !info.responsive_);
+    return found->second.runs_.empty() && !found->second.unlistedResults_ && (info.id_.empty() || info.draining_ || !info.responsive_);
 }
 
 // Places as many tasks as possible. Returns false when a task that is ready found no target.
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -50,6 +50,7 @@
     }
     target.present_ = true;
     target.unknownRuns_.clear();
+    target.missingRuns_.clear();
     orphans_.removeRunsOf(agent);
     for (const RunResult &result : results) {
         applyResult(agent, result, now);
@@ -59,6 +60,10 @@
         applyReportedRun(agent, run, reported, now);
     }
     markMissingRunsLost(agent, reported, now);
+    if (target.acknowledged_ > 0) {
+        // The latest acknowledgement may have been lost, and the target lists no later results without it.
+        actions_.acks_.push_back({agent, target.info_.targetIncarnation_, target.acknowledged_, target.info_.draining_});
+    }
 }
 
 // Applies a run that a target reports.
@@ -115,7 +120,9 @@
     for (const TaskId &id : lost) {
         Job *job = nullptr;
         const Task *task = findTask(id, job);
-        if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent) {
+        if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent && target.unlistedResults_) {
+            target.missingRuns_[id] = task->run_;
+        } else if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent) {
             applyResult(agent, {0, {id, task->run_}, RunOutcome::Lost, {}}, now);
         } else {
             target.allocated_ = target.allocated_ - target.runs_[id];
@@ -124,6 +131,24 @@
     }
 }
 
+void Dispatcher::setUnlistedResults(const std::string &agent, bool unlisted, Millis now)
+{
+    Target &target = targets_[agent];
+    target.unlistedResults_ = unlisted;
+    if (unlisted) {
+        releaseEphemeralResults(agent);
+        return;
+    }
+    for (const auto &[id, run] : std::exchange(target.missingRuns_, {})) {
+        applyResult(agent, {0, {id, run}, RunOutcome::Lost, {}}, now);
+    }
+}
+
+bool Dispatcher::hasUnlistedResults() const
+{
+    return std::any_of(targets_.begin(), targets_.end(), [](const auto &each) { return each.second.unlistedResults_; });
+}
+
 void Dispatcher::updateTarget(const std::string &agent, const TargetInfo &info)
 {
     Target &target = targets_[agent];
@@ -164,6 +189,8 @@
     }
     Target &target = found->second;
     target.present_ = false;
+    target.unlistedResults_ = false;
+    target.missingRuns_.clear();
     const std::map<TaskId, Resources> runs = target.runs_;
     for (const auto &[id, need] : runs) {
         markRunLost(agent, id, now);
--- a/src/ibiswall/cell/dispatcherwrites.cpp
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -7,14 +7,23 @@
 
 namespace ibiswall::cell {
 
+namespace {
+
+// With this many results of a target waiting to be stored, progress is stored at once. A target lists 500 results at a time and gets
+// no starts while it may have others.
+constexpr std::size_t maxDelayedResults = 250;
+
+} // namespace
+
 void Dispatcher::scheduleWrite(Job &job, const std::string &agent, const RunResult &result, Millis due)
 {
-    if (result.number_ != 0) {
-        job.unsaved_.push_back({agent, targets_[agent].info_.targetIncarnation_, result.number_});
-        targets_[agent].unsavedResults_.insert(result.number_);
-    }
     // Agents keep the results of an ephemeral job until it ends, so that a later dispatcher does not run its tasks
-    // again.
+    // again; not while they keep the target from listing others, of which the job may need one to end.
+    Target &target = targets_[agent];
+    if (result.number_ != 0 && !(job.isEphemeral() && target.unlistedResults_)) {
+        job.unsaved_.push_back({agent, target.info_.targetIncarnation_, result.number_});
+        target.unsavedResults_.insert(result.number_);
+    }
     if (!job.isEphemeral() && (!job.writeDue_ || due < *job.writeDue_)) {
         job.writeDue_ = due;
         dirty_.insert(job.id_);
@@ -23,10 +32,12 @@
 
 std::vector<JobWrite> Dispatcher::takeWrites(std::size_t most, Millis now)
 {
+    const bool hurry = std::any_of(targets_.begin(), targets_.end(),
+                                   [](const auto &each) { return each.second.unsavedResults_.size() >= maxDelayedResults; });
     std::vector<std::pair<std::int64_t, Job *>> due;
     for (const std::string &id : dirty_) {
         Job &job = jobs_.at(id);
-        if (!job.writing_ && *job.writeDue_ <= now) {
+        if (!job.writing_ && (hurry || *job.writeDue_ <= now)) {
             due.emplace_back(isFinal(job.state_) ? 0 : 1, &job);
         }
     }
@@ -118,6 +129,20 @@
     }
 }
 
+// Lets a target discard the results of ephemeral jobs that have not ended.
+void Dispatcher::releaseEphemeralResults(const std::string &agent)
+{
+    for (auto &[id, job] : jobs_) {
+        if (!job.isEphemeral()) {
+            continue;
+        }
+        const auto released = std::stable_partition(job.unsaved_.begin(), job.unsaved_.end(),
+                                                    [&agent](const ResultRef &result) { return result.agent_ != agent; });
+        std::for_each(released, job.unsaved_.end(), [this](const ResultRef &result) { onResultSaved(result); });
+        job.unsaved_.erase(released, job.unsaved_.end());
+    }
+}
+
 void Dispatcher::acknowledge(Target &target)
 {
     const std::uint64_t through = target.unsavedResults_.empty() ? target.highestResult_ : *target.unsavedResults_.begin() - 1;
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -49,7 +49,8 @@
 bool canPlace(const Target &target, const Placement &placement, Millis now)
 {
     const TargetInfo &info = target.info_;
-    if (!target.present_ || info.draining_ || !info.responsive_ || info.service_ != placement.service_ || now < target.pausedUntil_) {
+    if (!target.present_ || target.unlistedResults_ || info.draining_ || !info.responsive_ || info.service_ != placement.service_
+        || now < target.pausedUntil_) {
         return false;
     }
     if (placement.domainsOut_.count(info.failureDomain_) != 0 || !fits(placement.step_.need_, info.capacity_ - target.allocated_)) {
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -126,6 +126,7 @@
     unacknowledgedResults_.clear();
     highestResult_ = 0;
     releasedThrough_ = 0;
+    setUnlistedResults(false);
 }
 
 // Marks all runs lost except those with a start in flight, which may have reached a new incarnation.
@@ -326,6 +327,7 @@
 void TargetSupervisor::renew(Millis wait, Millis now)
 {
     ++renewalsInFlight_;
+    renewedAt_ = now;
     TargetCall call = makeCall(TargetCall::Kind::Renew, {}, now);
     call.serial_ = ++renewalsSent_;
     call.acknowledged_ = releasable();
@@ -342,7 +344,12 @@
     if (refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_) {
         recordCrash(now);
     }
-    if (!runs_.empty() && leasesInFlight_ == 0 && now > leaseUntil_ + settings_.leaseExpiryMargin_) {
+    const bool leaseExpired = leasesInFlight_ == 0 && now > leaseUntil_ + settings_.leaseExpiryMargin_;
+    if (leaseExpired && !responsive_) {
+        // Nobody can wait for results of a target that may never reply again.
+        setUnlistedResults(false);
+    }
+    if (!runs_.empty() && leaseExpired) {
         // Neither starts nor renewals have extended the lease.
         for (const auto &[task, run] : runs_) {
             unexplainedLosses_.emplace_back(Run{task, run.number_}, run.started_);
@@ -369,11 +376,14 @@
     if (renewalsInFlight_ >= (lossy ? settings_.maxLossyRenewals_ : 1)) {
         return;
     }
+    if (responsive_ && !canListMoreResults() && now < renewedAt_ + settings_.unlistedPollInterval_) {
+        return;
+    }
     const bool awaitingResults
         = std::any_of(runs_.begin(), runs_.end(), [](const auto &each) { return each.second.phase_ == Phase::Stopped; });
     if (awaitingResults) {
         renew({}, now);
-    } else if (!runs_.empty() || releasable() > releasedThrough_ || !responsive_) {
+    } else if (!runs_.empty() || unlistedResults_ || releasable() > releasedThrough_ || !responsive_) {
         const Millis wait = lossy ? settings_.lossyLongPollWait_ : settings_.longPollWait_;
         renew(runs_.empty() || !responsive_ ? Millis{} : wait, now);
         if (lossy && !runs_.empty() && renewalsInFlight_ < settings_.maxLossyRenewals_) {
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -28,6 +28,19 @@
     }
 }
 
+void TargetSupervisor::setUnlistedResults(bool unlisted)
+{
+    if (std::exchange(unlistedResults_, unlisted) != unlisted) {
+        report_.unlistedResults_ = unlisted;
+    }
+}
+
+// Whether a renewal can make the target list results that it has not listed yet.
+bool TargetSupervisor::canListMoreResults() const
+{
+    return !unlistedResults_ || releasable() > releasedThrough_;
+}
+
 // Highest number up to which the target may discard results.
 std::uint64_t TargetSupervisor::releasable() const
 {
@@ -75,6 +88,7 @@
     }
     latestAppliedRenewal_ = call.serial_;
     listApplied_ = true;
+    setUnlistedResults(reply.hasMoreResults_);
     std::set<TaskId> running;
     for (const Run &run : reply.running_) {
         running.insert(run.task_);
@@ -89,7 +103,7 @@
             }
         }
     }
-    for (auto each = runs_.begin(); each != runs_.end();) {
+    for (auto each = runs_.begin(); each != runs_.end() && !unlistedResults_;) {
         const LocalRun &run = each->second;
         const bool listable = run.phase_ == Phase::Running || run.phase_ == Phase::Stopped;
         if (listable && run.since_ < call.sentAt_ && running.count(each->first) == 0) {
@@ -118,6 +132,7 @@
     report_.full_ = true;
     reportTarget();
     report_.targetIncarnation_ = targetIncarnation_;
+    report_.unlistedResults_ = unlistedResults_;
     report_.results_.clear();
     for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
         report_.results_.push_back(unacknowledged.result_);
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -111,7 +111,8 @@
     }
     return Json::array({frame.epoch_, frame.report_.number_, frame.report_.part_,
                         frame.report_.info_ ? toJson(*frame.report_.info_) : Json(), frame.report_.targetIncarnation_, std::move(running),
-                        std::move(results), std::move(rejected), std::move(crashes)});
+                        std::move(results), std::move(rejected), std::move(crashes),
+                        frame.report_.unlistedResults_ ? Json(*frame.report_.unlistedResults_) : Json()});
 }
 
 // Several tasks of a job often go to the same agent, so each payload is sent once and referred to by index.
@@ -200,6 +201,9 @@
                 {parseRun(each.at(0)), each.at(1).get<bool>(), each.at(2).get<bool>(), {each.at(3).get<std::int64_t>()}});
         }
     }
+    if (json.size() > at && !json.at(at).is_null()) {
+        report.unlistedResults_ = json.at(at).get<bool>();
+    }
     return frame;
 }
 
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -25,6 +25,7 @@
     report.report_.results_ = {{4, {{"j", 0, 1}, 5}, cell::RunOutcome::Failed, "c"}};
     report.report_.rejected_ = {{{{"j", 0, 0}, 6}, true}};
     report.report_.crashes_ = {{{{"j", 0, 0}, 6}, true, true, {250}}};
+    report.report_.unlistedResults_ = true;
     OrdersFrame orders;
     orders.report_ = 8;
     orders.starts_ = {{{}, {{"j", 0, 0}, 1}, "same", {}, true}, {{}, {{"j", 0, 1}, 2}, "same", "c", false}};
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -132,9 +132,11 @@
                  {{"agent", std::string_view(from)},
                   {"epoch", logNumber(epoch_)},
                   {"running", logNumber(report.running_.size())},
-                  {"ends", logNumber(report.results_.size())}});
+                  {"ends", logNumber(report.results_.size())},
+                  {"unlisted", report.unlistedResults_.value_or(false) ? 1 : 0}});
         agent.mayHoldLease_ = true;
         agent.leaseGrantedAt_ = now;
+        dispatcher_.setUnlistedResults(from, report.unlistedResults_.value_or(false), now);
         dispatcher_.applyFullReport(from, report.info_, report.targetIncarnation_, report.running_, report.results_, now);
         hooks_.send_(from, PongFrame{epoch_, {}, {}});
     } else {
@@ -169,6 +171,10 @@
                       {"for_room", noRoom ? 1 : 0}});
             dispatcher_.onStartRejected(from, run, noRoom, now);
         }
+        if (report.unlistedResults_) {
+            logEvent("target.results_unlisted", {{"agent", std::string_view(from)}, {"unlisted", *report.unlistedResults_ ? 1 : 0}});
+            dispatcher_.setUnlistedResults(from, *report.unlistedResults_, now);
+        }
     }
     scheduleDispatch();
 }
@@ -262,6 +268,9 @@
 
 bool LeaderSession::isReconciled(Millis now) const
 {
+    if (dispatcher_.hasUnlistedResults()) {
+        return false;
+    }
     // After the wait for unreachable agents the leadership must be confirmed once more, since a newer leader may have renewed
     // their leases.
     const Millis waitEnd = startedAt_ + leaseSettings_.confirmationLimit_ + leaseSettings_.margin_;
--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -23,6 +23,7 @@
 enum HttpStatus { Ok = 200, MalformedRequest = 400, NotFound = 404, Rejected = 409, MisdirectedRequest = 421 };
 
 constexpr std::chrono::milliseconds heartbeatInterval(300);
+constexpr std::size_t maxListedEnds = 500;
 constexpr std::int64_t defaultRunMillis = 50;
 constexpr std::chrono::milliseconds crashDelay(5);
 constexpr unsigned crashDowntimeSeconds = 2;
@@ -223,9 +224,11 @@
         for (const auto &[task, run] : running_) {
             running.push_back(Json::array({task, run.number_, "", 0, 0}));
         }
+        Json ended = Json::array();
+        std::copy_n(results_.begin(), std::min(results_.size(), maxListedEnds), std::back_inserter(ended));
         respond(jsonReply(
             Ok,
-            Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}, {"running", std::move(running)}, {"ended", Json(results_)}}
+            Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}, {"running", std::move(running)}, {"ended", std::move(ended)}}
                 .dump()));
     }
 
