Bound for how long a leader without the store relies on nobody succeeding it

Cause: a leader that the store does not answer goes on while all other entries it knows hold off. One that was alone in the registry knew nobody and went on without a limit, beside entries that had come back and registered. They could not reach it either, since it was the one to connect.

An entry that the leader may not know now waits after its registration for longer than a leader relies on the registry, and its registration is a condition of acquiring the leadership, so that both hold whatever the network does. Entries also connect to one that should have connected to them, which lets the old leader step down at once. A store that answers nobody is borne for 8 s instead of without a limit.

--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -1,4 +1,4 @@
-// Communication of an entry with its cell: heartbeats, offers and leadership.
+// Communication of an entry with its cell: heartbeats and offers.
 
 #include "entrynode.hpp"
 
@@ -41,6 +41,7 @@
             onLeaderChanged();
         }
         if (from == leadership_.leaderInfo().leader_) {
+            succession_.onLeaderHeard(heartbeat->epoch_);
             waiting_ = heartbeat->waiting_;
             contained_ = heartbeat->contained_;
         }
@@ -174,6 +175,7 @@
         return;
     }
     logEvent("peer.up", {{"peer", std::string_view(peer.name_)}, {"incarnation", peer.incarnation_}});
+    succession_.onIncarnation(peer.name_, peer.incarnation_);
     heartbeatsDueAt_.erase(peer.name_);
     if (peer.name_ == leadership_.leaderInfo().leader_) {
         onLeaderChanged();
@@ -272,117 +274,9 @@
             frame.nextIn_ = interval;
             bytes = formatFrame(frame);
         }
+        succession_.onHeartbeatSent(peer.name_, now);
         mesh_.send(peer.name_, bytes);
     }
 }
 
-void EntryNode::maybeCampaign()
-{
-    const Millis now = bootClock();
-    if (campaigning_ || !configured_) {
-        return;
-    }
-    if (leadership_.shouldCampaign(now - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), now)) {
-        readLeader();
-    }
-}
-
-void EntryNode::readLeader()
-{
-    campaigning_ = true;
-    const Millis sentAt = bootClock();
-    store_.get(keys::leader, [this, sentAt](const platform::StoreResult &answer) {
-        campaigning_ = false;
-        if (answer.outcome_ == platform::StoreOutcome::NotFound) {
-            acquireLead(0);
-            return;
-        }
-        if (answer.outcome_ != platform::StoreOutcome::Ok || answer.items_.empty()) {
-            return;
-        }
-        const platform::Item &item = answer.items_.front();
-        const auto epoch = static_cast<std::uint64_t>(item.revision_);
-        if (!leaderNonce_.empty() && item.value_ == leaderNonce_) {
-            // An earlier attempt succeeded, but its answer was lost.
-            leaderNonce_.clear();
-            startLeading(epoch, sentAt, false);
-            return;
-        }
-        const std::string leader = item.value_.substr(0, item.value_.find(' '));
-        if (leadership_.updateLeader({epoch, leader}, bootClock())) {
-            onLeaderChanged();
-        } else if (leadership_.shouldCampaign(bootClock() - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), bootClock())) {
-            acquireLead(item.revision_);
-        }
-    });
-}
-
-void EntryNode::acquireLead(std::int64_t expected)
-{
-    campaigning_ = true;
-    leaderNonce_ = self_.name_ + ' ' + std::to_string(self_.incarnation_) + ' ' + std::to_string(nextNonce_++);
-    platform::Transaction transaction;
-    transaction.conditions_.push_back({keys::leader, expected});
-    transaction.writes_.push_back({keys::leader, leaderNonce_});
-    const Millis sentAt = bootClock();
-    store_.commit(transaction, [this, sentAt, expected](const platform::StoreResult &answer) {
-        campaigning_ = false;
-        if (answer.outcome_ == platform::StoreOutcome::Ok) {
-            leaderNonce_.clear();
-            startLeading(static_cast<std::uint64_t>(answer.revision_), sentAt, expected == 0);
-        }
-    });
-}
-
-void EntryNode::startLeading(std::uint64_t epoch, Millis acquiredAt, bool first)
-{
-    if (leaderSession_) {
-        leaderSession_->stop();
-    }
-    leadership_.acquire(epoch, bootClock());
-    LeaderSessionHooks hooks;
-    hooks.send_ = [this](const std::string &name, const Frame &frame) {
-        return sendTo(name, frame);
-    };
-    hooks.broadcast_ = [this](const Frame &frame) {
-        broadcastToEntries(frame);
-    };
-    hooks.drop_ = [this](const std::string &name) {
-        mesh_.drop(name);
-    };
-    hooks.reachableAgents_ = [this] {
-        std::vector<std::string> agents;
-        for (const Peer &peer : mesh_.reachable()) {
-            if (!peer.isEntry_) {
-                agents.push_back(peer.name_);
-            }
-        }
-        return agents;
-    };
-    hooks.heldOffUntil_ = [this] {
-        if (!entriesKnown_) {
-            return Millis{0};
-        }
-        std::set<std::string> others;
-        for (const auto &[name, address] : entries_) {
-            others.insert(name);
-        }
-        return leadership_.heldOffUntil(others);
-    };
-    hooks.leadershipLost_ = [this] {
-        leadership_.release();
-        boost::asio::post(io_, [this] {
-            if (!leadership_.isLeader()) {
-                leaderSession_.reset();
-            }
-        });
-    };
-    leaderSession_ = std::make_shared<LeaderSession>(io_, store_, hooks, epoch, acquiredAt, first, settings_.stateRetention_);
-    leaderSession_->setConfig(config_, evacuatedDomains_);
-    leaderSession_->containQueues(contained_);
-    leaderSession_->start();
-    onLeaderChanged();
-    sendHeartbeats();
-}
-
 } // namespace ibiswall::node
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -54,6 +54,7 @@
                  receive(from, bytes);
              }})
     , leadership_(settings.name_, millicoresOf(settings), {})
+    , succession_(SuccessionSettings{})
     , stop_(stopSettings(settings))
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -9,6 +9,7 @@
 #include "mesh.hpp"
 #include "metrics.hpp"
 #include "stopsignals.hpp"
+#include "succession.hpp"
 #include <ibiswall/settings.hpp>
 
 namespace ibiswall::node {
@@ -86,11 +87,15 @@
     void onPeerDown(const std::string &name);
     HeartbeatFrame makeHeartbeat(Millis now);
     void sendHeartbeats();
+    void onLeaderChanged();
+
+    // Campaigns (entrycampaign.cpp)
     void maybeCampaign();
+    bool isHeldBack() const;
     void readLeader();
     void acquireLead(std::int64_t expected);
+    void checkRegistration(Span<const platform::Item> current);
     void startLeading(std::uint64_t epoch, Millis acquiredAt, bool first);
-    void onLeaderChanged();
 
     // Registry of entries (entryregistration.cpp)
     void readEntries();
@@ -116,6 +121,7 @@
     platform::StoreClient store_;
     Mesh mesh_;
     Leadership leadership_;
+    Succession succession_;
     GracefulStop stop_;
     Acceptor acceptor_;
     HttpServer callers_;
@@ -147,7 +153,6 @@
     std::set<std::string> contained_;
     /// Addresses of the other entries; empty before the first read.
     std::map<std::string, Address> entries_;
-    bool entriesKnown_ = false;
     /// When each registered entry was last reachable.
     std::map<std::string, Millis> entryReachedAt_;
     Millis entriesReadAt_;
--- a/src/ibiswall/node/entryregistration.cpp
+++ b/src/ibiswall/node/entryregistration.cpp
@@ -24,12 +24,19 @@
         if (!known && answer.outcome_ != platform::StoreOutcome::NotFound) {
             return;
         }
+        const std::string record = formatEntry({settings_.linksAddress_, self_.incarnation_, settings_.domain_});
+        if (known && answer.items_.front().value_ == record) {
+            // The answer to an earlier write was lost, or the registry was read before it.
+            succession_.onRegistered(answer.items_.front().revision_, bootClock());
+            return;
+        }
         platform::Transaction transaction;
         const std::string key = keys::entries + self_.name_;
         transaction.conditions_.push_back({key, known ? answer.items_.front().revision_ : 0});
-        transaction.writes_.push_back({key, formatEntry({settings_.linksAddress_, self_.incarnation_, settings_.domain_})});
+        transaction.writes_.push_back({key, record});
         store_.commit(transaction, [this](const platform::StoreResult &written) {
             if (written.outcome_ == platform::StoreOutcome::Ok) {
+                succession_.onRegistered(written.revision_, bootClock());
                 entriesReadAt_ = {};
             }
         });
@@ -52,6 +59,8 @@
         }
         logEvent("entry.removed", {{"entry", std::string_view(name)}, {"unreached_ms", (now - reachedAt).count_}});
         platform::Transaction transaction;
+        // An entry that has become the leader meanwhile must stay registered, so that this one knows of it.
+        transaction.conditions_.push_back({keys::leader, static_cast<std::int64_t>(leadership_.leaderInfo().epoch_)});
         transaction.conditions_.push_back({item.key_, item.revision_});
         transaction.removals_.push_back(item.key_);
         store_.commit(transaction, [](const platform::StoreResult &) {
@@ -69,20 +78,29 @@
     }
     entriesReadAt_ = now;
     readingEntries_ = true;
-    store_.readAll(keys::entries, true, [this](const platform::StoreResult &answer) {
+    store_.readAll(keys::entries, true, [this, sentAt = now](const platform::StoreResult &answer) {
         readingEntries_ = false;
         if (answer.outcome_ != platform::StoreOutcome::Ok) {
             return;
         }
-        std::map<std::string, Address> entries = addressesOf(parseEntries(answer.items_));
-        const auto own = entries.find(self_.name_);
-        if (own == entries.end() || !(own->second == settings_.linksAddress_)) {
+        EntryRecords records = parseEntries(answer.items_);
+        const auto own = records.find(self_.name_);
+        if (own == records.end() || !(own->second.address_ == settings_.linksAddress_) || succession_.registration() == 0) {
             publishEntry();
         }
-        entries.erase(self_.name_);
-        entries_ = entries;
-        entriesKnown_ = true;
-        mesh_.setEntries(entries);
+        records.erase(self_.name_);
+        std::set<std::string> others;
+        for (const platform::Item &item : answer.items_) {
+            // An entry counts as a candidate even if this version cannot read its record.
+            others.insert(keys::nameOf(item.key_, keys::entries));
+        }
+        others.erase(self_.name_);
+        for (const auto &[name, record] : records) {
+            succession_.onIncarnation(name, record.incarnation_);
+        }
+        succession_.onRegistryRead(others, sentAt);
+        entries_ = addressesOf(records);
+        mesh_.setEntries(entries_);
         removeUnreachableEntries(answer.items_);
     });
 }
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -303,7 +303,13 @@
     if (hasSteppedDown()) {
         return {0};
     }
-    return {std::max((confirmedAt_ + leaseSettings_.confirmationLimit_).count_, hooks_.heldOffUntil_().count_)};
+    return std::max(confirmedAt_ + leaseSettings_.confirmationLimit_, heldOffUntil());
+}
+
+// Until when no other entry can have become the leader, judging by their hold-offs.
+Millis LeaderSession::heldOffUntil() const
+{
+    return std::min(hooks_.heldOffUntil_(), confirmedAt_ + leaseSettings_.holdOffLimit_);
 }
 
 Millis LeaderSession::confirmationAge() const
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -21,6 +21,8 @@
     /// No agent lease lasts longer than this after the last confirmation of the leadership by the store, or longer than the
     /// election hold-off of the other entries, whichever ends later.
     Millis confirmationLimit_{3500};
+    /// How long the hold-off of the other entries counts without a confirmation.
+    Millis holdOffLimit_{8000};
     /// Added before a lease counts as expired, for slower clocks and the time that a target takes to stop a run.
     Millis margin_{200};
 };
@@ -146,6 +148,7 @@
     platform::Transaction leaderTransaction() const;
     void recordConfirmation(Millis sentAt);
     Millis leaseUntil() const;
+    Millis heldOffUntil() const;
     Millis confirmationAge() const;
     void loseLeadership();
 
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -274,7 +274,7 @@
     // After the wait for unreachable agents the leadership must be confirmed once more, since a newer leader may have renewed
     // their leases.
     const Millis waitEnd = startedAt_ + leaseSettings_.confirmationLimit_ + leaseSettings_.margin_;
-    if (isFirstEpoch_ || confirmedAt_ > waitEnd || (now > waitEnd && now < hooks_.heldOffUntil_())) {
+    if (isFirstEpoch_ || confirmedAt_ > waitEnd || (now > waitEnd && now < heldOffUntil())) {
         return true;
     }
     return std::all_of(agents_.begin(), agents_.end(),
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -55,7 +55,7 @@
         logEvent("lead.gathered", {{"epoch", logNumber(epoch_)}, {"after_ms", (now - startedAt_).count_}});
         dispatcher_.markReconciled(now);
     }
-    dispatcher_.requeueLostTasks(now < hooks_.heldOffUntil_() ? now : confirmedAt_);
+    dispatcher_.requeueLostTasks(now < heldOffUntil() ? now : confirmedAt_);
     // Without a recent confirmation of the leadership, another entry may be placing the same tasks.
     if (now < leaseUntil()) {
         dispatcher_.schedule(now);
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -67,8 +67,7 @@
         }
     }
     for (const auto &[name, address] : entries) {
-        const bool connects = settings_.self_.isEntry_ ? settings_.self_.name_ < name : true;
-        if (!connects || clients_.count(name) != 0) {
+        if (clients_.count(name) != 0 || !(connectsTo(name) || isMissed(name))) {
             continue;
         }
         const std::uint64_t base = nextClient_++ << 32U;
@@ -90,6 +89,23 @@
     }
 }
 
+// Whether links to an entry are this process's to open.
+bool Mesh::connectsTo(const std::string &entry) const
+{
+    return !settings_.self_.isEntry_ || settings_.self_.name_ < entry;
+}
+
+// Whether an entry has not connected although it should: it may not know of this one while it cannot read the registry.
+bool Mesh::isMissed(const std::string &entry)
+{
+    const Millis now = bootClock();
+    if (directLink(entry) != nullptr) {
+        missedSince_.erase(entry);
+        return false;
+    }
+    return now > missedSince_.try_emplace(entry, now).first->second + settings_.missedEntryDelay_;
+}
+
 void Mesh::onLinkOpened(Key key, std::shared_ptr<LinkClient> client)
 {
     Link &link = links_[key];
@@ -199,6 +215,12 @@
         old.client_ ? old.client_->drop() : server_.drop(old.id_);
     }
     announceLink(name);
+    if (const auto client = clients_.find(name); !key.first && client != clients_.end() && !connectsTo(name)) {
+        // The entry knows this one again. Without a client of this process, the two cannot replace each other's links in turn.
+        client->second.second->stop();
+        clients_.erase(client);
+        missedSince_.erase(name);
+    }
     if (settings_.self_.isEntry_ && link.peer_.isEntry_) {
         Json neighbours = Json::array();
         for (const auto &[each, other] : links_) {
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -50,9 +50,12 @@
     Millis announceDelay_{20};
     /// A link is dropped after this time without a received frame.
     Millis linkTimeout_{1200};
+    /// An entry connects to one that should have connected to it, but has not for this long. Longer than a reconnection.
+    Millis missedEntryDelay_{500};
 };
 
-/// Maintains links to peers. Of two entries the one whose name sorts first connects; agents connect to entries.
+/// Maintains links to peers. Of two entries the one whose name sorts first connects, and the other if that one does not; agents
+/// connect to entries.
 class Mesh
 {
 public:
@@ -124,6 +127,8 @@
     void announceLink(const std::string &name);
     void flushAnnouncements();
     void refresh(const std::string &name);
+    bool connectsTo(const std::string &entry) const;
+    bool isMissed(const std::string &entry);
     Link *directLink(const std::string &name);
     bool isFresh(Key key) const;
     std::optional<Key> relayTo(const Paths &paths) const;
@@ -142,6 +147,8 @@
     std::map<std::string, Paths> paths_;
     /// Clients by entry name, with the address they connect to.
     std::map<std::string, std::pair<Address, std::shared_ptr<LinkClient>>> clients_;
+    /// Since when entries that should have connected have had no direct link.
+    std::map<std::string, Millis> missedSince_;
     std::uint64_t nextClient_ = 1;
     std::uint64_t nextSerial_ = 1;
     /// Peers whose direct link has changed since the last announcement.
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -314,6 +314,30 @@
     BOOST_TEST(entry.received_[0].second == "still here");
 }
 
+// An entry that came back could not reach a leader that had removed it from the registry and then lost the store.
+BOOST_AUTO_TEST_CASE(entry_connects_to_one_that_does_not_know_of_it)
+{
+    boost::asio::io_context io;
+    TestNode first(io, "a", true);
+    TestNode second(io, "b", true);
+    const auto isLinked = [&] {
+        second.mesh_.setEntries({{"a", first.address_}});
+        return first.mesh_.isReachable("b") && second.mesh_.isReachable("a");
+    };
+    BOOST_TEST(runUntil(io, isLinked));
+    // The entry that should connect learns of the other one: its link replaces the other, and stays.
+    first.mesh_.setEntries({{"b", second.address_}});
+    BOOST_TEST(runUntil(io, [&] { return first.upEvents_.size() > 1U; }));
+    const std::size_t links = first.upEvents_.size();
+    const Millis until = bootClock() + Millis{2000};
+    runUntil(io, [&] {
+        second.mesh_.setEntries({{"a", first.address_}});
+        return bootClock() > until;
+    });
+    BOOST_TEST(first.upEvents_.size() == links);
+    BOOST_TEST(second.mesh_.isReachable("a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::node
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <ibiswall/base/base64.hpp>
 #include <iostream>
+#include <limits>
 #include <thread>
 #include <unistd.h>
 
@@ -51,8 +52,8 @@
     putKey("op/config", makeConfiguration(config.admissionControl_));
     for (int i = 1; i <= config.entries_; ++i) {
         const std::string name = "entry-" + std::to_string(i);
-        entries_.push_back({name, freePort(), freePort(), freePort(), folder_ / (name + ".json"), std::nullopt});
-        const CellEntry &entry = entries_.back();
+        entries_.push_back({name, freePort(), freePort(), freePort(), folder_ / (name + ".json"), std::nullopt, nullptr});
+        CellEntry &entry = entries_.back();
         const Json settings = {{"role", "cell-entry"},
                                {"name", name},
                                {"domain", "fd-1"},
@@ -60,7 +61,7 @@
                                {"ready", loopback(entry.readyPort_)},
                                {"links", loopback(freePort())},
                                {"metrics", loopback(entry.metricsPort_)},
-                               {"store", loopback(storePort_)},
+                               {"store", loopback(makeStorePath(entry.storePath_))},
                                {"grace_ms", 6000},
                                {"keep_states_ms", config_.stateRetention_.count_}};
         std::ofstream(entry.settingsFile_) << settings.dump(2);
@@ -68,15 +69,15 @@
     for (int i = 1; i <= config.workers_; ++i) {
         const std::string name = "agent-" + std::to_string(i);
         workerNodes_.push_back(
-            {name, freePort(), freePort(), folder_ / (name + ".json"), folder_ / (name + ".record"), std::nullopt, std::nullopt});
-        const WorkerNode &node = workerNodes_.back();
+            {name, freePort(), freePort(), folder_ / (name + ".json"), folder_ / (name + ".record"), std::nullopt, std::nullopt, nullptr});
+        WorkerNode &node = workerNodes_.back();
         const Json settings = {{"role", "cell-agent"},
                                {"name", name},
                                {"domain", "fd-1"},
                                {"announcements", loopback(node.agentPort_)},
                                {"target", loopback(node.workerPort_)},
                                {"metrics", loopback(freePort())},
-                               {"store", loopback(storePort_)},
+                               {"store", loopback(makeStorePath(node.storePath_))},
                                {"grace_ms", 6000}};
         std::ofstream(node.settingsFile_) << settings.dump(2);
     }
@@ -157,6 +158,15 @@
     }
 }
 
+std::uint16_t Cell::makeStorePath(std::unique_ptr<Relay> &relay) const
+{
+    if (!config_.useStoreRelays_) {
+        return storePort_;
+    }
+    relay = std::make_unique<Relay>(storePort_);
+    return relay->port();
+}
+
 void Cell::putKey(const std::string &key, const Json &value)
 {
     const auto existing = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
@@ -174,6 +184,12 @@
     postToStore("/kv-txn", body);
 }
 
+bool Cell::hasKey(const std::string &key) const
+{
+    const auto answer = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
+    return answer && answer.value().status_ == 200;
+}
+
 void Cell::setStoreMode(const Json &mode)
 {
     postToStore("/standin/mode", mode);
@@ -256,7 +272,7 @@
     return workerNodes_;
 }
 
-std::vector<std::string> Cell::overlappingTasks() const
+std::vector<std::string> Cell::overlappingTasks(bool countUnended) const
 {
     struct Span
     {
@@ -275,6 +291,11 @@
                 open.erase(found);
             }
         }
+        for (const auto &[run, begin] : open) {
+            if (countUnended) {
+                spans[run.first].push_back({begin, std::numeric_limits<std::int64_t>::max()});
+            }
+        }
     }
     std::vector<std::string> result;
     for (auto &[task, runs] : spans) {
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "process.hpp"
+#include "relay.hpp"
 
 #include <filesystem>
 #include <ibiswall/net.hpp>
@@ -23,6 +24,8 @@
     Millis stateRetention_{120000};
     /// Whether the workers are said to reject tasks that do not fit.
     bool admissionControl_ = true;
+    /// Whether each entry and agent reaches the store through a relay of its own.
+    bool useStoreRelays_ = false;
 };
 
 /// A worker process and its agent.
@@ -35,6 +38,8 @@
     std::filesystem::path runRecordFile_;
     std::optional<Process> worker_;
     std::optional<Process> agent_;
+    /// Set with CellConfig::useStoreRelays_.
+    std::unique_ptr<Relay> storePath_;
 };
 
 struct CellEntry
@@ -45,6 +50,8 @@
     std::uint16_t metricsPort_ = 0;
     std::filesystem::path settingsFile_;
     std::optional<Process> process_;
+    /// Set with CellConfig::useStoreRelays_.
+    std::unique_ptr<Relay> storePath_;
 };
 
 /// Result of a submitted job as the caller sees it.
@@ -76,6 +83,7 @@
     /// Writes a key of the store, as an operator does.
     void putKey(const std::string &key, const nlohmann::json &value);
     void deleteKey(const std::string &key);
+    bool hasKey(const std::string &key) const;
 
     /// Changes the fault mode of the stand-in store.
     void setStoreMode(const nlohmann::json &mode);
@@ -104,7 +112,8 @@
     std::vector<WorkerNode> &workerNodes();
 
     /// Tasks of which two runs overlapped in time according to the workers' records.
-    std::vector<std::string> overlappingTasks() const;
+    /// @param countUnended whether runs without a recorded end go on; they do unless their worker was killed
+    std::vector<std::string> overlappingTasks(bool countUnended = false) const;
 
     /// Number of runs that the workers recorded as done, by task.
     std::map<std::string, int> completedRuns() const;
@@ -114,6 +123,7 @@
 
 private:
     void printLogs() const;
+    std::uint16_t makeStorePath(std::unique_ptr<Relay> &relay) const;
     void postToStore(const std::string &path, const nlohmann::json &body) const;
 
     std::filesystem::path folder_;
