Let jobs without a target block only the targets that they could use

Cause: a scheduling pass ended after four jobs had found no target, on the assumption that nothing fits any more. Labels, sizes, services without targets and limits per target make jobs miss on a cell with free capacity. Within a job, a step without a target ended the placement of the later ones.

Misses are counted at the targets that the job could use and that are too full; four of them close the target for the pass, not the pass. Jobs that no target matches are visited again after a change only.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -273,6 +273,8 @@
         bool late_ = false;
         /// Whether one of its tasks may have crashed a target.
         bool suspect_ = false;
+        /// targetsVersion_ at which no target matched any of its tasks, 0 if that has not been seen.
+        std::uint64_t unmatchedIn_ = 0;
         /// When it was added, or its latest task was placed.
         Millis activeAt_;
         /// When its caller times out; 0 for never.
@@ -316,6 +318,15 @@
     /// Priority, late or not, due time, order of arrival.
     using ReadyKey = std::tuple<std::uint32_t, bool, std::int64_t, std::uint64_t>;
 
+    /// State of one call of schedule().
+    struct SchedulingPass
+    {
+        /// By service, required label, and whether the queue is contained.
+        std::map<std::tuple<std::string_view, std::string_view, bool>, ExhaustedNeeds> exhausted_;
+        /// Whether a task has found all its targets closed since this was checked.
+        bool closed_ = false;
+    };
+
     static ReadyKey keyOf(const Job &job);
     Task *findTask(const TaskId &id, Job *&job);
     void setWaiting(Job &job, Task &task);
@@ -347,7 +358,8 @@
     bool isLate(const Job &job, Millis now) const;
     static bool isRefusable(const Job &job);
     bool isUnservable(const Job &job, Millis now) const;
-    bool placeTasks(Job &job, Millis now);
+    void placeTasks(Job &job, SchedulingPass &pass, Millis now);
+    std::optional<Shortage> placeStep(Job &job, std::uint32_t step, const Queue &queue, SchedulingPass &pass, Millis now);
     bool isStepReady(const Job &job, std::size_t step) const;
     void place(Job &job, const TaskId &id, Target &target, Millis now);
     void acknowledge(Target &target);
@@ -374,6 +386,8 @@
     /// Tasks in phase Lost with the time of the loss; may contain tasks that have left the phase.
     std::vector<std::pair<Millis, TaskId>> lostTasks_;
     Targets targets_;
+    /// Incremented when a target or the configuration has changed.
+    std::uint64_t targetsVersion_ = 1;
     CrashHistory crashes_;
     CrashContainment containment_;
     /// By service, if it has contained queues.
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -40,6 +40,10 @@
     double slowness_ = 1;
     /// Moving average of failed runs, from 0 to 1.
     double failureRate_ = 0;
+    /// Jobs that could run here but found too little free capacity, in the current scheduling pass, and the latest of them. With
+    /// maxMisses of them the target is closed: its capacity is left to accumulate for them.
+    std::uint32_t misses_ = 0;
+    std::uint64_t missedJob_ = 0;
 };
 
 /// Targets by agent name.
@@ -71,11 +75,39 @@
     bool admissionControl_ = false;
 };
 
+/// Why a task found no target.
+enum class Shortage : std::uint8_t {
+    /// Targets that could take it are busy and still open.
+    Busy,
+    /// All targets that could take it are closed or cannot take anything now. The same holds for tasks that need as much, until
+    /// the end of the pass.
+    Closed,
+    /// No target can take it until what is known of the targets, or the configuration, has changed.
+    NoMatch,
+};
+
 /// Chooses the target with the largest share of free CPU, less penalties for slow or failing targets and for targets
 /// away from the data. Meant for a cell that is loaded to about half of its capacity or more.
 /// @return null when no target can take the task now
 Target *chooseTarget(Targets &targets, const Placement &placement, Millis now);
 
+/// Needs for which no target is left in a scheduling pass, and why. A task that needs as much or more finds none either, since targets
+/// only fill up and close during a pass.
+using ExhaustedNeeds = std::vector<std::pair<Resources, Shortage>>;
+
+/// Begins a scheduling pass: opens all targets.
+void openTargets(Targets &targets);
+
+/// Begins the jobs of the next priority within a pass. Closed targets stay closed, since jobs of lower urgency must not overtake.
+void forgetFewMisses(Targets &targets);
+
+/// Counts a job that found no target at those that it could run on, at most once each.
+/// @param job number of the job
+Shortage recordMiss(Targets &targets, const Placement &placement, std::uint64_t job, Millis now);
+
+/// Whether any target could take a start in this pass, given enough capacity.
+bool isAnyOpen(const Targets &targets, Millis now);
+
 /// Updates the statistics of a target after a run that ended as done or failed.
 /// @param ratio run time over expected run time; ignored for failed runs
 void recordRun(Target &target, bool failed, double ratio);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -46,6 +46,7 @@
 {
     config_ = config;
     domainsOut_ = domainsOut;
+    ++targetsVersion_;
 }
 
 const Queue *Dispatcher::queueOf(const Job &job) const
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -8,11 +8,21 @@
 
 namespace {
 
-// Consecutive jobs that could not be placed, after which the rest is assumed not to fit either.
-constexpr int maxMisses = 4;
 // Run numbers per epoch. Epochs are store revisions, and the product stays below 2^53.
 constexpr std::uint64_t runsPerEpoch = 1U << 20U;
 
+// Why a task with a need finds no target, if that is known: one that needs no more has found none.
+std::optional<Shortage> findShortage(const ExhaustedNeeds &exhausted, const Resources &need)
+{
+    std::optional<Shortage> shortage;
+    for (const auto &[exhaustedNeed, why] : exhausted) {
+        if (fits(exhaustedNeed, need) && shortage != Shortage::NoMatch) {
+            shortage = why;
+        }
+    }
+    return shortage;
+}
+
 } // namespace
 
 bool Dispatcher::isStepReady(const Job &job, std::size_t step) const
@@ -30,18 +40,16 @@
 {
     addReturnedJobs(now);
     updateContainment(now);
+    openTargets(targets_);
+    SchedulingPass pass;
     std::uint32_t priority = 0;
-    int misses = 0;
-    int containedMisses = 0;
     for (auto next = ready_.begin(); next != ready_.end();) {
         Job &job = *(next++)->second;
         if (job.priority_ != priority) {
             priority = job.priority_;
-            // Jobs of lower urgency must not overtake waiting ones.
-            misses = misses < maxMisses ? 0 : misses;
+            forgetFewMisses(targets_);
         }
-        const bool contained = isContained(job, now);
-        if (!job.late_ && (isLate(job, now) || (contained && job.suspect_))) {
+        if (!job.late_ && (isLate(job, now) || (job.suspect_ && isContained(job, now)))) {
             // Visited again later in this loop, after the jobs of its priority that can still meet their objective.
             ready_.erase(keyOf(job));
             job.late_ = true;
@@ -51,11 +59,11 @@
             }
             continue;
         }
-        int &missed = contained ? containedMisses : misses;
-        if (missed < maxMisses && !isUnservable(job, now) && !placeTasks(job, now)) {
-            ++missed;
+        if (job.unmatchedIn_ == targetsVersion_ || isUnservable(job, now)) {
+            continue;
         }
-        if (misses == maxMisses && (containedPools_.empty() || containedMisses == maxMisses)) {
+        placeTasks(job, pass, now);
+        if (std::exchange(pass.closed_, false) && !isAnyOpen(targets_, now)) {
             return;
         }
     }
@@ -71,60 +79,76 @@
     return found->second.runs_.empty() && !found->second.unlistedResults_ && (info.id_.empty() || info.draining_ || !info.responsive_);
 }
 
-// Places as many tasks as possible. Returns false when a task that is ready found no target.
-bool Dispatcher::placeTasks(Job &job, Millis now)
+// Places as many tasks as possible.
+void Dispatcher::placeTasks(Job &job, SchedulingPass &pass, Millis now)
 {
     const Queue *queue = queueOf(job);
     if (queue == nullptr) {
-        return true;
+        return;
+    }
+    bool unmatched = true;
+    for (std::uint32_t step = 0; step < job.offsets_.size() && job.waiting_ > 0; ++step) {
+        if (job.openInStep_[step] > 0) {
+            const bool isMismatch = isStepReady(job, step) && placeStep(job, step, *queue, pass, now) == Shortage::NoMatch;
+            unmatched = unmatched && isMismatch;
+        }
+    }
+    if (unmatched) {
+        job.unmatchedIn_ = targetsVersion_;
+    }
+}
+
+// Places tasks of a step until one finds no target. Returns why it found none, or nothing if all were placed or have to wait for another
+// reason than a target.
+std::optional<Shortage> Dispatcher::placeStep(Job &job, std::uint32_t step, const Queue &queue, SchedulingPass &pass, Millis now)
+{
+    const auto control = config_.admissionControl_.find(queue.service_);
+    const Step &stepSpec = job.record_.spec_.steps_[step];
+    const bool contained = isContained(job, now);
+    // Whether other tasks with these needs can use the same targets only.
+    const bool isOrdinary = stepSpec.maxPerTarget_ == 0 && !job.suspect_;
+    ExhaustedNeeds &exhausted = pass.exhausted_[{queue.service_, stepSpec.requiredLabel_, contained}];
+    if (const auto shortage = isOrdinary ? findShortage(exhausted, stepSpec.need_) : std::nullopt) {
+        return shortage;
+    }
+    std::map<std::string, std::uint32_t> onAgent;
+    for (std::uint32_t i = 0; i < stepSpec.count_ && stepSpec.maxPerTarget_ > 0; ++i) {
+        const Task &task = job.tasks_[job.offsets_[step] + i];
+        if (task.phase_ == Phase::Placed) {
+            ++onAgent[task.agent_];
+        }
     }
-    const auto control = config_.admissionControl_.find(queue->service_);
-    const bool admissionControl = control != config_.admissionControl_.end() && control->second;
-    for (std::uint32_t step = 0; step < job.offsets_.size(); ++step) {
-        if (job.openInStep_[step] == 0 || !isStepReady(job, step)) {
+    Placement placement{stepSpec, queue.service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
+    placement.contained_ = contained;
+    placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
+    for (std::uint32_t i = 0; i < stepSpec.count_; ++i) {
+        const TaskId task{job.id_, step, i};
+        if (job.tasks_[job.offsets_[step] + i].phase_ != Phase::Waiting || awaitsStoredCrash(job, task)) {
             continue;
         }
-        const Step &stepSpec = job.record_.spec_.steps_[step];
-        std::map<std::string, std::uint32_t> onAgent;
-        for (std::uint32_t i = 0; i < stepSpec.count_ && stepSpec.maxPerTarget_ > 0; ++i) {
-            const Task &task = job.tasks_[job.offsets_[step] + i];
-            if (task.phase_ == Phase::Placed) {
-                ++onAgent[task.agent_];
-            }
+        const bool suspect = crashes_.isSuspect(task);
+        placement.jobsAtOnce_ = suspect || !placement.contained_ ? 1 : containment_.jobsAtOnce(queue.name_);
+        placement.suspects_ = suspect || placement.jobsAtOnce_ > 1 ? &crashes_ : nullptr;
+        Target *target = chooseTarget(targets_, placement, now);
+        if (target == nullptr && suspect) {
+            // Other tasks may still find a target.
+            continue;
         }
-        for (std::uint32_t i = 0; i < stepSpec.count_; ++i) {
-            const Task &task = job.tasks_[job.offsets_[step] + i];
-            if (task.phase_ != Phase::Waiting) {
-                continue;
-            }
-            const TaskId id{job.id_, step, i};
-            if (awaitsStoredCrash(job, id)) {
-                continue;
-            }
-            Placement placement{stepSpec, queue->service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
-            placement.contained_ = isContained(job, now);
-            placement.admissionControl_ = admissionControl;
-            const bool suspect = crashes_.isSuspect(id);
-            placement.jobsAtOnce_ = suspect || !placement.contained_ ? 1 : containment_.jobsAtOnce(queue->name_);
-            if (suspect || placement.jobsAtOnce_ > 1) {
-                placement.suspects_ = &crashes_;
-            }
-            Target *target = chooseTarget(targets_, placement, now);
-            if (target == nullptr && suspect) {
-                // Other tasks may still find a target.
-                continue;
-            }
-            if (target == nullptr) {
-                return false;
-            }
-            ++onAgent[target->agent_];
-            place(job, id, *target, now);
-            if (job.waiting_ == 0) {
-                return true;
+        if (target == nullptr) {
+            const Shortage shortage = recordMiss(targets_, placement, job.sequence_, now);
+            pass.closed_ = pass.closed_ || shortage != Shortage::Busy;
+            if (isOrdinary && shortage != Shortage::Busy) {
+                exhausted.emplace_back(stepSpec.need_, shortage);
             }
+            return shortage;
+        }
+        ++onAgent[target->agent_];
+        place(job, task, *target, now);
+        if (job.waiting_ == 0) {
+            return std::nullopt;
         }
     }
-    return true;
+    return std::nullopt;
 }
 
 void Dispatcher::place(Job &job, const TaskId &id, Target &target, Millis now)
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -49,6 +49,7 @@
         updateTarget(agent, unknown);
     }
     target.present_ = true;
+    ++targetsVersion_;
     target.unknownRuns_.clear();
     target.missingRuns_.clear();
     orphans_.removeRunsOf(agent);
@@ -168,6 +169,7 @@
         target.slowness_ = 1;
         target.failureRate_ = 0;
     }
+    ++targetsVersion_;
     const bool leaving = info.leaving_ || (target.info_.leaving_ && !restarted);
     target.info_ = info;
     target.info_.leaving_ = leaving;
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -22,6 +22,9 @@
 // Preference for a target that already runs the same job, more than the sum of all penalties.
 constexpr double sameJobWeight = 100;
 
+// Jobs that found too little free capacity on a target, after which it takes no start of jobs behind them.
+constexpr std::uint32_t maxMisses = 4;
+
 bool hasLabel(const TargetInfo &info, std::string_view label)
 {
     return std::find(info.labels_.begin(), info.labels_.end(), label) != info.labels_.end();
@@ -46,17 +49,25 @@
     return count;
 }
 
-bool canPlace(const Target &target, const Placement &placement, Millis now)
+// Whether a target is in use and of the kind that a task needs, and large enough. Changes only with what is known of the target.
+bool matches(const Target &target, const Placement &placement)
 {
     const TargetInfo &info = target.info_;
-    if (!target.present_ || target.unlistedResults_ || info.draining_ || !info.responsive_ || info.service_ != placement.service_
-        || now < target.pausedUntil_) {
-        return false;
-    }
-    if (placement.domainsOut_.count(info.failureDomain_) != 0 || !fits(placement.step_.need_, info.capacity_ - target.allocated_)) {
-        return false;
-    }
-    if (!placement.step_.requiredLabel_.empty() && !hasLabel(info, placement.step_.requiredLabel_)) {
+    const std::string &label = placement.step_.requiredLabel_;
+    return target.present_ && info.responsive_ && !info.draining_ && placement.domainsOut_.count(info.failureDomain_) == 0
+        && info.service_ == placement.service_ && (label.empty() || hasLabel(info, label)) && fits(placement.step_.need_, info.capacity_);
+}
+
+// Whether a target that matches can take starts now.
+bool isOpen(const Target &target, Millis now)
+{
+    return !target.unlistedResults_ && now >= target.pausedUntil_ && target.misses_ < maxMisses;
+}
+
+// Whether a target can take a task, given enough capacity.
+bool isCandidate(const Target &target, const Placement &placement, Millis now)
+{
+    if (!isOpen(target, now) || !matches(target, placement)) {
         return false;
     }
     if (!placement.admissionControl_ && !target.unknownRuns_.empty()) {
@@ -99,7 +110,7 @@
     Target *best = nullptr;
     double bestScore = 0;
     for (auto &[agent, target] : targets) {
-        if (!canPlace(target, placement, now)) {
+        if (!fits(placement.step_.need_, target.info_.capacity_ - target.allocated_) || !isCandidate(target, placement, now)) {
             continue;
         }
         const double candidate = score(target, placement);
@@ -111,6 +122,51 @@
     return best;
 }
 
+void openTargets(Targets &targets)
+{
+    for (auto &[agent, target] : targets) {
+        target.misses_ = 0;
+        target.missedJob_ = 0;
+    }
+}
+
+void forgetFewMisses(Targets &targets)
+{
+    for (auto &[agent, target] : targets) {
+        target.misses_ = target.misses_ < maxMisses ? 0 : target.misses_;
+    }
+}
+
+Shortage recordMiss(Targets &targets, const Placement &placement, std::uint64_t job, Millis now)
+{
+    bool matched = false;
+    bool open = false;
+    for (auto &[agent, target] : targets) {
+        const bool match = matches(target, placement);
+        matched = matched || match;
+        // The limit of jobs at once on contained targets counts as a lack of capacity.
+        const bool candidate
+            = placement.contained_ ? match && target.contained_ && isOpen(target, now) : isCandidate(target, placement, now);
+        if (!candidate) {
+            continue;
+        }
+        if (target.missedJob_ != job) {
+            target.missedJob_ = job;
+            ++target.misses_;
+        }
+        open = open || target.misses_ < maxMisses;
+    }
+    return open ? Shortage::Busy : matched ? Shortage::Closed : Shortage::NoMatch;
+}
+
+bool isAnyOpen(const Targets &targets, Millis now)
+{
+    return std::any_of(targets.begin(), targets.end(), [now](const auto &each) {
+        const Target &target = each.second;
+        return target.present_ && target.info_.responsive_ && !target.info_.draining_ && isOpen(target, now);
+    });
+}
+
 void recordRun(Target &target, bool failed, double ratio)
 {
     target.failureRate_ += latestRunWeight * ((failed ? 1.0 : 0.0) - target.failureRate_);
