--- a/src/ibiswall/cell/cbor.cpp
+++ b/src/ibiswall/cell/cbor.cpp
@@ -1,8 +1,10 @@
-// Builds a JSON value from the events of the CBOR decoder, and stops it at a bounded depth.
+// Checks the structure of CBOR without recursion, so that the decoder, which calls itself for each level, can be called safely.
 
 #include <ibiswall/cell/cbor.hpp>
 
+#include <optional>
 #include <stdexcept>
+#include <vector>
 
 namespace ibiswall::cell {
 
@@ -13,130 +15,137 @@
 // Frames and records of the cell have fewer than 10 levels.
 constexpr std::size_t maxDepth = 32;
 
-class Builder : public nlohmann::json_sax<Json>
-{
-public:
-    Json takeRoot()
-    {
-        return std::move(root_);
-    }
-
-    const std::string &error() const
-    {
-        return error_;
-    }
-
-    bool null() override
-    {
-        return add(nullptr) != nullptr;
-    }
-
-    bool boolean(bool value) override
-    {
-        return add(value) != nullptr;
-    }
-
-    bool number_integer(number_integer_t value) override
-    {
-        return add(value) != nullptr;
-    }
-
-    bool number_unsigned(number_unsigned_t value) override
-    {
-        return add(value) != nullptr;
-    }
-
-    bool number_float(number_float_t value, const string_t & /*text*/) override
-    {
-        return add(value) != nullptr;
-    }
-
-    bool string(string_t &value) override
-    {
-        return add(std::move(value)) != nullptr;
-    }
+// Major types of CBOR (RFC 8949).
+enum MajorType : std::uint8_t { Unsigned, Negative, Bytes, Text, Array, Map, Tag, Other };
 
-    bool binary(binary_t &value) override
-    {
-        return add(std::move(value)) != nullptr;
-    }
+// A container that is not complete yet.
+struct Container
+{
+    // Items that are left; unused if it ends with a break.
+    std::uint64_t left_ = 0;
+    bool indefinite_ = false;
+};
 
-    bool start_object(std::size_t /*elements*/) override
+// Passes over one value.
+class Scanner
+{
+public:
+    explicit Scanner(std::string_view bytes)
+        : bytes_(bytes)
     {
-        return open(Json::object());
     }
 
-    bool key(string_t &value) override
+    // Returns what is wrong, or an empty string.
+    const char *scan()
     {
-        key_ = std::move(value);
-        return true;
+        do {
+            if (const char *error = scanItem(); error[0] != '\0') {
+                return error;
+            }
+            while (!open_.empty() && !open_.back().indefinite_ && open_.back().left_ == 0) {
+                open_.pop_back();
+            }
+        } while (!open_.empty());
+        return at_ == bytes_.size() ? "" : "bytes after the value";
     }
 
-    bool end_object() override
-    {
-        open_.pop_back();
-        return true;
-    }
+private:
+    static constexpr std::uint8_t indefinite = 31;
+    static constexpr std::uint8_t breakByte = 0xff;
 
-    bool start_array(std::size_t /*elements*/) override
+    const char *scanItem()
     {
-        return open(Json::array());
+        if (at_ == bytes_.size()) {
+            return "unexpected end";
+        }
+        const auto head = static_cast<std::uint8_t>(bytes_[at_++]);
+        if (head == breakByte) {
+            if (open_.empty() || !open_.back().indefinite_) {
+                return "unexpected break";
+            }
+            open_.pop_back();
+            return "";
+        }
+        if (!open_.empty() && !open_.back().indefinite_) {
+            --open_.back().left_;
+        }
+        const auto type = static_cast<MajorType>(head >> 5U);
+        const std::uint8_t info = head & 31U;
+        if (info == indefinite) {
+            // The decoder calls itself for each chunk of a string of indefinite length, and such strings are not used here.
+            return type == Array || type == Map ? open({0, true}) : "string of indefinite length";
+        }
+        const std::optional<std::uint64_t> argument = readArgument(info);
+        if (!argument) {
+            return "unexpected end";
+        }
+        switch (type) {
+        case Bytes:
+        case Text:
+            return skip(*argument);
+        case Array:
+            return open({*argument, false});
+        case Map:
+            return *argument > bytes_.size() ? "unexpected end" : open({*argument * 2, false});
+        default:
+            return "";
+        }
     }
 
-    bool end_array() override
+    const char *open(Container container)
     {
-        open_.pop_back();
-        return true;
+        if (open_.size() == maxDepth) {
+            return "nested too deeply";
+        }
+        open_.push_back(container);
+        return "";
     }
 
-    bool parse_error(std::size_t /*position*/, const std::string & /*token*/, const nlohmann::detail::exception &error) override
+    const char *skip(std::uint64_t length)
     {
-        error_ = error.what();
-        return false;
+        if (length > bytes_.size() - at_) {
+            return "unexpected end";
+        }
+        at_ += length;
+        return "";
     }
 
-private:
-    Json *add(Json value)
+    // Reads the number that belongs to the head of an item.
+    std::optional<std::uint64_t> readArgument(std::uint8_t info)
     {
-        if (open_.empty()) {
-            root_ = std::move(value);
-            return &root_;
+        constexpr std::uint8_t oneByte = 24;
+        if (info < oneByte) {
+            return info;
         }
-        Json &parent = *open_.back();
-        if (parent.is_array()) {
-            parent.push_back(std::move(value));
-            return &parent.back();
+        const std::size_t size = std::size_t{1} << (info - oneByte);
+        constexpr std::size_t largest = 8;
+        if (size > largest || size > bytes_.size() - at_) {
+            return std::nullopt;
         }
-        return &(parent[key_] = std::move(value));
-    }
-
-    bool open(Json container)
-    {
-        if (open_.size() == maxDepth) {
-            error_ = "nested more than " + std::to_string(maxDepth) + " levels deep";
-            return false;
+        std::uint64_t value = 0;
+        for (std::size_t i = 0; i < size; ++i) {
+            value = value << 8U | static_cast<std::uint8_t>(bytes_[at_++]);
         }
-        open_.push_back(add(std::move(container)));
-        return true;
+        return value;
     }
 
-    Json root_;
-    /// Containers that are not complete yet, outermost first. Only the last one grows, so the pointers stay valid.
-    std::vector<Json *> open_;
-    /// Key of the next value in the innermost object.
-    std::string key_;
-    std::string error_;
+    std::string_view bytes_;
+    std::size_t at_ = 0;
+    std::vector<Container> open_;
 };
 
 } // namespace
 
 nlohmann::json parseCbor(std::string_view bytes)
 {
-    Builder builder;
-    if (!Json::sax_parse(bytes.begin(), bytes.end(), &builder, Json::input_format_t::cbor)) {
-        throw std::out_of_range(builder.error());
+    if (const char *error = Scanner(bytes).scan(); error[0] != '\0') {
+        throw std::out_of_range(error);
+    }
+    try {
+        return Json::from_cbor(bytes);
+    } catch (const Json::exception &error) {
+        throw std::out_of_range(error.what());
     }
-    return builder.takeRoot();
 }
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/malformed_test.cpp
+++ b/src/ibiswall/cell/malformed_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
+#include <ibiswall/cell/cbor.hpp>
 #include <ibiswall/cell/dispatcher.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -112,6 +113,59 @@
     BOOST_TEST(parseRecord(std::string(levels, arrayOfOne)).has_error());
 }
 
+// One such item in the registry or among the jobs ended every entry that read it, again after each restart.
+BOOST_AUTO_TEST_CASE(nested_strings_of_indefinite_length_are_corrupt)
+{
+    constexpr std::size_t levels = 4U << 20U;
+    for (const char head : {'\x7f', '\x5f'}) {
+        BOOST_TEST(parseRecord(std::string(levels, head)).has_error());
+        BOOST_CHECK_THROW(parseCbor("\x81" + std::string(levels, head)), std::out_of_range);
+        BOOST_CHECK_THROW(parseCbor("\xa1" + std::string(levels, head)), std::out_of_range);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(cbor_with_a_wrong_structure_is_rejected)
+{
+    const std::vector<std::string> malformed{"",
+                                             "\xff",
+                                             "\x82\x01",
+                                             "\x01\x01",
+                                             "\x9f\x01",
+                                             "\xa1\x61",
+                                             "\x62x",
+                                             "\x1c",
+                                             "\x1b\x01",
+                                             "\x5b\xff\xff\xff\xff\xff\xff\xff\xff",
+                                             "\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
+                                             "\xbb\x80" + std::string(7, '\0'),
+                                             "\xc1\x01",
+                                             std::string(40, '\x9f') + std::string(40, '\xff')};
+    for (const std::string &bytes : malformed) {
+        BOOST_CHECK_THROW(parseCbor(bytes), std::out_of_range);
+    }
+    BOOST_TEST(parseCbor("\x9f\x01\x02\xff").size() == 2U);
+    BOOST_TEST(parseCbor(toBytes({{"a", {1, -2, 2.5, nullptr, true, "x"}}})).at("a").size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(mutated_bytes_are_decoded_or_rejected)
+{
+    const std::string valid = formatRecord(twoStepRecord());
+    for (unsigned seed = firstSeed(); seed < firstSeed() + scenarioCount(); ++seed) {
+        std::minstd_rand random(seed);
+        std::string bytes = mutate(valid, random);
+        constexpr std::string_view heads = "\x7f\x5f\x9f\xbf\xff\x81\xa1\xc0";
+        for (std::size_t i = 0; i < 3 && !bytes.empty(); ++i) {
+            bytes.insert(random() % bytes.size(), 1 + random() % 64, heads[random() % heads.size()]);
+        }
+        try {
+            const Json json = parseCbor(bytes);
+            BOOST_TEST(parseCbor(toBytes(json)) == json);
+        } catch (const std::out_of_range &) {
+            continue;
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(mutated_records_do_not_harm_the_dispatcher)
 {
     const std::string valid = formatRecord(twoStepRecord());
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -21,6 +21,8 @@
 // Wait before an agent connects to a new leader, and the time over which the agents are spread after it.
 constexpr Millis leaderLinkDelay{1000};
 constexpr Millis leaderLinkSpread{2000};
+// A target that claims to have started later than this from now is not one: clocks differ by less.
+constexpr Millis maxClockError{24 * 3600 * 1000};
 // Time reserved at the end of the grace period.
 constexpr Millis stopReserve{500};
 
@@ -122,7 +124,9 @@
     }
     const bool stale = announcement.info_.targetIncarnation_ < lastIncarnation_
         || (announcement.info_.targetIncarnation_ == lastIncarnation_ && announcement.sequence_ <= lastSequence_);
-    if (stale || announcement.address_ != format(settings_.callsAddress_)) {
+    // Otherwise all later announcements of the target would count as outdated.
+    const bool fromFuture = announcement.info_.targetIncarnation_ > wallClock().count_ + maxClockError.count_;
+    if (stale || fromFuture || announcement.address_ != format(settings_.callsAddress_)) {
         logEvent("target.ignored",
                  {{"target", std::string_view(announcement.info_.id_)},
                   {"born", announcement.info_.targetIncarnation_},
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -168,12 +168,17 @@
 }
 
 void Cell::putKey(const std::string &key, const Json &value)
+{
+    putBytes(key, value.dump());
+}
+
+void Cell::putBytes(const std::string &key, const std::string &value)
 {
     const auto existing = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
     const bool exists = existing && existing.value().status_ == 200;
     const std::int64_t revision = exists ? Json::parse(existing.value().body_).at("rev").get<std::int64_t>() : 0;
     const Json body = {{"expected", Json::array({Json::object({{"key", key}, {"rev", revision}})})},
-                       {"writes", Json::array({Json::object({{"key", key}, {"value", toBase64(value.dump())}, {"lease", 0}})})},
+                       {"writes", Json::array({Json::object({{"key", key}, {"value", toBase64(value)}, {"lease", 0}})})},
                        {"deletes", Json::array()}};
     postToStore("/kv-txn", body);
 }
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -82,6 +82,7 @@
 
     /// Writes a key of the store, as an operator does.
     void putKey(const std::string &key, const nlohmann::json &value);
+    void putBytes(const std::string &key, const std::string &value);
     void deleteKey(const std::string &key);
     bool hasKey(const std::string &key) const;
 
