--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -22,7 +22,7 @@
 constexpr Millis leaderLinkDelay{1000};
 constexpr Millis leaderLinkSpread{2000};
 // A target that claims to have started later than this from now is not one: clocks differ by less.
-constexpr Millis maxClockError{24 * 3600 * 1000};
+constexpr Millis maxClockError{24LL * 3600 * 1000};
 // Time reserved at the end of the grace period.
 constexpr Millis stopReserve{500};
 
