Keep the candidates of the succession instead of collecting them for each lease

The leader asked for them with each ping and dispatch. Misses look at closed targets only briefly. No change of behaviour.

--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -139,14 +139,14 @@
 
 Shortage recordMiss(Targets &targets, const Placement &placement, std::uint64_t job, Millis now)
 {
-    bool matched = false;
     bool open = false;
     for (auto &[agent, target] : targets) {
-        const bool match = matches(target, placement);
-        matched = matched || match;
+        if (!isOpen(target, now)) {
+            continue;
+        }
         // The limit of jobs at once on contained targets counts as a lack of capacity.
         const bool candidate
-            = placement.contained_ ? match && target.contained_ && isOpen(target, now) : isCandidate(target, placement, now);
+            = placement.contained_ ? target.contained_ && matches(target, placement) : isCandidate(target, placement, now);
         if (!candidate) {
             continue;
         }
@@ -156,7 +156,12 @@
         }
         open = open || target.misses_ < maxMisses;
     }
-    return open ? Shortage::Busy : matched ? Shortage::Closed : Shortage::NoMatch;
+    if (open) {
+        return Shortage::Busy;
+    }
+    const bool matched
+        = std::any_of(targets.begin(), targets.end(), [&placement](const auto &each) { return matches(each.second, placement); });
+    return matched ? Shortage::Closed : Shortage::NoMatch;
 }
 
 bool isAnyOpen(const Targets &targets, Millis now)
--- a/src/ibiswall/node/succession.cpp
+++ b/src/ibiswall/node/succession.cpp
@@ -69,27 +69,29 @@
 
 void Succession::onRegistryRead(const std::set<std::string> &others, Millis sentAt)
 {
-    registered_ = others;
+    candidates_ = others;
     registryReadAt_ = sentAt;
     for (auto each = contactedAt_.begin(); each != contactedAt_.end();) {
         // An entry that has been contacted since may have registered after the state that was read.
         const bool mayRegister = sentAt <= each->second + settings_.maxReadAge_;
         each = others.count(each->first) == 0 && !mayRegister ? contactedAt_.erase(each) : std::next(each);
     }
+    for (const auto &[name, at] : contactedAt_) {
+        candidates_.insert(name);
+    }
 }
 
 void Succession::onHeartbeatSent(const std::string &entry, Millis now)
 {
-    contactedAt_[entry] = now;
+    const auto [contacted, added] = contactedAt_.insert_or_assign(entry, now);
+    if (added) {
+        candidates_.insert(entry);
+    }
 }
 
-std::set<std::string> Succession::candidates() const
+const std::set<std::string> &Succession::candidates() const
 {
-    std::set<std::string> names = registered_;
-    for (const auto &[name, at] : contactedAt_) {
-        names.insert(name);
-    }
-    return names;
+    return candidates_;
 }
 
 Millis Succession::registryValidUntil() const
--- a/src/ibiswall/node/succession.hpp
+++ b/src/ibiswall/node/succession.hpp
@@ -62,7 +62,7 @@
     void onHeartbeatSent(const std::string &entry, Millis now);
 
     /// At the leader: the entries that could succeed it before registryValidUntil(), unless their hold-off keeps them from it.
-    std::set<std::string> candidates() const;
+    const std::set<std::string> &candidates() const;
 
     /// Until when no entry but the candidates can become the leader. 0 before the first read of the registry.
     Millis registryValidUntil() const;
@@ -79,7 +79,8 @@
     std::int64_t leaderIncarnation_ = 0;
     /// Latest incarnation seen of each process.
     std::map<std::string, std::int64_t> incarnations_;
-    std::set<std::string> registered_;
+    /// The registered entries and those in contactedAt_.
+    std::set<std::string> candidates_;
     /// 0 before the first read.
     Millis registryReadAt_;
     /// When a heartbeat was last sent to each entry. Entries that are not registered for long are left out.
