--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -145,8 +145,7 @@
             continue;
         }
         // The limit of jobs at once on contained targets counts as a lack of capacity.
-        const bool candidate
-            = placement.contained_ ? target.contained_ && matches(target, placement) : isCandidate(target, placement, now);
+        const bool candidate = placement.contained_ ? target.contained_ && matches(target, placement) : isCandidate(target, placement, now);
         if (!candidate) {
             continue;
         }
