review: case 6, a task runs twice when a zone with the leader is cut off

The case cuts the zone of the leader from the store and from the other zones for 5 s. Callers of best_effort jobs whose deadline passes send them again after resend_ms, as PROTOCOL.md says. The new leader takes these offers for jobs that nobody has started, and starts their tasks while the runs under the former leader go on in the zone that is cut off: TWICE.

--- /dev/null
+++ b/review/parts-2/worker.hpp
@@ -0,0 +1,75 @@
+// Stand-in for a worker of the users' platform: runs tasks under a lease, lists runs and ends, and sends heartbeats.
+
+#pragma once
+
+#include "http.hpp"
+#include "record.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace review {
+
+struct WorkerSettings
+{
+    std::string id_;
+    std::string zone_;
+    std::vector<std::string> labels_;
+    std::int64_t cpu_ = 8000;
+    /// Port of the agent's announcements.
+    std::uint16_t control_ = 0;
+    /// Speed of the worker's clock; it may be 2% slow.
+    double clockSpeed_ = 1;
+};
+
+class Worker
+{
+public:
+    Worker(WorkerSettings settings, Record &record);
+
+    std::uint16_t port() const;
+
+    /// While it is above 0, orders get no answer and are carried out this many milliseconds after their arrival.
+    void delayOrders(std::int64_t millis);
+
+private:
+    struct Run
+    {
+        std::uint64_t number_ = 0;
+        std::int64_t cpu_ = 0;
+        /// On the worker's clock.
+        std::int64_t endsAt_ = 0;
+    };
+
+    std::optional<Reply> handle(const Request &request);
+    std::optional<Reply> execute(const Request &request, bool mayWait);
+    Reply start(const nlohmann::json &body);
+    Reply stop(const nlohmann::json &body);
+    Reply hold(const nlohmann::json &body, std::unique_lock<std::mutex> &lock, bool mayWait);
+    Reply reject(const char *reason) const;
+    Reply accept() const;
+    void extendLease(const nlohmann::json &body);
+    void end(const std::string &task, const std::string &how);
+    void tick();
+    void sendHeartbeats();
+    std::int64_t clock() const;
+
+    WorkerSettings settings_;
+    Record &record_;
+    std::int64_t startedAt_ = 0;
+    std::int64_t born_ = 0;
+    std::uint16_t port_ = 0;
+    std::atomic<std::int64_t> orderDelay_{0};
+    mutable std::mutex mutex_;
+    std::condition_variable ended_;
+    std::uint64_t highestFence_ = 0;
+    std::int64_t leaseUntil_ = 0;
+    std::map<std::string, Run> running_;
+    std::map<std::string, std::uint64_t> lastEnded_;
+    std::vector<nlohmann::json> ends_;
+    std::uint64_t lastNumber_ = 0;
+};
+
+} // namespace review
