review: case 7, a late start of an idle worker runs beside its successor

The agent computes lease ends on the worker's clock from the last reply to a renewal. Workers without runs get no renewals, so with a clock that is 2% slow the deadline of a start after 80 s idle lies 1.6 s too far in the future. A start that is carried out 2.3 s late is accepted after the task was started elsewhere: TWICE.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Idle workers with slow clocks get a job; one carries out its orders late. Exits with 1 if a task runs twice at a time.
+cd "$(dirname "$0")/../.." || exit 2
+exec build-review-2/lateorder review/7/record.txt
--- a/review/parts-2/worker.cpp
+++ b/review/parts-2/worker.cpp
@@ -42,6 +42,16 @@
     return port_;
 }
 
+int Worker::orders() const
+{
+    return orders_;
+}
+
+int Worker::unansweredOrders() const
+{
+    return unansweredOrders_;
+}
+
 void Worker::delayOrders(std::int64_t millis)
 {
     orderDelay_ = millis;
@@ -58,8 +68,10 @@
     if (expected != request.headers_.end() && expected->second != settings_.id_) {
         return Reply{421, "{}"};
     }
+    ++orders_;
     const std::int64_t delay = orderDelay_;
     if (delay > 0) {
+        ++unansweredOrders_;
         record_.line(settings_.id_ + " leaves unanswered " + request.path_ + " " + request.body_);
         std::thread([this, request, delay] {
             std::this_thread::sleep_for(std::chrono::milliseconds(delay));
--- a/review/parts-2/worker.hpp
+++ b/review/parts-2/worker.hpp
@@ -31,6 +31,10 @@
 
     std::uint16_t port() const;
 
+    /// Orders that have arrived, and those of them that were left unanswered.
+    int orders() const;
+    int unansweredOrders() const;
+
     /// While it is above 0, orders get no answer and are carried out this many milliseconds after their arrival.
     void delayOrders(std::int64_t millis);
 
@@ -62,6 +66,8 @@
     std::int64_t born_ = 0;
     std::uint16_t port_ = 0;
     std::atomic<std::int64_t> orderDelay_{0};
+    std::atomic<int> orders_{0};
+    std::atomic<int> unansweredOrders_{0};
     mutable std::mutex mutex_;
     std::condition_variable ended_;
     std::uint64_t highestFence_ = 0;
