--- a/review/parts-2/store.cpp
+++ b/review/parts-2/store.cpp
@@ -118,8 +118,11 @@
         return Reply{412, Json({{"items", std::move(current)}, {"at", revision_}}).dump()};
     }
     apply(transaction);
-    if (loseWriteAnswers_) {
-        return std::nullopt;
+    for (const Json &write : transaction.at("writes")) {
+        if (!lostWrite_.empty() && write.at("key").get<std::string>().find(lostWrite_) != std::string::npos) {
+            lostWrite_.clear();
+            return std::nullopt;
+        }
     }
     return Reply{200, Json({{"rev", revision_}}).dump()};
 }
@@ -150,10 +153,10 @@
     apply({{"writes", Json::array({Json({{"key", key}, {"value", toBase64(value)}})})}, {"deletes", Json::array()}});
 }
 
-void Store::loseWriteAnswers(bool lose)
+void Store::loseNextWriteAnswer(const std::string &text)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    loseWriteAnswers_ = lose;
+    lostWrite_ = text;
 }
 
 } // namespace review
--- a/review/parts-2/store.hpp
+++ b/review/parts-2/store.hpp
@@ -20,8 +20,8 @@
     /// Writes a key as the operator does.
     void put(const std::string &key, const std::string &value);
 
-    /// While set, writes are carried out and not answered.
-    void loseWriteAnswers(bool lose);
+    /// The next write of a key that contains the text is carried out and not answered.
+    void loseNextWriteAnswer(const std::string &text);
 
 private:
     struct Item
@@ -44,7 +44,8 @@
     /// Revision and event.
     std::deque<std::pair<std::int64_t, nlohmann::json>> events_;
     std::int64_t revision_ = 1;
-    bool loseWriteAnswers_ = false;
+    /// Empty for none.
+    std::string lostWrite_;
 };
 
 } // namespace review
