--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Idle workers with slow clocks get a job; one carries out its orders late. Exits with 1 if a task runs twice at a time.
+# An idle worker crashes and is back under its id; jobs come before its heartbeat. Exits with 1 if a task runs twice.
 cd "$(dirname "$0")/../.." || exit 2
-exec build-review-2/lateorder review/7/record.txt
+exec build-review-2/reborn review/7/record.txt
--- a/review/parts-2/deployment.cpp
+++ b/review/parts-2/deployment.cpp
@@ -237,6 +237,7 @@
     worker.labels_ = {"a", "r-" + std::to_string(zone)};
     worker.cpu_ = settings_.cpu_;
     worker.stopMillis_ = settings_.stopMillis_;
+    worker.replyMillis_ = settings_.replyMillis_;
     worker.control_ = control;
     worker.clockSpeed_ = zone == 0 ? settings_.clockSpeed_ : 1;
     agent.worker_ = std::make_unique<Worker>(worker, record_);
--- a/review/parts-2/deployment.hpp
+++ b/review/parts-2/deployment.hpp
@@ -22,6 +22,8 @@
     std::int64_t cpu_ = 8000;
     /// How long a worker takes to stop a task.
     std::int64_t stopMillis_ = 0;
+    /// How long the reply of a worker takes.
+    std::int64_t replyMillis_ = 0;
     /// Whether the zones are connected through proxies, so that they can be cut.
     bool separable_ = false;
 };
--- a/review/parts-2/reborn.cpp
+++ b/review/parts-2/reborn.cpp
@@ -15,7 +15,7 @@
 constexpr std::int64_t stopMillis = 45;
 constexpr int shortMillis = 60;
 constexpr int longMillis = 2000;
-constexpr int tasks = 4;
+constexpr int tasks = 14;
 constexpr int laterJobs = 20;
 constexpr std::int64_t laterMillis = 50;
 
@@ -29,7 +29,7 @@
 int run(review::Record &record)
 {
     review::DeploymentSettings settings;
-    settings.workersInZone_ = 2;
+    settings.workersInZone_ = 7;
     settings.stopMillis_ = stopMillis;
     // Room for all tasks at once.
     settings.cpu_ = 64000;
--- a/review/parts-2/worker.cpp
+++ b/review/parts-2/worker.cpp
@@ -126,7 +126,9 @@
         }).detach();
         return std::nullopt;
     }
-    return execute(request, true);
+    std::optional<Reply> reply = execute(request, true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(settings_.replyMillis_));
+    return reply;
 }
 
 std::optional<Reply> Worker::execute(const Request &request, bool mayWait)
--- a/review/parts-2/worker.hpp
+++ b/review/parts-2/worker.hpp
@@ -24,6 +24,8 @@
     double clockSpeed_ = 1;
     /// How long a stop takes; at most stop_ms, which is 50.
     std::int64_t stopMillis_ = 0;
+    /// How long a reply takes after an order was carried out.
+    std::int64_t replyMillis_ = 0;
 };
 
 class Worker
