--- a/review/parts-2/store.cpp
+++ b/review/parts-2/store.cpp
@@ -15,6 +15,8 @@
 // As on the sheets of the users' deployments.
 constexpr std::chrono::milliseconds latency(4);
 constexpr std::size_t maxPageItems = 500;
+constexpr std::size_t maxEvents = 2000;
+constexpr std::size_t maxPageBytes = 1000000;
 constexpr std::size_t maxEntries = 32;
 
 bool startsWith(const std::string &text, const std::string &prefix)
@@ -70,14 +72,15 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     Json items = Json::array();
     bool truncated = false;
-    for (const auto &[key, item] : items_) {
-        if (!startsWith(key, prefix) || (!after.empty() && key <= after)) {
-            continue;
-        }
-        if (items.size() == maxPageItems) {
+    std::size_t bytes = 0;
+    for (auto each = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after);
+         each != items_.end() && startsWith(each->first, prefix); ++each) {
+        const auto &[key, item] = *each;
+        if (items.size() == maxPageItems || bytes > maxPageBytes) {
             truncated = true;
             break;
         }
+        bytes += item.value_.size();
         items.push_back(format(key, item));
     }
     return {200, Json({{"items", std::move(items)}, {"truncated", truncated}, {"at", revision_}}).dump()};
@@ -144,6 +147,10 @@
             events_.emplace_back(revision_, Json({{"key", key}, {"rev", revision_}, {"deleted", true}}));
         }
     }
+    // As many as matter: a watch begins at a recent revision.
+    while (events_.size() > maxEvents) {
+        events_.pop_front();
+    }
     changed_.notify_all();
 }
 
