--- a/review/parts-2/store.cpp
+++ b/review/parts-2/store.cpp
@@ -101,7 +101,7 @@
     return {200, Json({{"events", std::move(events)}, {"at", revision_}}).dump()};
 }
 
-std::optional<Reply> Store::commit(const std::string &body)
+Reply Store::commit(const std::string &body)
 {
     const Json transaction = Json::parse(body, nullptr, false);
     if (!transaction.is_object()
@@ -121,12 +121,6 @@
         return Reply{412, Json({{"items", std::move(current)}, {"at", revision_}}).dump()};
     }
     apply(transaction);
-    for (const Json &write : transaction.at("writes")) {
-        if (!lostWrite_.empty() && write.at("key").get<std::string>().find(lostWrite_) != std::string::npos) {
-            lostWrite_.clear();
-            return std::nullopt;
-        }
-    }
     return Reply{200, Json({{"rev", revision_}}).dump()};
 }
 
@@ -160,10 +154,4 @@
     apply({{"writes", Json::array({Json({{"key", key}, {"value", toBase64(value)}})})}, {"deletes", Json::array()}});
 }
 
-void Store::loseNextWriteAnswer(const std::string &text)
-{
-    const std::lock_guard<std::mutex> lock(mutex_);
-    lostWrite_ = text;
-}
-
 } // namespace review
--- a/review/parts-2/store.hpp
+++ b/review/parts-2/store.hpp
@@ -20,9 +20,6 @@
     /// Writes a key as the operator does.
     void put(const std::string &key, const std::string &value);
 
-    /// The next write of a key that contains the text is carried out and not answered.
-    void loseNextWriteAnswer(const std::string &text);
-
 private:
     struct Item
     {
@@ -35,7 +32,7 @@
     Reply get(const std::string &key);
     Reply range(const std::string &prefix, const std::string &after);
     Reply watch(const std::string &prefix, std::int64_t after, std::int64_t waitMillis);
-    std::optional<Reply> commit(const std::string &body);
+    Reply commit(const std::string &body);
     void apply(const nlohmann::json &transaction);
 
     std::mutex mutex_;
@@ -44,8 +41,6 @@
     /// Revision and event.
     std::deque<std::pair<std::int64_t, nlohmann::json>> events_;
     std::int64_t revision_ = 1;
-    /// Empty for none.
-    std::string lostWrite_;
 };
 
 } // namespace review
