Keep runs that the new incarnation of a target has started

Cause: calls cannot name an incarnation, so a target that is back under its id takes starts that were meant for the former incarnation. When the agent learned of the restart, from a list or an announcement, it reported all runs as lost but those with an open call, also those that the new incarnation had confirmed. The dispatcher placed them again at once, and the agent stopped them as unknown runs of the new list up to 45 ms later. They also counted as runs under which the target had crashed.

Change: the supervisor records for each run up to which incarnation it can have been started: it was listed by that incarnation, or that incarnation answered a call that was sent after the start was confirmed. After a restart only runs of earlier incarnations are lost at once; the others are lost when a list that was requested after their confirmation lacks them, and only then does the crash count for them. That list is requested at once. The new incarnation grants the longest lease by its own clock, so the wait for a silent one is counted from the restart.

target_restart_loses_running_tasks expected the loss of a run that no list had shown.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -230,6 +230,12 @@
         Stopped,
     };
 
+    struct PossibleCrash
+    {
+        Millis at_;
+        bool suspected_ = false;
+    };
+
     struct LocalRun
     {
         std::uint64_t number_ = 0;
@@ -243,6 +249,11 @@
         Millis startSentAt_;
         /// Whether the target has confirmed the start, or listed the run as running.
         bool started_ = false;
+        /// Latest incarnation of the target that can have started it, 0 if a later one than the known one can have. A reply to a start
+        /// does not name the incarnation.
+        std::int64_t startedBy_ = 0;
+        /// The crash of an earlier incarnation that it may have been active on.
+        std::optional<PossibleCrash> crash_;
     };
 
     /// A result that the dispatcher has not acknowledged.
@@ -254,8 +265,10 @@
 
     void recordOutcome(const TargetCall &call, CallOutcome outcome, Millis now);
     void setResponsive(bool responsive);
+    bool beginCrash(Millis now);
     void recordCrash(Millis now);
-    void addCrash(const RunCrash &crash, Millis now);
+    void recordRestart(Millis now);
+    void addCrash(RunCrash crash, Millis at, Millis now);
     bool mayHaveCausedCrash(const LocalRun &run) const;
     void expireCrashes(Millis now);
     void reportTarget();
@@ -266,6 +279,8 @@
     void renew(Millis wait, Millis now);
     void sendStop(const TaskId &task, LocalRun &run, Millis now);
     void onTargetRestarted(std::int64_t incarnation, Millis now);
+    void dropRunsOfEarlierIncarnations();
+    void confirmIncarnation(const TargetCall &call);
     void markAllRunsLost();
     void recordResult(const RunResult &result);
     void setUnlistedResults(bool unlisted);
@@ -331,6 +346,8 @@
     std::uint32_t incrementalReports_ = 0;
     bool fullReportDue_ = false;
     bool reportRenewalSent_ = false;
+    /// The target has restarted, and its next list decides which runs are lost.
+    bool listDue_ = false;
     /// Whether a list of the target has been applied, so that runs_ has every run that may be active on it.
     bool listApplied_ = false;
     std::vector<TargetCall> calls_;
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -98,38 +98,7 @@
     tick(now);
 }
 
-// The target has restarted: no run of the earlier incarnation exists any more, and result numbers and clock start
-// again.
-void TargetSupervisor::onTargetRestarted(std::int64_t incarnation, Millis now)
-{
-    if (targetIncarnation_ != 0) {
-        recordCrash(now);
-    }
-    for (RunResult &result : report_.results_) {
-        // The report will be read as one of the new incarnation, whose numbers start again.
-        result.number_ = 0;
-    }
-    markAllRunsLost();
-    responsive_ = true;
-    departed_ = false;
-    refusedSince_ = {};
-    crashRecorded_ = false;
-    unexplainedLosses_.clear();
-    if (info_ && info_->targetIncarnation_ != incarnation) {
-        // The new incarnation has not announced itself yet.
-        info_.reset();
-        report_.info_.reset();
-    }
-    targetIncarnation_ = incarnation;
-    clock_.reset();
-    leaseUntil_ = {};
-    unacknowledgedResults_.clear();
-    highestResult_ = 0;
-    releasedThrough_ = 0;
-    setUnlistedResults(false);
-}
-
-// Marks all runs lost except those with a start in flight, which may have reached a new incarnation.
+// The lease of all runs has expired, but for those with a start in flight.
 void TargetSupervisor::markAllRunsLost()
 {
     for (auto each = runs_.begin(); each != runs_.end();) {
@@ -184,7 +153,10 @@
     if (call.leaseEnd_) {
         --leasesInFlight_;
         if (outcome != CallOutcome::NotSent) {
-            leaseUntil_ = {std::max(leaseUntil_.count_, call.leaseUntil_.count_)};
+            // Another incarnation grants the longest lease at most, by its own clock.
+            const bool restarted = call.targetIncarnation_ != targetIncarnation_;
+            const Millis until = restarted ? now + settings_.maxLease_ : call.leaseUntil_;
+            leaseUntil_ = {std::max(leaseUntil_.count_, until.count_)};
         }
     }
     if (outcome == CallOutcome::Unknown) {
@@ -229,7 +201,12 @@
         // No calls were due while nothing ran, so the time without contact says nothing about the target.
         lastContactAt_ = now;
     }
-    runs_[run.task_] = {run.number_, Phase::Starting, now, {}, true, ephemeral, now, false};
+    LocalRun &local = runs_[run.task_];
+    local.number_ = run.number_;
+    local.since_ = now;
+    local.calling_ = true;
+    local.ephemeral_ = ephemeral;
+    local.startSentAt_ = now;
     lastRunAt_ = now;
     TargetCall call = makeCall(TargetCall::Kind::Start, run, now);
     call.payload_ = payload;
@@ -372,6 +349,9 @@
         renew({}, now);
         return;
     }
+    if (std::exchange(listDue_, false)) {
+        renew({}, now);
+    }
     const bool lossy = responsive_ && isLossy(now);
     if (renewalsInFlight_ >= (lossy ? settings_.maxLossyRenewals_ : 1)) {
         return;
--- a/src/ibiswall/cell/targetsupervisor_test.cpp
+++ b/src/ibiswall/cell/targetsupervisor_test.cpp
@@ -115,6 +115,8 @@
     TargetSupervisorFixture fixture;
     fixture.start("j1", 1);
     fixture.supervisor_.onStartReply(fixture.calls(TargetCall::Kind::Start).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(5);
+    fixture.answerRenewals({{{"j1", 0, 0}, 1}}, {});
     TargetInfo restarted = testTarget("t");
     restarted.targetIncarnation_ = 2;
     fixture.supervisor_.onAnnouncement(restarted, 0, fixture.now_);
--- a/src/ibiswall/cell/targetsupervisorcrashes.cpp
+++ b/src/ibiswall/cell/targetsupervisorcrashes.cpp
@@ -2,28 +2,59 @@
 
 #include <ibiswall/cell/targetsupervisor.hpp>
 
+#include <algorithm>
+
 namespace ibiswall::cell {
 
-// Records the crash of the current incarnation for each run that was active on it, unless it was leaving.
-void TargetSupervisor::recordCrash(Millis now)
+// Records the crash of the current incarnation for the runs that were lost before. Returns false if it is known already, or the
+// target was leaving.
+bool TargetSupervisor::beginCrash(Millis now)
 {
     if (!info_ || info_->leaving_ || std::exchange(crashRecorded_, true)) {
-        return;
+        return false;
     }
     for (const auto &[run, started] : std::exchange(unexplainedLosses_, {})) {
-        addCrash({run, false, started, {}}, now);
+        addCrash({run, false, started, {}}, now, now);
+    }
+    return true;
+}
+
+// The target does not exist any more, nor does any run that was active on it.
+void TargetSupervisor::recordCrash(Millis now)
+{
+    if (!beginCrash(now)) {
+        return;
     }
     for (const auto &[task, run] : runs_) {
         // A start without a reply yet may have reached the next incarnation.
         if (run.phase_ != Phase::Starting || !run.calling_) {
-            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now);
+            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
+        }
+    }
+}
+
+// The current incarnation has crashed and the next one has begun, in which any run that is not known to have been started before may
+// be active instead.
+void TargetSupervisor::recordRestart(Millis now)
+{
+    if (!beginCrash(now)) {
+        return;
+    }
+    for (auto &[task, run] : runs_) {
+        if (run.startedBy_ != 0) {
+            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
+        } else if (run.phase_ != Phase::Starting || !run.calling_) {
+            run.crash_ = {now, mayHaveCausedCrash(run)};
         }
     }
 }
 
-void TargetSupervisor::addCrash(const RunCrash &crash, Millis now)
+void TargetSupervisor::addCrash(RunCrash crash, Millis at, Millis now)
 {
-    crashes_.emplace_back(now, crash);
+    crash.age_ = now - at;
+    const auto later
+        = std::upper_bound(crashes_.begin(), crashes_.end(), at, [](Millis time, const auto &each) { return time < each.first; });
+    crashes_.emplace(later, at, crash);
     report_.crashes_.push_back(crash);
     expireCrashes(now);
 }
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -55,6 +55,10 @@
 void TargetSupervisor::onRenewalReply(const TargetCall &call, const RenewalReply &reply, Millis now)
 {
     --renewalsInFlight_;
+    if (reply.outcome_ == CallOutcome::Ok && reply.targetIncarnation_ > targetIncarnation_) {
+        // First, since the contact of the earlier incarnation tells which run may have caused its crash.
+        onTargetRestarted(reply.targetIncarnation_, now);
+    }
     recordOutcome(call, reply.outcome_, now);
     if (reply.outcome_ != CallOutcome::Ok) {
         const bool timedOut = reply.outcome_ == CallOutcome::Unknown;
@@ -63,9 +67,6 @@
         tick(now);
         return;
     }
-    if (reply.targetIncarnation_ > targetIncarnation_) {
-        onTargetRestarted(reply.targetIncarnation_, now);
-    }
     if (reply.targetIncarnation_ == targetIncarnation_ && call.epoch_ == epoch_) {
         clock_ = reply.clock_;
         clockAt_ = now;
@@ -89,17 +90,27 @@
     latestAppliedRenewal_ = call.serial_;
     listApplied_ = true;
     setUnlistedResults(reply.hasMoreResults_);
+    confirmIncarnation(call);
     std::set<TaskId> running;
     for (const Run &run : reply.running_) {
         running.insert(run.task_);
         auto [entry, added] = runs_.try_emplace(run.task_);
-        entry->second.started_ = entry->second.started_ || entry->second.number_ == run.number_;
+        LocalRun &local = entry->second;
+        if (added) {
+            local.number_ = run.number_;
+            local.phase_ = Phase::Running;
+            local.since_ = now;
+        }
+        if (local.number_ == run.number_) {
+            local.started_ = true;
+            local.startedBy_ = targetIncarnation_;
+            local.crash_.reset();
+        }
         if (added) {
-            entry->second = {run.number_, Phase::Running, now, {}, false, false, {}, true};
             // Started by an earlier agent process, with a lease that is unknown here.
             leaseUntil_ = {std::max(leaseUntil_.count_, (now + settings_.maxLease_).count_)};
             if (!fullReportDue_) {
-                sendStop(run.task_, entry->second, now);
+                sendStop(run.task_, local, now);
             }
         }
     }
@@ -107,6 +118,9 @@
         const LocalRun &run = each->second;
         const bool listable = run.phase_ == Phase::Running || run.phase_ == Phase::Stopped;
         if (listable && run.since_ < call.sentAt_ && running.count(each->first) == 0) {
+            if (run.crash_) {
+                addCrash({{each->first, run.number_}, run.crash_->suspected_, run.started_, {}}, run.crash_->at_, now);
+            }
             report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
             each = runs_.erase(each);
         } else {
