Name the incarnation of the target in every report

Cause: only full reports and announcements named the incarnation of the target. When the agent learned of a restart from a list, before the announcement, it reported the results of the new incarnation, numbered from 1, in reports without an incarnation. The dispatcher took them for results that it had acknowledged to the former one and dropped them; an agent repeats results only in its next full report.

Change: each report names the incarnation that its results are numbered by, and the dispatcher follows it before it applies them. Until the announcement it knows nothing else of the target and places nothing there; before, it ordered starts which the agent rejected.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -5,8 +5,8 @@
 #include <deque>
 #include <ibiswall/cell/containment.hpp>
 #include <ibiswall/cell/crashhistory.hpp>
+#include <ibiswall/cell/dispatcheractions.hpp>
 #include <ibiswall/cell/orphans.hpp>
-#include <ibiswall/cell/record.hpp>
 #include <ibiswall/cell/targets.hpp>
 #include <optional>
 #include <set>
@@ -15,85 +15,6 @@
 
 namespace ibiswall::cell {
 
-/// Orders an agent to start a run on its target.
-struct StartOrder
-{
-    std::string agent_;
-    Run run_;
-    std::string payload_;
-    std::string checkpoint_;
-    bool ephemeral_ = false;
-};
-
-/// Orders an agent to stop a run, or to prevent its start if the start order has not arrived yet.
-struct StopOrder
-{
-    std::string agent_;
-    Run run_;
-};
-
-/// Notifies an agent that results up to a number are no longer needed.
-struct AckOrder
-{
-    std::string agent_;
-    /// Incarnation of the target that numbered the results.
-    std::int64_t targetIncarnation_ = 0;
-    std::uint64_t through_ = 0;
-    /// Whether the agent waits for it to exit.
-    bool awaited_ = false;
-};
-
-/// Notifies the entries of a change of a job's state. Final states are sent only after they are stored.
-struct Notice
-{
-    std::string job_;
-    JobState state_ = JobState::Pending;
-    /// Entries whose callers wait for an ephemeral job; empty for every entry.
-    std::set<std::string> origins_;
-};
-
-/// What the owner of the dispatcher has to do: messages to send, and jobs to look up.
-struct DispatcherActions
-{
-    /// Jobs to read from the store: a target reports runs or results of them, and no entry has offered them.
-    std::vector<std::string> lookups_;
-    std::vector<StartOrder> starts_;
-    std::vector<StopOrder> stops_;
-    std::vector<AckOrder> acks_;
-    std::vector<Notice> notices_;
-};
-
-/// A record to store if the stored one has the expected revision.
-struct JobWrite
-{
-    std::string job_;
-    std::int64_t expectedRevision_ = 0;
-    JobRecord record_;
-};
-
-/// A record that is no longer needed, to remove if the stored one still has the revision.
-struct JobRemoval
-{
-    std::string job_;
-    std::int64_t revision_ = 0;
-};
-
-/// A job that an entry offers or that was read from the store.
-struct JobOffer
-{
-    std::string id_;
-    JobRecord record_;
-    std::int64_t revision_ = 0;
-    /// True when no other dispatcher can have started any of its tasks.
-    bool fresh_ = false;
-    /// Entry that offers it; empty when it was read from the store.
-    std::string origin_;
-    /// How long its caller waits from now on; 0 when no caller waits.
-    Millis callerTimeout_;
-    /// How long its caller has waited already.
-    Millis age_;
-};
-
 enum class CancelOutcome {
     /// A notice follows once the cancellation is stored.
     Accepted,
@@ -142,6 +63,10 @@
     /// which runs were lost.
     void updateTarget(const std::string &agent, const TargetInfo &info);
 
+    /// An agent's report belongs to this incarnation of its target. Of a later one than the known one nothing else is known yet, and
+    /// it gets no starts. To be called before the results of the report.
+    void followIncarnation(const std::string &agent, std::int64_t incarnation);
+
     /// Places no more tasks on the agent's target until the agent's next full report.
     void pausePlacement(const std::string &agent);
 
--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -70,8 +70,8 @@
     bool hasMoreResults_ = false;
 };
 
-/// What an agent reports to the dispatcher. Apply info_ before the results: their numbers belong to the incarnation
-/// that it names.
+/// What an agent reports to the dispatcher. Apply targetIncarnation_ and info_ before the results, which are numbered by that
+/// incarnation.
 struct AgentReport
 {
     /// True when the lists contain all runs and all unacknowledged results; false when they add to earlier reports.
@@ -84,7 +84,7 @@
     /// Set when it changed, and always in a full report unless the target has not announced itself since the agent
     /// started.
     std::optional<TargetInfo> info_;
-    /// Incarnation of the target that the lists belong to.
+    /// Incarnation of the target that the lists belong to. The agent may know it before its announcement.
     std::int64_t targetIncarnation_ = 0;
     std::vector<Run> running_;
     std::vector<RunResult> results_;
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -42,12 +42,8 @@
     target.agent_ = agent;
     if (info) {
         updateTarget(agent, *info);
-    } else if (incarnation != target.info_.targetIncarnation_) {
-        // Another incarnation, whose capacity is not known yet.
-        TargetInfo unknown;
-        unknown.targetIncarnation_ = incarnation;
-        updateTarget(agent, unknown);
     }
+    followIncarnation(agent, incarnation);
     target.present_ = true;
     ++targetsVersion_;
     target.unknownRuns_.clear();
@@ -176,6 +172,15 @@
     target.info_.draining_ = info.draining_ || leaving;
 }
 
+void Dispatcher::followIncarnation(const std::string &agent, std::int64_t incarnation)
+{
+    if (incarnation > targets_[agent].info_.targetIncarnation_) {
+        TargetInfo unknown;
+        unknown.targetIncarnation_ = incarnation;
+        updateTarget(agent, unknown);
+    }
+}
+
 void Dispatcher::pausePlacement(const std::string &agent)
 {
     if (const auto found = targets_.find(agent); found != targets_.end()) {
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -145,7 +145,6 @@
     fullReportDue_ = false;
     report_.full_ = true;
     reportTarget();
-    report_.targetIncarnation_ = targetIncarnation_;
     report_.unlistedResults_ = unlistedResults_;
     report_.results_.clear();
     for (const auto &[number, unacknowledged] : unacknowledgedResults_) {
@@ -169,6 +168,7 @@
     incrementalReports_ = report_.full_ ? 0 : incrementalReports_ + 1;
     report_.number_ = reportNumber_;
     report_.part_ = incrementalReports_;
+    report_.targetIncarnation_ = targetIncarnation_;
     return std::exchange(report_, {});
 }
 
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -149,6 +149,7 @@
                       {"draining", report.info_->draining_ ? 1 : 0}});
             dispatcher_.updateTarget(from, *report.info_);
         }
+        dispatcher_.followIncarnation(from, report.targetIncarnation_);
         for (const cell::RunResult &result : report.results_) {
             count("ibiswall_ends_total", runOutcomeName(result.kind_));
             if (result.kind_ != cell::RunOutcome::Done) {
