Prevent starts without a reply in the next incarnation of a target

A start that had no reply can be carried out seconds later, also by the next incarnation, which takes calls that were meant for the former one.

Cause: a stop prevents such a start only in the incarnation that carries it out. After a restart the agent took the stop that the former incarnation had confirmed for done and reported the run as lost, and it sent none for a run that had ended already.

Change: stops are sent again to a new incarnation, and a reply to a stop that was sent to an earlier one does not confirm it. The agent remembers the starts without a reply of the last 15 s, by task, and stops them in a new incarnation too; a run whose start was sent more than once is stopped before it counts as lost. Such stops are no crashes. What remains is the time until the agent knows of the new incarnation, see GUARANTEES.md.

The simulation now carries out late starts in later incarnations, from 1 s after the agent knows of them.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -147,6 +147,10 @@
     /// Longest wait of a stopping agent, from the end of its last run, for the dispatcher to acknowledge the results. A result that
     /// must be stored first stays in the list of the target.
     Millis acknowledgementTimeout_{600};
+    /// How long after its sending a call without a reply may still be carried out.
+    Millis lateCallPeriod_{15000};
+    /// Starts without a reply that are remembered at most; the oldest are dropped.
+    std::size_t maxUnansweredStarts_ = 256;
     /// How long crashes are repeated in full reports, so that a new dispatcher knows of them.
     Millis crashRetention_ = crashRetention;
     /// Crashes that are repeated at most; the oldest are dropped.
@@ -203,6 +207,9 @@
     std::vector<TargetCall> takeCalls();
     AgentReport takeReport();
 
+    /// Latest known incarnation of the target, 0 before the first contact.
+    std::int64_t targetIncarnation() const;
+
     /// Number of runs that are running or may be.
     std::size_t runs() const;
 
@@ -217,8 +224,8 @@
     /// Whether the target has replied to the latest calls.
     bool isResponsive() const;
 
-    /// Whether a start can be sent: the target is known, neither it nor the agent is draining, the agent lease is valid and
-    /// no full report is due.
+    /// Whether a start can be sent: the target is known, neither it nor the agent is draining, the agent lease is valid for as long as
+    /// the lease of the target, and no full report is due.
     bool isReady(Millis now) const;
 
 private:
@@ -253,6 +260,8 @@
         /// Latest incarnation of the target that can have started it, 0 if a later one than the known one can have. A reply to a start
         /// does not name the incarnation.
         std::int64_t startedBy_ = 0;
+        /// Incarnation that was known when a call for its start had no reply, 0 if all had one. A later one may still carry it out.
+        std::int64_t unansweredIn_ = 0;
         /// The crash of an earlier incarnation that it may have been active on.
         std::optional<PossibleCrash> crash_;
     };
@@ -271,6 +280,7 @@
     void recordRestart(Millis now);
     void addCrash(RunCrash crash, Millis at, Millis now);
     bool mayHaveCausedCrash(const LocalRun &run) const;
+    static bool isStopOnly(const LocalRun &run);
     void expireCrashes(Millis now);
     void reportTarget();
     bool isLossy(Millis now) const;
@@ -282,6 +292,8 @@
     void onTargetRestarted(std::int64_t incarnation, Millis now);
     void dropRunsOfEarlierIncarnations();
     void confirmIncarnation(const TargetCall &call);
+    void rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now);
+    void stopUnansweredStarts(Millis now);
     void markAllRunsLost();
     void recordResult(const RunResult &result);
     void setUnlistedResults(bool unlisted);
@@ -303,6 +315,8 @@
     Millis clockAt_;
     /// Latest local time at which a lease that the target may hold can end.
     Millis leaseUntil_;
+    /// Starts without a reply with the time of each, in order of time, at most maxUnansweredStarts_.
+    std::deque<std::pair<Millis, Run>> unansweredStarts_;
     /// Calls in flight that request a lease.
     int leasesInFlight_ = 0;
     /// Whether the target has replied to the latest calls.
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -109,6 +109,9 @@
     /// Identify the agent process of the target and its current path to the leaders.
     std::uint64_t incarnation_ = 0;
     std::uint64_t path_ = 0;
+    /// Incarnation of the target that the agent process knows, and since when.
+    std::int64_t knownTarget_ = 0;
+    std::int64_t knownSince_ = 0;
 };
 
 // A dispatcher and what its process tracks about its agents.
@@ -498,6 +501,10 @@
     void flushAgent(int i)
     {
         SimulatedAgent &each = agent(i);
+        if (each.supervisor_->targetIncarnation() != each.knownTarget_) {
+            each.knownTarget_ = each.supervisor_->targetIncarnation();
+            each.knownSince_ = now_;
+        }
         for (const TargetCall &call : each.supervisor_->takeCalls()) {
             makeCall(i, call);
         }
@@ -551,17 +558,22 @@
         });
     }
 
-    // Late calls that reach a later incarnation are not simulated, see GUARANTEES.md: until the agent knows of it, nothing can prevent
-    // that such a start is carried out, or that such a renewal discards results.
+    // A late start may reach a later incarnation, but is not simulated before the agent had time to prevent it there; nor is a late
+    // renewal, which would discard results of the later incarnation. See GUARANTEES.md.
     void carryOutLate(int i, const TargetCall &call)
     {
         constexpr std::int64_t minDelay = 2000;
         constexpr std::int64_t delayRange = 10000;
+        constexpr std::int64_t timeToPrevent = 1000;
         const std::int64_t sentTo = agent(i).target_.targetIncarnation_;
-        after(minDelay + randomBelow(delayRange), [this, i, call, sentTo] {
-            const std::int64_t incarnation = agent(i).target_.targetIncarnation_;
-            const bool renewal = call.kind_ == TargetCall::Kind::Renew;
-            if (incarnation == sentTo && (!renewal || incarnation == call.targetIncarnation_)) {
+        const std::uint64_t sentBy = agent(i).incarnation_;
+        after(minDelay + randomBelow(delayRange), [this, i, call, sentTo, sentBy] {
+            const SimulatedAgent &each = agent(i);
+            const std::int64_t incarnation = each.target_.targetIncarnation_;
+            const bool prevented
+                = each.incarnation_ == sentBy && each.knownTarget_ == incarnation && now_ > each.knownSince_ + timeToPrevent;
+            const bool reaches = call.kind_ == TargetCall::Kind::Renew ? incarnation == call.targetIncarnation_ : prevented;
+            if ((incarnation == sentTo && call.kind_ != TargetCall::Kind::Renew) || reaches) {
                 carryOut(agent(i), call);
             }
         });
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -252,6 +252,7 @@
         run.since_ = now;
         break;
     case CallOutcome::Unknown:
+        rememberUnansweredStart(call, run, now);
         if (call.retries_ < settings_.maxStartRetries_ && call.targetIncarnation_ == targetIncarnation_ && mayRequestLease(now)) {
             // The target starts a run only once, however often the start arrives.
             TargetCall retry = call;
@@ -292,11 +293,14 @@
     LocalRun &run = found->second;
     run.calling_ = false;
     run.since_ = now;
-    if (outcome == CallOutcome::Ok) {
+    if (outcome != CallOutcome::Ok) {
+        run.retryAt_ = now + settings_.retryDelay_;
+    } else if (call.targetIncarnation_ == targetIncarnation_) {
         run.phase_ = Phase::Stopped;
         renewRetryAt_ = {};
     } else {
-        run.retryAt_ = now + settings_.retryDelay_;
+        // An earlier incarnation may have replied, and the current one would carry out the start.
+        run.retryAt_ = now;
     }
     tick(now);
 }
@@ -377,6 +381,11 @@
     return std::exchange(calls_, {});
 }
 
+std::int64_t TargetSupervisor::targetIncarnation() const
+{
+    return targetIncarnation_;
+}
+
 std::size_t TargetSupervisor::runs() const
 {
     return runs_.size();
--- a/src/ibiswall/cell/targetsupervisorcrashes.cpp
+++ b/src/ibiswall/cell/targetsupervisorcrashes.cpp
@@ -26,6 +26,9 @@
         return;
     }
     for (const auto &[task, run] : runs_) {
+        if (isStopOnly(run)) {
+            continue;
+        }
         // A start without a reply yet may have reached the next incarnation.
         if (run.phase_ != Phase::Starting || !run.calling_) {
             addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
@@ -41,6 +44,9 @@
         return;
     }
     for (auto &[task, run] : runs_) {
+        if (isStopOnly(run)) {
+            continue;
+        }
         if (run.startedBy_ != 0) {
             addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
         } else if (run.phase_ != Phase::Starting || !run.calling_) {
@@ -65,6 +71,12 @@
         || (run.startSentAt_ != Millis{0} && run.startSentAt_ + settings_.crashSuspicionWindow_ >= lastContactAt_);
 }
 
+// Whether the run is only known since its start is to be prevented.
+bool TargetSupervisor::isStopOnly(const LocalRun &run)
+{
+    return run.startSentAt_ == Millis{0} && !run.started_;
+}
+
 void TargetSupervisor::expireCrashes(Millis now)
 {
     while (!crashes_.empty() && (crashes_.size() > settings_.maxCrashes_ || now > crashes_.front().first + settings_.crashRetention_)) {
--- a/src/ibiswall/cell/targetsupervisorfixture.hpp
+++ b/src/ibiswall/cell/targetsupervisorfixture.hpp
@@ -12,7 +12,7 @@
 /// A supervisor that follows a dispatcher, has reported to it and holds an agent lease.
 struct TargetSupervisorFixture
 {
-    TargetSupervisorFixture()
+    explicit TargetSupervisorFixture(Millis agentLeaseUntil = {100000})
     {
         supervisor_.onAnnouncement(testTarget("t"), 0, now_);
         supervisor_.follow(1, 0, now_);
@@ -20,7 +20,7 @@
         const AgentReport report = supervisor_.takeReport();
         BOOST_REQUIRE(report.full_);
         report_ = report.number_;
-        supervisor_.renewAgentLease({100000});
+        supervisor_.renewAgentLease(agentLeaseUntil);
     }
 
     void start(const std::string &job, std::uint64_t number)
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -78,7 +78,8 @@
     if (reply.targetIncarnation_ == targetIncarnation_ && call.epoch_ == epoch_) {
         clock_ = reply.clock_;
         clockAt_ = now;
-        releasedThrough_ = call.targetIncarnation_ == targetIncarnation_ ? std::max(releasedThrough_, call.acknowledged_) : releasedThrough_;
+        releasedThrough_
+            = call.targetIncarnation_ == targetIncarnation_ ? std::max(releasedThrough_, call.acknowledged_) : releasedThrough_;
         reconcileRuns(call, reply, now);
     } else {
         reportRenewalSent_ = false;
@@ -123,17 +124,23 @@
         }
     }
     for (auto each = runs_.begin(); each != runs_.end() && !unlistedResults_;) {
-        const LocalRun &run = each->second;
+        LocalRun &run = each->second;
         const bool listable = run.phase_ == Phase::Running || run.phase_ == Phase::Stopped;
-        if (listable && run.since_ < call.sentAt_ && running.count(each->first) == 0) {
-            if (run.crash_) {
-                addCrash({{each->first, run.number_}, run.crash_->suspected_, run.started_, {}}, run.crash_->at_, now);
-            }
-            report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
-            each = runs_.erase(each);
-        } else {
+        if (!listable || run.since_ >= call.sentAt_ || running.count(each->first) != 0) {
+            ++each;
+            continue;
+        }
+        if (run.phase_ == Phase::Running && run.unansweredIn_ != 0 && run.unansweredIn_ < targetIncarnation_) {
+            // The start that an earlier incarnation has confirmed was sent more than once, and may be carried out again.
+            sendStop(each->first, run, now);
             ++each;
+            continue;
+        }
+        if (run.crash_) {
+            addCrash({{each->first, run.number_}, run.crash_->suspected_, run.started_, {}}, run.crash_->at_, now);
         }
+        report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
+        each = runs_.erase(each);
     }
     if (fullReportDue_ && reportRenewalSent_) {
         completeFullReport(now);
--- a/src/ibiswall/cell/targetsupervisorrestart.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart.cpp
@@ -11,7 +11,8 @@
 // started in an earlier incarnation, or the new one does not list it.
 void TargetSupervisor::onTargetRestarted(std::int64_t incarnation, Millis now)
 {
-    if (targetIncarnation_ != 0) {
+    const bool restarted = targetIncarnation_ != 0;
+    if (restarted) {
         recordRestart(now);
     }
     for (RunResult &result : report_.results_) {
@@ -34,6 +35,7 @@
     releasedThrough_ = 0;
     setUnlistedResults(false);
     dropRunsOfEarlierIncarnations();
+    stopUnansweredStarts(now);
     // Leases were requested by the clock of an earlier incarnation. The new one grants the longest lease at most.
     leaseUntil_ = runs_.empty() ? Millis{} : now + settings_.maxLease_;
     listDue_ = !runs_.empty();
@@ -44,15 +46,46 @@
 {
     for (auto each = runs_.begin(); each != runs_.end();) {
         LocalRun &run = each->second;
-        if (run.startedBy_ != 0) {
+        if (run.startedBy_ != 0 && run.unansweredIn_ == 0) {
             report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
             each = runs_.erase(each);
         } else {
+            run.startedBy_ = 0;
             ++each;
         }
     }
 }
 
+void TargetSupervisor::rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now)
+{
+    run.unansweredIn_ = call.targetIncarnation_;
+    while (!unansweredStarts_.empty()
+           && (unansweredStarts_.size() >= settings_.maxUnansweredStarts_
+               || now > unansweredStarts_.front().first + settings_.lateCallPeriod_)) {
+        unansweredStarts_.pop_front();
+    }
+    if (call.retries_ == 0) {
+        unansweredStarts_.emplace_back(now, call.run_);
+    }
+}
+
+// A new incarnation has forgotten which runs have been stopped or have ended, and would carry out their starts.
+void TargetSupervisor::stopUnansweredStarts(Millis now)
+{
+    for (auto &[task, run] : runs_) {
+        if (run.phase_ == Phase::Stopping || run.phase_ == Phase::Stopped) {
+            sendStop(task, run, now);
+        }
+    }
+    // The latest run of a task first: its stop prevents all earlier ones.
+    for (auto each = unansweredStarts_.rbegin(); each != unansweredStarts_.rend(); ++each) {
+        const auto &[at, run] = *each;
+        if (now <= at + settings_.lateCallPeriod_ && runs_.count(run.task_) == 0) {
+            stop(run, now);
+        }
+    }
+}
+
 // After a reply to a call that was sent when the run had been started or stopped already, no later incarnation has started it.
 void TargetSupervisor::confirmIncarnation(const TargetCall &call)
 {
--- a/src/ibiswall/cell/targetsupervisorrestart_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart_test.cpp
@@ -129,8 +129,7 @@
 // Its lease is counted by the clock of the new incarnation, which grants the longest lease from when the call arrives.
 BOOST_AUTO_TEST_CASE(run_that_a_silent_new_incarnation_may_have_is_lost_after_the_longest_lease)
 {
-    TargetSupervisorFixture fixture;
-    fixture.supervisor_.renewAgentLease({1300});
+    TargetSupervisorFixture fixture({1300});
     fixture.startRunning("j1", 1);
     fixture.advance(200);
     fixture.restartTarget();
@@ -223,6 +222,77 @@
     BOOST_TEST(fixture.calls(TargetCall::Kind::Renew).at(0).acknowledged_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(stop_that_the_former_incarnation_confirmed_is_sent_to_the_new_one)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    for (int i = 0; i < 5; ++i) {
+        fixture.answerStart(CallOutcome::Unknown);
+    }
+    const TargetCall stop = fixture.calls(TargetCall::Kind::Stop).at(0);
+    for (const bool confirmed : {true, false}) {
+        if (confirmed) {
+            fixture.supervisor_.onStopReply(stop, CallOutcome::Ok, fixture.now_);
+            fixture.advance(5);
+            fixture.answerRenewals({}, {}, current);
+        } else {
+            // A reply to the same call again: it may be from before the restart.
+            fixture.supervisor_.onStopReply(stop, CallOutcome::Ok, fixture.now_);
+        }
+        BOOST_TEST(lostRuns(fixture.supervisor_.takeReport()).empty());
+        BOOST_TEST(fixture.supervisor_.runs() == 1U);
+    }
+    const auto stops = fixture.calls(TargetCall::Kind::Stop);
+    BOOST_REQUIRE(!stops.empty());
+    fixture.supervisor_.onStopReply(stops.back(), CallOutcome::Ok, fixture.now_);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    BOOST_TEST(lostRuns(fixture.supervisor_.takeReport()) == std::vector<std::uint64_t>{1});
+}
+
+// A start whose first call had no reply was carried out by the next incarnation, after its run had ended in the former one.
+BOOST_AUTO_TEST_CASE(start_without_a_reply_is_prevented_in_the_new_incarnation_after_its_run_has_ended)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.answerStart(CallOutcome::Unknown);
+    fixture.answerStart(CallOutcome::Ok);
+    fixture.advance(60);
+    fixture.answerRenewals({}, {{1, runOf("j1", 1), RunOutcome::Failed, {}}});
+    fixture.start("j1", 2);
+    fixture.answerStart(CallOutcome::Unknown);
+    fixture.answerStart(CallOutcome::Ok);
+    fixture.advance(60);
+    fixture.answerRenewals({}, {{2, runOf("j1", 2), RunOutcome::Done, {}}});
+    BOOST_TEST(fixture.supervisor_.runs() == 0U);
+    fixture.restartTarget();
+    const auto stops = fixture.calls(TargetCall::Kind::Stop);
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].run_.number_ == 2U);
+    BOOST_TEST(stops[0].targetIncarnation_ == current);
+}
+
+BOOST_AUTO_TEST_CASE(run_whose_start_may_be_carried_out_again_is_stopped_before_it_is_lost)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.answerStart(CallOutcome::Unknown);
+    fixture.answerStart(CallOutcome::Ok);
+    loseRenewals(fixture);
+    fixture.answerRenewals({}, {}, current);
+    BOOST_TEST(lostRuns(fixture.supervisor_.takeReport()).empty());
+    const auto stops = fixture.calls(TargetCall::Kind::Stop);
+    BOOST_REQUIRE(stops.size() == 1U);
+    fixture.supervisor_.onStopReply(stops[0], CallOutcome::Ok, fixture.now_);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    BOOST_TEST(lostRuns(fixture.supervisor_.takeReport()) == std::vector<std::uint64_t>{1});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
