Report no run of which only the start is to be prevented

A task could run twice after a takeover.

Cause: a start without a reply that the agent prevents in a new incarnation of its target was listed as active in full reports, although its end had been reported. A new leader adopted it, and when it was reported as lost placed the task at once, although the leader before had placed it again at an agent that the new one could not reach yet.

Change: such a run is neither in full reports nor reported as lost, unless the dispatcher orders to stop it.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -262,6 +262,8 @@
         std::int64_t startedBy_ = 0;
         /// Incarnation that was known when a call for its start had no reply, 0 if all had one. A later one may still carry it out.
         std::int64_t unansweredIn_ = 0;
+        /// Its end has been reported; it is only known here until its start is prevented.
+        bool reported_ = false;
         /// The crash of an earlier incarnation that it may have been active on.
         std::optional<PossibleCrash> crash_;
     };
@@ -280,7 +282,6 @@
     void recordRestart(Millis now);
     void addCrash(RunCrash crash, Millis at, Millis now);
     bool mayHaveCausedCrash(const LocalRun &run) const;
-    static bool isStopOnly(const LocalRun &run);
     void expireCrashes(Millis now);
     void reportTarget();
     bool isLossy(Millis now) const;
@@ -295,6 +296,7 @@
     void rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now);
     void stopUnansweredStarts(Millis now);
     void markAllRunsLost();
+    std::map<TaskId, LocalRun>::iterator loseRun(std::map<TaskId, LocalRun>::iterator run);
     void recordResult(const RunResult &result);
     void setUnlistedResults(bool unlisted);
     bool canListMoreResults() const;
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -98,20 +98,6 @@
     tick(now);
 }
 
-// The lease of all runs has expired, but for those with a start in flight.
-void TargetSupervisor::markAllRunsLost()
-{
-    for (auto each = runs_.begin(); each != runs_.end();) {
-        const LocalRun &run = each->second;
-        if (run.phase_ == Phase::Starting && run.calling_) {
-            ++each;
-            continue;
-        }
-        report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
-        each = runs_.erase(each);
-    }
-}
-
 bool TargetSupervisor::isReady(Millis now) const
 {
     return info_ && !agentDraining_ && !info_->draining_ && clock_ && now + minLease < agentLeaseUntil_ && !fullReportDue_;
@@ -222,6 +208,7 @@
     if (added) {
         local.number_ = run.number_;
     }
+    local.reported_ = false;
     if (local.number_ == run.number_ && local.phase_ != Phase::Stopping && local.phase_ != Phase::Stopped) {
         sendStop(run.task_, local, now);
     }
@@ -333,7 +320,9 @@
     if (!runs_.empty() && leaseExpired) {
         // Neither starts nor renewals have extended the lease.
         for (const auto &[task, run] : runs_) {
-            unexplainedLosses_.emplace_back(Run{task, run.number_}, run.started_);
+            if (!run.reported_) {
+                unexplainedLosses_.emplace_back(Run{task, run.number_}, run.started_);
+            }
         }
         markAllRunsLost();
     }
--- a/src/ibiswall/cell/targetsupervisorcrashes.cpp
+++ b/src/ibiswall/cell/targetsupervisorcrashes.cpp
@@ -26,7 +26,7 @@
         return;
     }
     for (const auto &[task, run] : runs_) {
-        if (isStopOnly(run)) {
+        if (run.reported_) {
             continue;
         }
         // A start without a reply yet may have reached the next incarnation.
@@ -44,7 +44,7 @@
         return;
     }
     for (auto &[task, run] : runs_) {
-        if (isStopOnly(run)) {
+        if (run.reported_) {
             continue;
         }
         if (run.startedBy_ != 0) {
@@ -71,12 +71,6 @@
         || (run.startSentAt_ != Millis{0} && run.startSentAt_ + settings_.crashSuspicionWindow_ >= lastContactAt_);
 }
 
-// Whether the run is only known since its start is to be prevented.
-bool TargetSupervisor::isStopOnly(const LocalRun &run)
-{
-    return run.startSentAt_ == Millis{0} && !run.started_;
-}
-
 void TargetSupervisor::expireCrashes(Millis now)
 {
     while (!crashes_.empty() && (crashes_.size() > settings_.maxCrashes_ || now > crashes_.front().first + settings_.crashRetention_)) {
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -28,6 +28,28 @@
     }
 }
 
+// The lease of all runs has expired, but for those with a start in flight.
+void TargetSupervisor::markAllRunsLost()
+{
+    for (auto each = runs_.begin(); each != runs_.end();) {
+        const LocalRun &run = each->second;
+        if (run.phase_ == Phase::Starting && run.calling_) {
+            ++each;
+            continue;
+        }
+        each = loseRun(each);
+    }
+}
+
+// Removes a run that has ended without a result.
+std::map<TaskId, TargetSupervisor::LocalRun>::iterator TargetSupervisor::loseRun(std::map<TaskId, LocalRun>::iterator run)
+{
+    if (!run->second.reported_) {
+        report_.results_.push_back({0, {run->first, run->second.number_}, RunOutcome::Lost, {}});
+    }
+    return runs_.erase(run);
+}
+
 void TargetSupervisor::setUnlistedResults(bool unlisted)
 {
     if (std::exchange(unlistedResults_, unlisted) != unlisted) {
@@ -139,8 +161,7 @@
         if (run.crash_) {
             addCrash({{each->first, run.number_}, run.crash_->suspected_, run.started_, {}}, run.crash_->at_, now);
         }
-        report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
-        each = runs_.erase(each);
+        each = loseRun(each);
     }
     if (fullReportDue_ && reportRenewalSent_) {
         completeFullReport(now);
@@ -166,7 +187,9 @@
         report_.results_.push_back(unacknowledged.result_);
     }
     for (const auto &[task, run] : runs_) {
-        report_.running_.push_back({task, run.number_});
+        if (!run.reported_) {
+            report_.running_.push_back({task, run.number_});
+        }
     }
     expireCrashes(now);
     report_.crashes_.clear();
--- a/src/ibiswall/cell/targetsupervisorrestart.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart.cpp
@@ -47,8 +47,7 @@
     for (auto each = runs_.begin(); each != runs_.end();) {
         LocalRun &run = each->second;
         if (run.startedBy_ != 0 && run.unansweredIn_ == 0) {
-            report_.results_.push_back({0, {each->first, run.number_}, RunOutcome::Lost, {}});
-            each = runs_.erase(each);
+            each = loseRun(each);
         } else {
             run.startedBy_ = 0;
             ++each;
@@ -81,7 +80,10 @@
     for (auto each = unansweredStarts_.rbegin(); each != unansweredStarts_.rend(); ++each) {
         const auto &[at, run] = *each;
         if (now <= at + settings_.lateCallPeriod_ && runs_.count(run.task_) == 0) {
-            stop(run, now);
+            LocalRun &local = runs_[run.task_];
+            local.number_ = run.number_;
+            local.reported_ = true;
+            sendStop(run.task_, local, now);
         }
     }
 }
--- a/src/ibiswall/cell/targetsupervisorrestart_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart_test.cpp
@@ -272,6 +272,21 @@
     BOOST_REQUIRE(stops.size() == 1U);
     BOOST_TEST(stops[0].run_.number_ == 2U);
     BOOST_TEST(stops[0].targetIncarnation_ == current);
+    // Another dispatcher must not take it for an active run, nor its end for news.
+    fixture.supervisor_.takeReport();
+    fixture.supervisor_.scheduleFullReport();
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    const AgentReport report = fixture.supervisor_.takeReport();
+    BOOST_TEST(report.full_);
+    BOOST_TEST(report.running_.empty());
+    fixture.supervisor_.onStopReply(stops[0], CallOutcome::Ok, fixture.now_);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {}, current);
+    BOOST_TEST(fixture.supervisor_.runs() == 0U);
+    BOOST_TEST(fixture.supervisor_.takeReport().isEmpty());
 }
 
 BOOST_AUTO_TEST_CASE(run_whose_start_may_be_carried_out_again_is_stopped_before_it_is_lost)
