Start nothing while a target may hold a lease that outlasts the agent's

What callers saw: nothing yet; found by the cell simulation. A task ran twice for 40 ms after a takeover.

Cause: the end of a lease is given by the target's clock, which starts anew with each incarnation. A call that was meant for the former incarnation got the longest lease from the new one, 1 s from its arrival, and a lease never shortens. Runs that were started there soon after went on beyond the lease of their agent, when the next leader had placed their tasks elsewhere.

Change: after a restart nothing is started before the agent's own lease covers that second, so the agent asks for a lease at once; and runs that are active are stopped when the lease of the agent ends before. The agent logs target.restarted.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -295,6 +295,7 @@
     void confirmIncarnation(const TargetCall &call);
     void rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now);
     void stopUnansweredStarts(Millis now);
+    void stopRunsWithStrayLease(Millis now);
     void markAllRunsLost();
     std::map<TaskId, LocalRun>::iterator loseRun(std::map<TaskId, LocalRun>::iterator run);
     void recordResult(const RunResult &result);
@@ -317,6 +318,9 @@
     Millis clockAt_;
     /// Latest local time at which a lease that the target may hold can end.
     Millis leaseUntil_;
+    /// Until then the target may hold a lease that does not end with the agent lease: it was requested by the clock of an earlier
+    /// incarnation.
+    Millis strayLeaseUntil_;
     /// Starts without a reply with the time of each, in order of time, at most maxUnansweredStarts_.
     std::deque<std::pair<Millis, Run>> unansweredStarts_;
     /// Calls in flight that request a lease.
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -100,7 +100,8 @@
 
 bool TargetSupervisor::isReady(Millis now) const
 {
-    return info_ && !agentDraining_ && !info_->draining_ && clock_ && now + minLease < agentLeaseUntil_ && !fullReportDue_;
+    return info_ && !agentDraining_ && !info_->draining_ && clock_ && now + minLease < agentLeaseUntil_
+        && strayLeaseUntil_ <= agentLeaseUntil_ && !fullReportDue_;
 }
 
 bool TargetSupervisor::isLossy(Millis now) const
@@ -326,6 +327,7 @@
         }
         markAllRunsLost();
     }
+    stopRunsWithStrayLease(now);
     for (auto &[task, run] : runs_) {
         if (run.phase_ == Phase::Stopping && !run.calling_ && now >= run.retryAt_) {
             sendStop(task, run, now);
--- a/src/ibiswall/cell/targetsupervisorrestart.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart.cpp
@@ -37,6 +37,7 @@
     dropRunsOfEarlierIncarnations();
     stopUnansweredStarts(now);
     // Leases were requested by the clock of an earlier incarnation. The new one grants the longest lease at most.
+    strayLeaseUntil_ = restarted ? now + settings_.maxLease_ : Millis{};
     leaseUntil_ = runs_.empty() ? Millis{} : now + settings_.maxLease_;
     listDue_ = !runs_.empty();
     renewRetryAt_ = {};
@@ -88,6 +89,19 @@
     }
 }
 
+// The lease of the agent has ended, so another agent may soon be told to start the same tasks.
+void TargetSupervisor::stopRunsWithStrayLease(Millis now)
+{
+    if (now < agentLeaseUntil_ || now >= strayLeaseUntil_) {
+        return;
+    }
+    for (auto &[task, run] : runs_) {
+        if (run.phase_ == Phase::Running) {
+            sendStop(task, run, now);
+        }
+    }
+}
+
 // After a reply to a call that was sent when the run had been started or stopped already, no later incarnation has started it.
 void TargetSupervisor::confirmIncarnation(const TargetCall &call)
 {
--- a/src/ibiswall/cell/targetsupervisorrestart_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart_test.cpp
@@ -308,6 +308,28 @@
     BOOST_TEST(lostRuns(fixture.supervisor_.takeReport()) == std::vector<std::uint64_t>{1});
 }
 
+// The new incarnation had granted a lease by the clock of the former one, and its runs outlived the lease of the agent.
+BOOST_AUTO_TEST_CASE(nothing_is_started_while_the_lease_of_a_new_incarnation_may_outlast_that_of_the_agent)
+{
+    TargetSupervisorFixture fixture({1900});
+    fixture.restartTarget();
+    BOOST_TEST(!fixture.supervisor_.isReady(fixture.now_));
+    fixture.supervisor_.renewAgentLease({2000});
+    BOOST_TEST(fixture.supervisor_.isReady(fixture.now_));
+}
+
+BOOST_AUTO_TEST_CASE(runs_are_stopped_when_the_lease_of_the_agent_ends_before_that_of_a_new_incarnation)
+{
+    TargetSupervisorFixture fixture({1500});
+    fixture.startRunning("j1", 1);
+    fixture.advance(5);
+    fixture.answerRenewals({runOf("j1", 1)}, {}, current);
+    BOOST_TEST(fixture.calls(TargetCall::Kind::Stop).empty());
+    fixture.advance(500);
+    fixture.supervisor_.tick(fixture.now_);
+    BOOST_TEST(fixture.calls(TargetCall::Kind::Stop).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -219,6 +219,7 @@
     if (std::exchange(flushing_, true)) {
         return;
     }
+    followTargetIncarnation();
     for (const cell::TargetCall &each : supervisor_.takeCalls()) {
         call(each);
     }
@@ -236,6 +237,19 @@
     flushing_ = false;
 }
 
+void AgentNode::followTargetIncarnation()
+{
+    const std::int64_t incarnation = supervisor_.targetIncarnation();
+    const std::int64_t former = std::exchange(targetIncarnation_, incarnation);
+    if (former == 0 || former == incarnation) {
+        return;
+    }
+    logEvent("target.restarted", {{"former", former}, {"born", incarnation}, {"runs", logNumber(supervisor_.runs())}});
+    // Nothing is started before the lease is renewed.
+    lastPingAt_ = {};
+    ping();
+}
+
 void AgentNode::call(const cell::TargetCall &targetCall)
 {
     if (targetCall.kind_ == cell::TargetCall::Kind::Renew) {
--- a/src/ibiswall/node/agentnode.hpp
+++ b/src/ibiswall/node/agentnode.hpp
@@ -33,6 +33,7 @@
     void ping();
     /// Makes the calls and sends the reports that the target supervisor has decided on.
     void flush();
+    void followTargetIncarnation();
     void call(const cell::TargetCall &call);
     void readEntries();
     void connectToEntries();
@@ -68,6 +69,8 @@
     /// Incarnation and sequence number of the latest accepted announcement.
     std::int64_t lastIncarnation_ = 0;
     std::int64_t lastSequence_ = -1;
+    /// Latest incarnation of the target that the supervisor has learned of, also from a reply.
+    std::int64_t targetIncarnation_ = 0;
     std::optional<Millis> stoppingSince_;
 };
 
