Test cells whose workers restart under their ids

No task may run twice at a time, nor again after its result was discarded; each accepted job ends, and fails only if two workers have crashed under one of its tasks.

Cell::leader took the help text of the metric for its value and returned entry 0, whoever led.

--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -1,11 +1,16 @@
 // Stand-in for a target of the users' platform: checks fences and its lease, lists runs and results, and sends heartbeats.
 //
-// A task runs for the number of milliseconds that follows "ms=" in its payload. Each start and each end is recorded as one line.
-// A payload with "crash" ends the process when the task is started; the worker is back after crashDowntime.
-// POST /standin/cpu with {"cpu":N} changes the capacity that the worker announces. It does not reject what does not fit.
+// A task runs for the number of milliseconds that follows "ms=" in its payload. Each start and each end is recorded as one line,
+// and when a result that is done is discarded before the lease has lapsed.
+// A payload with "crash" ends the process when the task is started; the worker is back after crashDowntimeSeconds.
+// POST /standin/cpu with {"cpu":N} changes the announced capacity. The worker does not reject what does not fit.
+// POST /standin/restart with {"down_ms":N,"announce_ms":M} begins a new incarnation that knows nothing of before: the worker answers
+// no call for N ms, and sends its first heartbeat M ms later. Connections stay open, so calls that were meant for the former
+// incarnation reach the new one.
+
+#include "workeroptions.hpp"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/program_options.hpp>
 #include <fstream>
 #include <ibiswall/net.hpp>
 #include <iostream>
@@ -25,22 +30,10 @@
 constexpr std::chrono::milliseconds heartbeatInterval(300);
 constexpr std::size_t maxListedEnds = 500;
 constexpr std::int64_t defaultRunMillis = 50;
+constexpr std::int64_t maxLeaseMillis = 1000;
 constexpr std::chrono::milliseconds crashDelay(5);
 constexpr unsigned crashDowntimeSeconds = 2;
 
-struct WorkerOptions
-{
-    std::string id_;
-    std::string address_;
-    Address agentAddress_;
-    std::string domain_;
-    std::string recordFile_;
-    std::int64_t cpu_ = 8000;
-    /// Fraction of orders that are executed late and never answered, from 0 to 1.
-    double lateOrderRatio_ = 0;
-    std::uint32_t seed_ = 1;
-};
-
 // Ends this process and starts the program again after the downtime. All connections are reset, and until then nothing
 // listens at the worker's address.
 [[noreturn]] void crashAndRestart(char **arguments)
@@ -82,6 +75,16 @@
             respond(jsonReply(Ok, "{}"));
             return;
         }
+        if (request.path_ == "/standin/restart") {
+            const Json body = Json::parse(request.body_);
+            restart(Millis{body.at("down_ms").get<std::int64_t>()}, Millis{body.at("announce_ms").get<std::int64_t>()});
+            respond(jsonReply(Ok, "{}"));
+            return;
+        }
+        if (bootClock() < upAt_) {
+            unansweredCalls_.push_back(respond);
+            return;
+        }
         const auto expected = request.customHeaders_.find("expect-instance");
         if (expected != request.customHeaders_.end() && expected->second != options_.id_) {
             respond(jsonReply(MisdirectedRequest, {}));
@@ -94,29 +97,66 @@
             timer->async_wait([this, timer, request](boost::system::error_code) { executeOrder(request, [](const HttpReply &) {}); });
             return;
         }
-        executeOrder(request, respond);
+        executeOrder(request, options_.replyMillis_ > 0 ? delayed(respond) : respond);
     }
 
 private:
+    Respond delayed(const Respond &respond)
+    {
+        return [this, respond](const HttpReply &reply) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(options_.replyMillis_));
+            timer->async_wait([timer, respond, reply](boost::system::error_code) { respond(reply); });
+        };
+    }
+
+    void restart(Millis down, Millis announcement)
+    {
+        for (const auto &[task, run] : running_) {
+            recordEvent("crashed", task, run.number_);
+        }
+        running_.clear();
+        stopping_.clear();
+        lastEndedRuns_.clear();
+        results_.clear();
+        lastResultNumber_ = 0;
+        lastBeforeLapse_ = 0;
+        highestFence_ = 0;
+        leaseUntil_ = 0;
+        sequence_ = 0;
+        for (PendingRenewal &each : std::exchange(pendingRenewals_, {})) {
+            unansweredCalls_.push_back(std::move(each.first));
+        }
+        upAt_ = bootClock() + down;
+        startedAt_ = upAt_;
+        incarnation_ = (wallClock() + down).count_;
+        announcedFrom_ = upAt_ + announcement;
+    }
+
     struct Run
     {
         std::uint64_t number_ = 0;
         std::int64_t endsAt_ = 0;
-        std::int64_t cpu_ = 0;
     };
 
-    struct PendingRenewal
-    {
-        Respond respond_;
-        std::int64_t expiresAt_ = 0;
-        std::uint64_t lastSeen_ = 0;
-    };
+    /// A renewal that waits for a result, and until when.
+    using PendingRenewal = std::pair<Respond, std::int64_t>;
 
     std::int64_t elapsedMillis() const
     {
         return (bootClock() - startedAt_).count_;
     }
 
+    bool isLapsed() const
+    {
+        return elapsedMillis() >= leaseUntil_;
+    }
+
+    // The end of a run from before a lapse does not bar another start once it is discarded.
+    void noteLapse()
+    {
+        lastBeforeLapse_ = isLapsed() ? lastResultNumber_ : lastBeforeLapse_;
+    }
+
     void recordEvent(const char *what, const std::string &task, std::uint64_t run)
     {
         recordFile_ << Json{{"what", what}, {"task", task}, {"run", run}, {"at", wallClock().count_}, {"worker", options_.id_}}.dump()
@@ -136,8 +176,9 @@
             return;
         }
         highestFence_ = fence;
+        noteLapse();
         if (body.contains("deadline_ms")) {
-            leaseUntil_ = std::max(leaseUntil_, body["deadline_ms"].get<std::int64_t>());
+            leaseUntil_ = std::max(leaseUntil_, std::min(body["deadline_ms"].get<std::int64_t>(), elapsedMillis() + maxLeaseMillis));
         }
         if (request.path_ == "/run-start") {
             start(body, respond);
@@ -150,6 +191,11 @@
         }
     }
 
+    void accept(const Respond &respond) const
+    {
+        respond(jsonReply(Ok, Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}}.dump()));
+    }
+
     void reject(const Respond &respond, const char *reason) const
     {
         respond(jsonReply(Rejected, Json{{"clock_ms", elapsedMillis()}, {"reason", reason}, {"born", incarnation_}}.dump()));
@@ -161,7 +207,7 @@
         const auto run = body.at("run").get<std::uint64_t>();
         const auto found = running_.find(task);
         if (found != running_.end() && found->second.number_ == run) {
-            respond(jsonReply(Ok, Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}}.dump()));
+            accept(respond);
             return;
         }
         if (found != running_.end() || run <= lastEndedRuns_[task]) {
@@ -174,13 +220,13 @@
         }
         const auto spec = body.value("spec", std::string());
         const auto at = spec.find("ms=");
-        running_[task] = {run, elapsedMillis() + (at == std::string::npos ? defaultRunMillis : std::stoll(spec.substr(at + 3))), 0};
+        running_[task] = {run, elapsedMillis() + (at == std::string::npos ? defaultRunMillis : std::stoll(spec.substr(at + 3)))};
         recordEvent("start", task, run);
         if (spec.find("crash") != std::string::npos) {
             crashTimer_.expires_after(crashDelay);
             crashTimer_.async_wait([this](boost::system::error_code) { crashAndRestart(arguments_); });
         }
-        respond(jsonReply(Ok, Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}}.dump()));
+        accept(respond);
     }
 
     void stop(const Json &body, const Respond &respond)
@@ -190,9 +236,9 @@
         lastEndedRuns_[task] = std::max(lastEndedRuns_[task], run);
         const auto found = running_.find(task);
         if (found != running_.end() && found->second.number_ <= run) {
-            endRun(task, "stopped");
+            stopping_.try_emplace(task, elapsedMillis() + options_.stopMillis_);
         }
-        respond(jsonReply(Ok, Json{{"clock_ms", elapsedMillis()}, {"born", incarnation_}}.dump()));
+        accept(respond);
     }
 
     void endRun(const std::string &task, const char *outcome)
@@ -200,6 +246,7 @@
         const std::uint64_t run = running_.at(task).number_;
         lastEndedRuns_[task] = std::max(lastEndedRuns_[task], run);
         running_.erase(task);
+        stopping_.erase(task);
         results_.push_back(Json::array({++lastResultNumber_, task, run, outcome, ""}));
         recordEvent(outcome, task, run);
     }
@@ -207,12 +254,17 @@
     void renew(const Json &body, const Respond &respond)
     {
         const auto lastSeen = body.value("last_seen", std::uint64_t{0});
-        results_.erase(std::remove_if(results_.begin(), results_.end(),
-                                      [lastSeen](const Json &each) { return each[0].get<std::uint64_t>() <= lastSeen; }),
-                       results_.end());
+        const auto kept = std::find_if(results_.begin(), results_.end(),
+                                       [lastSeen](const Json &each) { return each[0].get<std::uint64_t>() > lastSeen; });
+        std::for_each(results_.begin(), kept, [this](const Json &each) {
+            if (each[3] == "done" && each[0].get<std::uint64_t>() > lastBeforeLapse_) {
+                recordEvent("noted", each[1], each[2]);
+            }
+        });
+        results_.erase(results_.begin(), kept);
         const auto waitMillis = body.value("wait_ms", std::int64_t{0});
         if (waitMillis > 0 && results_.empty()) {
-            pendingRenewals_.push_back({respond, elapsedMillis() + waitMillis, lastSeen});
+            pendingRenewals_.emplace_back(respond, elapsedMillis() + waitMillis);
             return;
         }
         sendStatus(respond);
@@ -236,9 +288,14 @@
     void tick()
     {
         std::vector<std::pair<std::string, const char *>> ended;
+        noteLapse();
         for (const auto &[task, run] : running_) {
-            if (elapsedMillis() >= leaseUntil_) {
+            if (isLapsed()) {
                 ended.emplace_back(task, "lapsed");
+            } else if (const auto stopping = stopping_.find(task); stopping != stopping_.end()) {
+                if (elapsedMillis() >= stopping->second) {
+                    ended.emplace_back(task, "stopped");
+                }
             } else if (elapsedMillis() >= run.endsAt_) {
                 ended.emplace_back(task, "done");
             }
@@ -246,15 +303,11 @@
         for (const auto &[task, outcome] : ended) {
             endRun(task, outcome);
         }
-        std::vector<PendingRenewal> remaining;
-        for (PendingRenewal &each : std::exchange(pendingRenewals_, {})) {
-            if (!results_.empty() || elapsedMillis() >= each.expiresAt_) {
-                sendStatus(each.respond_);
-            } else {
-                remaining.push_back(std::move(each));
-            }
-        }
-        pendingRenewals_ = std::move(remaining);
+        const auto due = std::stable_partition(pendingRenewals_.begin(), pendingRenewals_.end(), [this](const PendingRenewal &each) {
+            return results_.empty() && elapsedMillis() < each.second;
+        });
+        std::for_each(due, pendingRenewals_.end(), [this](const PendingRenewal &each) { sendStatus(each.first); });
+        pendingRenewals_.erase(due, pendingRenewals_.end());
         tickTimer_.expires_after(std::chrono::milliseconds(2));
         tickTimer_.async_wait([this](boost::system::error_code error) {
             if (!error) {
@@ -265,6 +318,15 @@
 
     void sendHeartbeat()
     {
+        heartbeatTimer_.expires_after(heartbeatInterval);
+        heartbeatTimer_.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                sendHeartbeat();
+            }
+        });
+        if (bootClock() < announcedFrom_) {
+            return;
+        }
         PoolCall call;
         call.path_ = "/Instances.Heartbeat/" + options_.id_;
         call.headers_ = {{"Content-Type", "application/json"}};
@@ -283,12 +345,6 @@
                          .dump();
         call.timeout_ = {1000};
         agent_.call(std::move(call), [](const PoolResult &) {});
-        heartbeatTimer_.expires_after(heartbeatInterval);
-        heartbeatTimer_.async_wait([this](boost::system::error_code error) {
-            if (!error) {
-                sendHeartbeat();
-            }
-        });
     }
 
     boost::asio::io_context &io_;
@@ -300,15 +356,21 @@
     HttpPool agent_;
     std::int64_t incarnation_;
     Millis startedAt_;
+    /// Calls get no answer before this time, and heartbeats are sent from announcedFrom_ on.
+    Millis upAt_;
+    Millis announcedFrom_;
     std::minstd_rand random_;
     std::ofstream recordFile_;
     std::uint64_t highestFence_ = 0;
     std::int64_t leaseUntil_ = 0;
     std::int64_t sequence_ = 0;
     std::map<std::string, Run> running_;
+    /// Tasks that are being stopped, with the time at which they end.
+    std::map<std::string, std::int64_t> stopping_;
     std::map<std::string, std::uint64_t> lastEndedRuns_;
     std::vector<Json> results_;
     std::uint64_t lastResultNumber_ = 0;
+    std::uint64_t lastBeforeLapse_ = 0;
     std::vector<PendingRenewal> pendingRenewals_;
     std::vector<Respond> unansweredCalls_;
 };
@@ -319,22 +381,7 @@
 
 int main(int argc, char **argv)
 {
-    namespace po = boost::program_options;
-    ibiswall::WorkerOptions workerOptions;
-    std::string control;
-    po::options_description options("options");
-    options.add_options()("listen", po::value(&workerOptions.address_)->required(),
-                          "IP:PORT")("control", po::value(&control)->required(),
-                                     "IP:PORT of the agent")("id", po::value(&workerOptions.id_)->required(), "name of the worker")(
-        "domain", po::value(&workerOptions.domain_)->default_value("fd-1"), "failure domain")(
-        "record", po::value(&workerOptions.recordFile_)->default_value("/dev/null"), "file that receives a line for each start and end")(
-        "cpu", po::value(&workerOptions.cpu_)->default_value(8000), "thousandths of a core")(
-        "lost", po::value(&workerOptions.lateOrderRatio_)->default_value(0),
-        "share of orders that are not answered and carried out late")("seed", po::value(&workerOptions.seed_)->default_value(1), "seed");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    po::notify(values);
-    workerOptions.agentAddress_ = ibiswall::parseAddress(control).value();
+    const ibiswall::WorkerOptions workerOptions = ibiswall::parseWorkerOptions(argc, argv);
     boost::asio::io_context io(1);
     ibiswall::Worker worker(io, workerOptions, argv);
     ibiswall::HttpLimits limits;
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -135,7 +135,8 @@
     node.worker_.emplace(std::vector<std::string>{STANDIN_WORKER, "--listen", loopback(node.workerPort_), "--control",
                                                   loopback(node.agentPort_), "--id", "worker-" + std::to_string(index + 1), "--record",
                                                   node.runRecordFile_.string(), "--lost", std::to_string(config_.lateOrderRatio_), "--seed",
-                                                  std::to_string(index + 1)});
+                                                  std::to_string(index + 1), "--stop-ms", std::to_string(config_.stopMillis_), "--reply-ms",
+                                                  std::to_string(config_.replyMillis_)});
 }
 
 void Cell::startAgent(std::size_t index)
@@ -210,22 +211,33 @@
     return submitPayload(id, tasks, "ms=" + std::to_string(runMillis), bestEffort, timeout);
 }
 
-void Cell::setWorkerCpu(std::size_t index, int cpu) const
+void Cell::postToWorker(std::size_t index, const std::string &path, const Json &body) const
 {
-    const auto answer
-        = callHttp({"127.0.0.1", workerNodes_[index].workerPort_}, {"POST", "/standin/cpu", Json{{"cpu", cpu}}.dump(), {}, {5000}, {}});
+    const auto answer = callHttp({"127.0.0.1", workerNodes_[index].workerPort_}, {"POST", path, body.dump(), {}, {5000}, {}});
     if (answer.has_error()) {
         throw std::runtime_error(answer.error().text_);
     }
 }
 
+void Cell::setWorkerCpu(std::size_t index, int cpu) const
+{
+    postToWorker(index, "/standin/cpu", {{"cpu", cpu}});
+}
+
+void Cell::restartWorker(std::size_t index, Millis down, Millis announcement) const
+{
+    postToWorker(index, "/standin/restart", {{"down_ms", down.count_}, {"announce_ms", announcement.count_}});
+}
+
 std::size_t Cell::mostRunsAtOnce(std::size_t index, Millis from, Millis until) const
 {
     std::size_t running = 0;
     std::size_t most = 0;
     for (const Json &line : readJsonLines(workerNodes_[index].runRecordFile_)) {
         const bool started = line.at("what") == "start";
-        running += started ? 1 : -1;
+        if (line.at("what") != "noted") {
+            running += started ? 1 : -1;
+        }
         const Millis at{line.at("at").get<std::int64_t>()};
         if (started && at >= from && at <= until) {
             most = std::max(most, running);
@@ -325,12 +337,36 @@
     return result;
 }
 
-std::map<std::string, int> Cell::completedRuns() const
+std::vector<std::string> Cell::repeatedTasks() const
+{
+    std::map<std::string, std::int64_t> notedAt;
+    std::vector<std::pair<std::string, std::int64_t>> starts;
+    for (const WorkerNode &node : workerNodes_) {
+        for (const Json &line : readJsonLines(node.runRecordFile_)) {
+            const auto at = line.at("at").get<std::int64_t>();
+            if (line.at("what") == "noted") {
+                notedAt[line.at("task")] = at;
+            } else if (line.at("what") == "start") {
+                starts.emplace_back(line.at("task"), at);
+            }
+        }
+    }
+    std::vector<std::string> result;
+    for (const auto &[task, at] : starts) {
+        const auto noted = notedAt.find(task);
+        if (noted != notedAt.end() && at > noted->second) {
+            result.push_back(task);
+        }
+    }
+    return result;
+}
+
+std::map<std::string, int> Cell::endedRuns(const std::string &how) const
 {
     std::map<std::string, int> result;
     for (const WorkerNode &node : workerNodes_) {
         for (const Json &line : readJsonLines(node.runRecordFile_)) {
-            if (line.at("what") == "done") {
+            if (line.at("what") == how) {
                 ++result[line.at("task").get<std::string>()];
             }
         }
@@ -344,7 +380,7 @@
     await("one entry is the leader", [&] {
         for (std::size_t i = 0; i < entries_.size(); ++i) {
             const auto answer = callHttp({"127.0.0.1", entries_[i].metricsPort_}, {"GET", "/metrics", {}, {}, {2000}, {}});
-            if (answer && answer.value().body_.find("ibiswall_leading 1") != std::string::npos) {
+            if (answer && answer.value().body_.find("\nibiswall_leading 1") != std::string::npos) {
                 found = i;
                 return true;
             }
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -20,6 +20,9 @@
     int workers_ = 4;
     /// Fraction of the orders to a worker that it executes late and never answers, from 0 to 1.
     double lateOrderRatio_ = 0;
+    /// How long a worker takes to stop a run, and to reply.
+    int stopMillis_ = 0;
+    int replyMillis_ = 0;
     /// How long an entry keeps the final state of a job.
     Millis stateRetention_{120000};
     /// Whether the workers are said to reject tasks that do not fit.
@@ -98,6 +101,9 @@
     /// Changes the capacity that a worker announces, in thousandths of a core.
     void setWorkerCpu(std::size_t index, int cpu) const;
 
+    /// Begins a new incarnation of a worker under its id, which answers nothing for a time, and announces itself some time after that.
+    void restartWorker(std::size_t index, Millis down, Millis announcement) const;
+
     /// Largest number of tasks that ran on a worker at a time, of those started in a span of wall-clock time.
     std::size_t mostRunsAtOnce(std::size_t index, Millis from, Millis until) const;
 
@@ -116,14 +122,18 @@
     /// @param countUnended whether runs without a recorded end go on; they do unless their worker was killed
     std::vector<std::string> overlappingTasks(bool countUnended = false) const;
 
-    /// Number of runs that the workers recorded as done, by task.
-    std::map<std::string, int> completedRuns() const;
+    /// Tasks that were started after a worker had been told to discard their result as done.
+    std::vector<std::string> repeatedTasks() const;
+
+    /// Number of runs that the workers recorded to have ended in a way, such as "done" or "crashed", by task.
+    std::map<std::string, int> endedRuns(const std::string &how) const;
 
     /// Index of the leader according to the metrics of the entries; waits until there is one.
     std::size_t leader() const;
 
 private:
     void printLogs() const;
+    void postToWorker(std::size_t index, const std::string &path, const nlohmann::json &body) const;
     std::uint16_t makeStorePath(std::unique_ptr<Relay> &relay) const;
     void postToStore(const std::string &path, const nlohmann::json &body) const;
 
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -64,7 +64,7 @@
     cell.awaitReady();
     CallerThreads callers(cell, 6, 20, 20);
     checkAllCompleted(callers.join(), cell);
-    for (const auto &[task, times] : cell.completedRuns()) {
+    for (const auto &[task, times] : cell.endedRuns("done")) {
         BOOST_TEST(times == 1, task);
     }
 }
@@ -176,7 +176,7 @@
         const auto answer = cell.call(0, "GET", jobId(4000));
         return answer && answer.value().body_.find("completed") != std::string::npos;
     });
-    const auto completedRuns = cell.completedRuns();
+    const auto completedRuns = cell.endedRuns("done");
     BOOST_TEST(completedRuns.at(jobId(4000) + ".0.0.0") == 1);
 }
 
@@ -222,10 +222,10 @@
     Cell cell({2, 2, 0});
     cell.awaitReady();
     cell.putKey("op/evacuate/fd-1", Json::object());
-    await("jobs are refused", [&] { return cell.submit(jobId(5000), 1, 1, true, {1}).status_ == 503 || cell.completedRuns().empty(); });
-    const auto before = cell.completedRuns().size();
+    await("jobs are refused", [&] { return cell.submit(jobId(5000), 1, 1, true, {1}).status_ == 503 || cell.endedRuns("done").empty(); });
+    const auto before = cell.endedRuns("done").size();
     BOOST_TEST(cell.submit(jobId(5001), 1, 1, true, {1}).status_ != 200);
-    BOOST_TEST(cell.completedRuns().size() == before);
+    BOOST_TEST(cell.endedRuns("done").size() == before);
     cell.deleteKey("op/evacuate/fd-1");
     cell.awaitReady();
 }
--- a/tests/system/unlistedresults_test.cpp
+++ b/tests/system/unlistedresults_test.cpp
@@ -33,7 +33,7 @@
     for (int i = 0; i < jobs; ++i) {
         await("a job completes", [&] { return cell.state(jobId(i + 1)) == "completed"; });
     }
-    for (const auto &[task, runs] : cell.completedRuns()) {
+    for (const auto &[task, runs] : cell.endedRuns("done")) {
         BOOST_TEST(runs == 1, task << " was done " << runs << " times");
     }
 }
