Count the crash of a target under a start without a reply

A task that crashes the targets that start it was started three times more after three of them had crashed.

Cause: refused connections showed the crash before the call for the start had timed out. A start with an open call was left out, as the next incarnation may have carried it out, and the crash of an incarnation is recorded only once.

Change: such a crash counts when the run is lost, as for the other runs that the next incarnation may have; not if it lists the run.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -264,7 +264,7 @@
         std::int64_t unansweredIn_ = 0;
         /// Its end has been reported; it is only known here until its start is prevented.
         bool reported_ = false;
-        /// The crash of an earlier incarnation that it may have been active on.
+        /// The crash of an incarnation that it may have been active on; empty once that is known.
         std::optional<PossibleCrash> crash_;
     };
 
@@ -280,6 +280,7 @@
     bool beginCrash(Millis now);
     void recordCrash(Millis now);
     void recordRestart(Millis now);
+    void recordCrashOf(const TaskId &task, LocalRun &run, bool certain, Millis now);
     void addCrash(RunCrash crash, Millis at, Millis now);
     bool mayHaveCausedCrash(const LocalRun &run) const;
     void expireCrashes(Millis now);
@@ -291,13 +292,13 @@
     void renew(Millis wait, Millis now);
     void sendStop(const TaskId &task, LocalRun &run, Millis now);
     void onTargetRestarted(std::int64_t incarnation, Millis now);
-    void dropRunsOfEarlierIncarnations();
+    void dropRunsOfEarlierIncarnations(Millis now);
     void confirmIncarnation(const TargetCall &call);
     void rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now);
     void stopUnansweredStarts(Millis now);
     void stopRunsWithStrayLease(Millis now);
-    void markAllRunsLost();
-    std::map<TaskId, LocalRun>::iterator loseRun(std::map<TaskId, LocalRun>::iterator run);
+    void markAllRunsLost(Millis now);
+    std::map<TaskId, LocalRun>::iterator loseRun(std::map<TaskId, LocalRun>::iterator lost, Millis now);
     void recordResult(const RunResult &result);
     void setUnlistedResults(bool unlisted);
     bool canListMoreResults() const;
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -321,11 +321,11 @@
     if (!runs_.empty() && leaseExpired) {
         // Neither starts nor renewals have extended the lease.
         for (const auto &[task, run] : runs_) {
-            if (!run.reported_) {
+            if (!run.reported_ && !run.crash_) {
                 unexplainedLosses_.emplace_back(Run{task, run.number_}, run.started_);
             }
         }
-        markAllRunsLost();
+        markAllRunsLost(now);
     }
     stopRunsWithStrayLease(now);
     for (auto &[task, run] : runs_) {
--- a/src/ibiswall/cell/targetsupervisorcrashes.cpp
+++ b/src/ibiswall/cell/targetsupervisorcrashes.cpp
@@ -25,14 +25,8 @@
     if (!beginCrash(now)) {
         return;
     }
-    for (const auto &[task, run] : runs_) {
-        if (run.reported_) {
-            continue;
-        }
-        // A start without a reply yet may have reached the next incarnation.
-        if (run.phase_ != Phase::Starting || !run.calling_) {
-            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
-        }
+    for (auto &[task, run] : runs_) {
+        recordCrashOf(task, run, run.phase_ != Phase::Starting || !run.calling_, now);
     }
 }
 
@@ -44,14 +38,20 @@
         return;
     }
     for (auto &[task, run] : runs_) {
-        if (run.reported_) {
-            continue;
-        }
-        if (run.startedBy_ != 0) {
-            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
-        } else if (run.phase_ != Phase::Starting || !run.calling_) {
-            run.crash_ = {now, mayHaveCausedCrash(run)};
-        }
+        recordCrashOf(task, run, run.startedBy_ != 0, now);
+    }
+}
+
+// @param certain whether the run cannot be active in the next incarnation; otherwise the crash counts when the run is lost
+void TargetSupervisor::recordCrashOf(const TaskId &task, LocalRun &run, bool certain, Millis now)
+{
+    if (run.reported_) {
+        return;
+    }
+    if (certain) {
+        addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
+    } else {
+        run.crash_ = {now, mayHaveCausedCrash(run)};
     }
 }
 
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -29,7 +29,7 @@
 }
 
 // The lease of all runs has expired, but for those with a start in flight.
-void TargetSupervisor::markAllRunsLost()
+void TargetSupervisor::markAllRunsLost(Millis now)
 {
     for (auto each = runs_.begin(); each != runs_.end();) {
         const LocalRun &run = each->second;
@@ -37,17 +37,21 @@
             ++each;
             continue;
         }
-        each = loseRun(each);
+        each = loseRun(each, now);
     }
 }
 
 // Removes a run that has ended without a result.
-std::map<TaskId, TargetSupervisor::LocalRun>::iterator TargetSupervisor::loseRun(std::map<TaskId, LocalRun>::iterator run)
+std::map<TaskId, TargetSupervisor::LocalRun>::iterator TargetSupervisor::loseRun(std::map<TaskId, LocalRun>::iterator lost, Millis now)
 {
-    if (!run->second.reported_) {
-        report_.results_.push_back({0, {run->first, run->second.number_}, RunOutcome::Lost, {}});
+    const auto &[task, run] = *lost;
+    if (run.crash_) {
+        addCrash({{task, run.number_}, run.crash_->suspected_, run.started_, {}}, run.crash_->at_, now);
     }
-    return runs_.erase(run);
+    if (!run.reported_) {
+        report_.results_.push_back({0, {task, run.number_}, RunOutcome::Lost, {}});
+    }
+    return runs_.erase(lost);
 }
 
 void TargetSupervisor::setUnlistedResults(bool unlisted)
@@ -158,10 +162,7 @@
             ++each;
             continue;
         }
-        if (run.crash_) {
-            addCrash({{each->first, run.number_}, run.crash_->suspected_, run.started_, {}}, run.crash_->at_, now);
-        }
-        each = loseRun(each);
+        each = loseRun(each, now);
     }
     if (fullReportDue_ && reportRenewalSent_) {
         completeFullReport(now);
--- a/src/ibiswall/cell/targetsupervisorrestart.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart.cpp
@@ -34,7 +34,7 @@
     highestResult_ = 0;
     releasedThrough_ = 0;
     setUnlistedResults(false);
-    dropRunsOfEarlierIncarnations();
+    dropRunsOfEarlierIncarnations(now);
     stopUnansweredStarts(now);
     // Leases were requested by the clock of an earlier incarnation. The new one grants the longest lease at most.
     strayLeaseUntil_ = restarted ? now + settings_.maxLease_ : Millis{};
@@ -43,12 +43,12 @@
     renewRetryAt_ = {};
 }
 
-void TargetSupervisor::dropRunsOfEarlierIncarnations()
+void TargetSupervisor::dropRunsOfEarlierIncarnations(Millis now)
 {
     for (auto each = runs_.begin(); each != runs_.end();) {
         LocalRun &run = each->second;
         if (run.startedBy_ != 0 && run.unansweredIn_ == 0) {
-            each = loseRun(each);
+            each = loseRun(each, now);
         } else {
             run.startedBy_ = 0;
             ++each;
--- a/src/ibiswall/cell/targetsupervisorrestart_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart_test.cpp
@@ -126,6 +126,37 @@
     BOOST_TEST(report.crashes_[1].run_.number_ == 3U);
 }
 
+// The crash was recorded before the start timed out, and never counted for its task.
+BOOST_AUTO_TEST_CASE(crash_under_a_start_without_a_reply_counts_once_the_run_is_lost)
+{
+    TargetSupervisorFixture fixture;
+    fixture.startRunning("old", 1);
+    fixture.advance(5);
+    fixture.answerRenewals({runOf("old", 1)}, {});
+    fixture.start("j1", 2);
+    fixture.advance(5);
+    fixture.refuseRenewals();
+    fixture.advance(25);
+    fixture.supervisor_.tick(fixture.now_);
+    BOOST_TEST(fixture.supervisor_.takeReport().crashes_.size() == 1U);
+    fixture.answerStart(CallOutcome::Unknown);
+    while (fixture.supervisor_.runs() > 0 && fixture.now_ < Millis{5000}) {
+        fixture.advance(50);
+        fixture.refuseRenewals();
+        for (const TargetCall::Kind kind : {TargetCall::Kind::Start, TargetCall::Kind::Stop}) {
+            for (const TargetCall &call : fixture.calls(kind)) {
+                kind == TargetCall::Kind::Start ? fixture.supervisor_.onStartReply(call, CallOutcome::Refused, fixture.now_)
+                                                : fixture.supervisor_.onStopReply(call, CallOutcome::Refused, fixture.now_);
+            }
+        }
+    }
+    const AgentReport report = fixture.supervisor_.takeReport();
+    BOOST_REQUIRE(report.crashes_.size() == 1U);
+    BOOST_TEST(report.crashes_[0].run_.number_ == 2U);
+    BOOST_TEST(report.crashes_[0].suspected_);
+    BOOST_TEST(!report.crashes_[0].started_);
+}
+
 // Its lease is counted by the clock of the new incarnation, which grants the longest lease from when the call arrives.
 BOOST_AUTO_TEST_CASE(run_that_a_silent_new_incarnation_may_have_is_lost_after_the_longest_lease)
 {
