Compute leases by the earliest time that the target's clock can show

Cause: the end of a lease was counted from the last list, as if the target's clock ran like the agent's. It may be 2 % slow, idle targets are not asked for lists, and their announcements did not set the clock. After 80 s a lease ended 1.6 s later than the agent waited for.

Change: the end is counted from the earliest time that the clock can show, by its last reading and its drift since. Announcements set the clock too, if they are news. A lease gets shorter with the age of the reading; from 200 ms of possible drift on none is requested and nothing is started until the next announcement.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -136,6 +136,8 @@
     /// Interval between renewals while the target has unlisted results and may not discard any: it replies at once, and the list of
     /// results stays the same.
     Millis unlistedPollInterval_{100};
+    /// Largest error of the target's clock, from its drift since it was read, for which a lease is requested. It shortens the lease.
+    Millis maxClockError_{200};
     /// Added to a lease before it counts as expired, for clock drift of the target and for the time that it needs to
     /// stop its runs.
     Millis leaseExpiryMargin_{150};
@@ -276,6 +278,9 @@
     };
 
     void recordOutcome(const TargetCall &call, CallOutcome outcome, Millis now);
+    void readClock(std::int64_t clock, Millis now);
+    bool isClockKnown(Millis now) const;
+    std::int64_t earliestClock(Millis now) const;
     void setResponsive(bool responsive);
     bool beginCrash(Millis now);
     void recordCrash(Millis now);
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -53,10 +53,7 @@
     if (info.targetIncarnation_ > targetIncarnation_) {
         onTargetRestarted(info.targetIncarnation_, now);
     }
-    if (!clock_) {
-        clock_ = clock;
-        clockAt_ = now;
-    }
+    readClock(clock, now);
     lastContactAt_ = now;
     TargetInfo current = info;
     current.responsive_ = responsive_;
@@ -100,7 +97,7 @@
 
 bool TargetSupervisor::isReady(Millis now) const
 {
-    return info_ && !agentDraining_ && !info_->draining_ && clock_ && now + minLease < agentLeaseUntil_
+    return info_ && !agentDraining_ && !info_->draining_ && isClockKnown(now) && now + minLease < agentLeaseUntil_
         && strayLeaseUntil_ <= agentLeaseUntil_ && !fullReportDue_;
 }
 
@@ -111,7 +108,7 @@
 
 bool TargetSupervisor::mayRequestLease(Millis now) const
 {
-    return clock_ && now + minLease < agentLeaseUntil_ && responsive_
+    return isClockKnown(now) && now + minLease < agentLeaseUntil_ && responsive_
         && (runs_.empty() || now <= lastContactAt_ + settings_.unresponsiveAfter_);
 }
 
@@ -130,7 +127,7 @@
 void TargetSupervisor::requestLease(TargetCall &call, Millis now)
 {
     call.leaseUntil_ = {std::min((now + settings_.maxLease_).count_, agentLeaseUntil_.count_)};
-    call.leaseEnd_ = *clock_ + (call.leaseUntil_ - clockAt_).count_;
+    call.leaseEnd_ = earliestClock(now) + (call.leaseUntil_ - now).count_;
     ++leasesInFlight_;
 }
 
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -102,8 +102,7 @@
         return;
     }
     if (reply.targetIncarnation_ == targetIncarnation_ && call.epoch_ == epoch_) {
-        clock_ = reply.clock_;
-        clockAt_ = now;
+        readClock(reply.clock_, now);
         releasedThrough_
             = call.targetIncarnation_ == targetIncarnation_ ? std::max(releasedThrough_, call.acknowledged_) : releasedThrough_;
         reconcileRuns(call, reply, now);
