--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -240,6 +240,7 @@
         Stopped,
     };
 
+    /// A crash of the target that a run may have been active during, and whether the run may be its cause.
     struct PossibleCrash
     {
         Millis at_;
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -123,14 +123,6 @@
     return call;
 }
 
-// Makes a call request the longest lease that the agent lease allows.
-void TargetSupervisor::requestLease(TargetCall &call, Millis now)
-{
-    call.leaseUntil_ = {std::min((now + settings_.maxLease_).count_, agentLeaseUntil_.count_)};
-    call.leaseEnd_ = earliestClock(now) + (call.leaseUntil_ - now).count_;
-    ++leasesInFlight_;
-}
-
 // Updates the state of the connection and of the lease from the outcome of a call.
 void TargetSupervisor::recordOutcome(const TargetCall &call, CallOutcome outcome, Millis now)
 {
--- a/src/ibiswall/cell/targetsupervisorclock.cpp
+++ b/src/ibiswall/cell/targetsupervisorclock.cpp
@@ -1,7 +1,9 @@
-// Follows the clock of a supervised target, by which its leases end.
+// Requests leases by the clock of a supervised target.
 
 #include <ibiswall/cell/targetsupervisor.hpp>
 
+#include <algorithm>
+
 namespace ibiswall::cell {
 
 namespace {
@@ -39,4 +41,12 @@
     return *clock_ + (age - drift(age)).count_;
 }
 
+// Makes a call request the longest lease that the agent lease allows.
+void TargetSupervisor::requestLease(TargetCall &call, Millis now)
+{
+    call.leaseUntil_ = {std::min((now + settings_.maxLease_).count_, agentLeaseUntil_.count_)};
+    call.leaseEnd_ = earliestClock(now) + (call.leaseUntil_ - now).count_;
+    ++leasesInFlight_;
+}
+
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -103,8 +103,9 @@
     }
     if (reply.targetIncarnation_ == targetIncarnation_ && call.epoch_ == epoch_) {
         readClock(reply.clock_, now);
-        releasedThrough_
-            = call.targetIncarnation_ == targetIncarnation_ ? std::max(releasedThrough_, call.acknowledged_) : releasedThrough_;
+        if (call.targetIncarnation_ == targetIncarnation_) {
+            releasedThrough_ = std::max(releasedThrough_, call.acknowledged_);
+        }
         reconcileRuns(call, reply, now);
     } else {
         reportRenewalSent_ = false;
