--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -33,7 +33,7 @@
     std::uint64_t acknowledged_ = 0;
     /// How long the target may delay the reply to a renewal while it has no new result.
     Millis wait_;
-    /// Incarnation of the target that the call is meant for, 0 for any.
+    /// Incarnation of the target that was known when the call was sent, 0 for none. A later one may carry it out.
     std::int64_t targetIncarnation_ = 0;
     Millis sentAt_;
     /// End of the target lease on the local clock.
