--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -345,7 +345,8 @@
         for (const Json &line : readJsonLines(node.runRecordFile_)) {
             const auto at = line.at("at").get<std::int64_t>();
             if (line.at("what") == "noted") {
-                notedAt[line.at("task")] = at;
+                const auto [first, added] = notedAt.try_emplace(line.at("task"), at);
+                first->second = std::min(first->second, at);
             } else if (line.at("what") == "start") {
                 starts.emplace_back(line.at("task"), at);
             }
