Let one piece of code record crashes, post to stand-ins and read seeds

A renewal computes what may be released once. Cell::postToStore and postToWorker call one function. Seeds and counts of the simulation, the malformed records and the restarts come from tests/environment.hpp; defaults are the same. The condition of late calls in the simulation is written as it reads.

Checks: the build and all unit tests, with 500 simulations, pass; format.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -283,10 +283,7 @@
     bool isClockKnown(Millis now) const;
     std::int64_t earliestClock(Millis now) const;
     void setResponsive(bool responsive);
-    bool beginCrash(Millis now);
-    void recordCrash(Millis now);
-    void recordRestart(Millis now);
-    void recordCrashOf(const TaskId &task, LocalRun &run, bool certain, Millis now);
+    void recordCrash(bool restarted, Millis now);
     void addCrash(RunCrash crash, Millis at, Millis now);
     bool mayHaveCausedCrash(const LocalRun &run) const;
     void expireCrashes(Millis now);
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -1,9 +1,9 @@
 // Simulates a cell and runs seeded scenarios with faults in it.
 
+#include "../../../tests/environment.hpp"
 #include "cellsimulation.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <iostream>
 
 namespace ibiswall::cell {
@@ -572,8 +572,8 @@
             const std::int64_t incarnation = each.target_.targetIncarnation_;
             const bool prevented
                 = each.incarnation_ == sentBy && each.knownTarget_ == incarnation && now_ > each.knownSince_ + timeToPrevent;
-            const bool reaches = call.kind_ == TargetCall::Kind::Renew ? incarnation == call.targetIncarnation_ : prevented;
-            if ((incarnation == sentTo && call.kind_ != TargetCall::Kind::Renew) || reaches) {
+            const bool renewal = call.kind_ == TargetCall::Kind::Renew;
+            if (renewal ? incarnation == call.targetIncarnation_ : incarnation == sentTo || prevented) {
                 carryOut(agent(i), call);
             }
         });
@@ -897,15 +897,8 @@
 
 int simulationCount()
 {
-    constexpr int defaultRuns = 500;
-    const char *count = std::getenv("IBISWALL_HISTORIES");
-    return count == nullptr ? defaultRuns : std::atoi(count);
-}
-
-std::uint32_t firstSeed()
-{
-    const char *seed = std::getenv("IBISWALL_SEED");
-    return seed == nullptr ? 1U : static_cast<std::uint32_t>(std::atoi(seed));
+    constexpr unsigned defaultRuns = 500;
+    return static_cast<int>(numberFromEnvironment("IBISWALL_HISTORIES", defaultRuns));
 }
 
 // Runs scenarios with one safeguard disabled until one of them reports a violation.
--- a/src/ibiswall/cell/malformed_test.cpp
+++ b/src/ibiswall/cell/malformed_test.cpp
@@ -1,9 +1,9 @@
 // Tests that malformed records are rejected and never reach the dispatcher.
 
+#include "../../../tests/environment.hpp"
 #include "testparts.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <ibiswall/cell/cbor.hpp>
 #include <ibiswall/cell/dispatcher.hpp>
 #include <nlohmann/json.hpp>
@@ -49,15 +49,8 @@
 
 unsigned scenarioCount()
 {
-    const char *count = std::getenv("IBISWALL_HISTORIES");
     constexpr unsigned inCi = 3000;
-    return count == nullptr ? inCi : static_cast<unsigned>(std::strtoul(count, nullptr, 10));
-}
-
-unsigned firstSeed()
-{
-    const char *seed = std::getenv("IBISWALL_SEED");
-    return seed == nullptr ? 1U : static_cast<unsigned>(std::strtoul(seed, nullptr, 10));
+    return numberFromEnvironment("IBISWALL_HISTORIES", inCi);
 }
 
 // Changes a few bytes, removes some or repeats some.
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -288,7 +288,8 @@
     renewedAt_ = now;
     TargetCall call = makeCall(TargetCall::Kind::Renew, {}, now);
     call.serial_ = ++renewalsSent_;
-    call.acknowledged_ = releasable() > releasedThrough_ && mayRelease() ? releasable() : 0;
+    const std::uint64_t through = releasable();
+    call.acknowledged_ = through > releasedThrough_ && mayRelease() ? through : 0;
     call.wait_ = wait;
     if (mayRequestLease(now)) {
         requestLease(call, now);
@@ -300,7 +301,7 @@
 {
     lastRunAt_ = runs_.empty() ? lastRunAt_ : now;
     if (refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_) {
-        recordCrash(now);
+        recordCrash(false, now);
     }
     const bool leaseExpired = leasesInFlight_ == 0 && now > leaseUntil_ + settings_.leaseExpiryMargin_;
     if (leaseExpired && !responsive_) {
--- a/src/ibiswall/cell/targetsupervisorcrashes.cpp
+++ b/src/ibiswall/cell/targetsupervisorcrashes.cpp
@@ -6,52 +6,27 @@
 
 namespace ibiswall::cell {
 
-// Records the crash of the current incarnation for the runs that were lost before. Returns false if it is known already, or the
-// target was leaving.
-bool TargetSupervisor::beginCrash(Millis now)
+// Records the crash of the current incarnation, unless it was leaving, for the runs that were lost before and those that were active on
+// it. The next incarnation may have a run instead whose start had no reply when connections were refused, or that is not known to have
+// been started before a restart; then the crash counts when the run is lost.
+void TargetSupervisor::recordCrash(bool restarted, Millis now)
 {
     if (!info_ || info_->leaving_ || std::exchange(crashRecorded_, true)) {
-        return false;
+        return;
     }
     for (const auto &[run, started] : std::exchange(unexplainedLosses_, {})) {
         addCrash({run, false, started, {}}, now, now);
     }
-    return true;
-}
-
-// The target does not exist any more, nor does any run that was active on it.
-void TargetSupervisor::recordCrash(Millis now)
-{
-    if (!beginCrash(now)) {
-        return;
-    }
     for (auto &[task, run] : runs_) {
-        recordCrashOf(task, run, run.phase_ != Phase::Starting || !run.calling_, now);
-    }
-}
-
-// The current incarnation has crashed and the next one has begun, in which any run that is not known to have been started before may
-// be active instead.
-void TargetSupervisor::recordRestart(Millis now)
-{
-    if (!beginCrash(now)) {
-        return;
-    }
-    for (auto &[task, run] : runs_) {
-        recordCrashOf(task, run, run.startedBy_ != 0, now);
-    }
-}
-
-// @param certain whether the run cannot be active in the next incarnation; otherwise the crash counts when the run is lost
-void TargetSupervisor::recordCrashOf(const TaskId &task, LocalRun &run, bool certain, Millis now)
-{
-    if (run.reported_) {
-        return;
-    }
-    if (certain) {
-        addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
-    } else {
-        run.crash_ = {now, mayHaveCausedCrash(run)};
+        if (run.reported_) {
+            continue;
+        }
+        const bool open = run.phase_ == Phase::Starting && run.calling_;
+        if (restarted ? run.startedBy_ == 0 : open) {
+            run.crash_ = {now, mayHaveCausedCrash(run)};
+        } else {
+            addCrash({{task, run.number_}, mayHaveCausedCrash(run), run.started_, {}}, now, now);
+        }
     }
 }
 
--- a/src/ibiswall/cell/targetsupervisorrestart.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart.cpp
@@ -13,7 +13,7 @@
 {
     const bool restarted = targetIncarnation_ != 0;
     if (restarted) {
-        recordRestart(now);
+        recordCrash(true, now);
     }
     for (RunResult &result : report_.results_) {
         // The report will be read as one of the new incarnation, whose numbers start again.
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -33,6 +33,14 @@
     return {{"version", 1}, {"routes", Json::array({route})}, {"services", Json::array({service})}};
 }
 
+void postJson(std::uint16_t port, const std::string &path, const Json &body)
+{
+    const auto answer = callHttp({"127.0.0.1", port}, {"POST", path, body.dump(), {}, {5000}, {}});
+    if (answer.has_error()) {
+        throw std::runtime_error(answer.error().text_);
+    }
+}
+
 } // namespace
 
 std::string jobId(int number)
@@ -153,10 +161,7 @@
 
 void Cell::postToStore(const std::string &path, const Json &body) const
 {
-    const auto answer = callHttp({"127.0.0.1", storePort_}, {"POST", path, body.dump(), {}, {5000}, {}});
-    if (answer.has_error()) {
-        throw std::runtime_error(answer.error().text_);
-    }
+    postJson(storePort_, path, body);
 }
 
 std::uint16_t Cell::makeStorePath(std::unique_ptr<Relay> &relay) const
@@ -211,22 +216,14 @@
     return submitPayload(id, tasks, "ms=" + std::to_string(runMillis), bestEffort, timeout);
 }
 
-void Cell::postToWorker(std::size_t index, const std::string &path, const Json &body) const
-{
-    const auto answer = callHttp({"127.0.0.1", workerNodes_[index].workerPort_}, {"POST", path, body.dump(), {}, {5000}, {}});
-    if (answer.has_error()) {
-        throw std::runtime_error(answer.error().text_);
-    }
-}
-
 void Cell::setWorkerCpu(std::size_t index, int cpu) const
 {
-    postToWorker(index, "/standin/cpu", {{"cpu", cpu}});
+    postJson(workerNodes_[index].workerPort_, "/standin/cpu", {{"cpu", cpu}});
 }
 
 void Cell::restartWorker(std::size_t index, Millis down, Millis announcement) const
 {
-    postToWorker(index, "/standin/restart", {{"down_ms", down.count_}, {"announce_ms", announcement.count_}});
+    postJson(workerNodes_[index].workerPort_, "/standin/restart", {{"down_ms", down.count_}, {"announce_ms", announcement.count_}});
 }
 
 std::size_t Cell::mostRunsAtOnce(std::size_t index, Millis from, Millis until) const
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -133,7 +133,6 @@
 
 private:
     void printLogs() const;
-    void postToWorker(std::size_t index, const std::string &path, const nlohmann::json &body) const;
     std::uint16_t makeStorePath(std::unique_ptr<Relay> &relay) const;
     void postToStore(const std::string &path, const nlohmann::json &body) const;
 
--- a/tests/system/restarts_test.cpp
+++ b/tests/system/restarts_test.cpp
@@ -1,10 +1,10 @@
 // Tests a cell whose workers restart under their ids, and take calls that were meant for their former incarnations.
 
+#include "../environment.hpp"
 #include "cell.hpp"
 #include "cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <iostream>
 #include <random>
 #include <thread>
@@ -50,19 +50,6 @@
     }
 }
 
-std::uint32_t firstSeed()
-{
-    const char *seed = std::getenv("IBISWALL_SEED");
-    return seed == nullptr ? 1U : static_cast<std::uint32_t>(std::atoi(seed));
-}
-
-int seedCount()
-{
-    constexpr int defaultCount = 2;
-    const char *count = std::getenv("IBISWALL_RESTART_SEEDS");
-    return count == nullptr ? defaultCount : std::atoi(count);
-}
-
 // Workers restart, some of them several times in a row, while jobs of short and long tasks come, and leaders are killed.
 class RestartScenario
 {
@@ -152,8 +139,9 @@
 
 BOOST_AUTO_TEST_CASE(tasks_run_once_while_workers_restart)
 {
-    for (int i = 0; i < seedCount(); ++i) {
-        const std::uint32_t seed = firstSeed() + static_cast<std::uint32_t>(i);
+    constexpr unsigned seedsInCi = 2;
+    const unsigned end = firstSeed() + numberFromEnvironment("IBISWALL_RESTART_SEEDS", seedsInCi);
+    for (unsigned seed = firstSeed(); seed < end; ++seed) {
         std::cout << "seed " << seed << std::endl;
         BOOST_TEST_CONTEXT("seed " << seed)
         {
