Read scheduling, memory and descriptor limits from the settings of a cell

Steps get an image, and kindOf names the kind of work of a step.

Checks: settings_test, build of node_test and cell_test; format.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <ibiswall/cell/crashhistory.hpp>
 #include <ibiswall/cell/dispatcheractions.hpp>
 #include <ibiswall/cell/orphans.hpp>
+#include <ibiswall/cell/schedulingsettings.hpp>
 #include <ibiswall/cell/targets.hpp>
 #include <optional>
 #include <set>
@@ -34,6 +35,8 @@
 
     void setConfig(const CellConfig &config, const std::set<std::string> &domainsOut);
 
+    void setScheduling(const SchedulingSettings &settings);
+
     /// Adds a job. Does not change a job that was added before.
     /// @return the job's state if it is final already, to be reported to the offering entry
     std::optional<JobState> addJob(JobOffer offer, Millis now);
@@ -294,6 +297,7 @@
     std::uint64_t runsAssigned_ = 0;
     std::uint64_t nextSequence_ = 1;
     CellConfig config_;
+    SchedulingSettings scheduling_;
     std::set<std::string> domainsOut_;
     std::unordered_map<std::string, Job> jobs_;
     /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -43,8 +43,14 @@
     std::uint32_t maxPerTarget_ = 0;
     /// Whether runs save checkpoints.
     bool checkpoints_ = false;
+    /// Names what the tasks run; empty if the caller does not say. Tasks of one image behave alike.
+    std::string image_;
 };
 
+/// Name of the kind of work of a step: tasks of one kind are expected to behave alike.
+/// @param number index of the step in its job
+std::string kindOf(std::string_view queue, std::size_t number, const Step &step);
+
 /// A job as its caller submitted it, with the queue that it was assigned to.
 struct JobSpec
 {
--- a/include/ibiswall/settings.hpp
+++ b/include/ibiswall/settings.hpp
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <ibiswall/cell/schedulingsettings.hpp>
 #include <ibiswall/core.hpp>
 #include <string>
 #include <variant>
@@ -92,6 +93,11 @@
     Millis gracePeriod_{6000};
     /// How long the final state of a job is kept after the job ends.
     Millis stateRetention_{120000};
+    /// Memory that the process may use, in megabytes; 0 if unknown.
+    std::size_t memory_ = 0;
+    /// File descriptors that the process may open; 0 for the limit that the system sets.
+    std::size_t maxDescriptors_ = 0;
+    cell::SchedulingSettings scheduling_;
 };
 
 /// Settings of `ibiswall cell-agent`.
@@ -110,6 +116,10 @@
     Millis gracePeriod_{6000};
     /// Longest lease that the target grants.
     Millis maxLease_{1000};
+    /// Memory that the process may use, in megabytes; 0 if unknown.
+    std::size_t memory_ = 0;
+    /// File descriptors that the process may open; 0 for the limit that the system sets.
+    std::size_t maxDescriptors_ = 0;
 };
 
 /// Settings of a process of any role.
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -49,6 +49,11 @@
     ++targetsVersion_;
 }
 
+void Dispatcher::setScheduling(const SchedulingSettings &settings)
+{
+    scheduling_ = settings;
+}
+
 const Queue *Dispatcher::queueOf(const Job &job) const
 {
     const auto found = config_.queues_.find(job.record_.spec_.queue_);
--- a/src/ibiswall/cell/model.cpp
+++ b/src/ibiswall/cell/model.cpp
@@ -42,4 +42,12 @@
     return best;
 }
 
+std::string kindOf(std::string_view queue, std::size_t number, const Step &step)
+{
+    if (!step.image_.empty()) {
+        return step.image_;
+    }
+    return std::string(queue) + '/' + std::to_string(number);
+}
+
 } // namespace ibiswall::cell
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -95,6 +95,10 @@
     settings_.storeAddress_ = settings.storeAddress_;
     stop_.setGracePeriod(settings.gracePeriod_);
     settings_.stateRetention_ = settings.stateRetention_;
+    settings_.scheduling_ = settings.scheduling_;
+    if (leaderSession_) {
+        leaderSession_->setScheduling(settings_.scheduling_);
+    }
 }
 
 void EntryNode::tick()
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -23,7 +23,7 @@
     /// @return an error if an address cannot be bound
     Result<void> start();
 
-    /// Applies a changed store address, grace period and retention of states. Other changes need a restart.
+    /// Applies a changed store address, grace period, retention of states and scheduling. Other changes need a restart.
     void apply(const CellEntrySettings &settings);
 
 private:
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -127,6 +127,11 @@
     scheduleDispatch();
 }
 
+void LeaderSession::setScheduling(const cell::SchedulingSettings &settings)
+{
+    dispatcher_.setScheduling(settings);
+}
+
 void LeaderSession::containQueues(const std::set<std::string> &queues)
 {
     dispatcher_.containQueues(queues, bootClock());
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -73,6 +73,7 @@
     void resume();
 
     void setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut);
+    void setScheduling(const cell::SchedulingSettings &settings);
 
     /// Takes over the containment of the previous leader.
     void containQueues(const std::set<std::string> &queues);
--- a/src/ibiswall/settings/objectreader.cpp
+++ b/src/ibiswall/settings/objectreader.cpp
@@ -131,6 +131,19 @@
     return value->get<double>();
 }
 
+bool ObjectReader::boolean(const char *key, bool fallback)
+{
+    const nlohmann::json *value = find(key, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_boolean()) {
+        problem(key, "true or false is required");
+        return fallback;
+    }
+    return value->get<bool>();
+}
+
 std::int64_t ObjectReader::requiredInteger(const char *key, std::int64_t minValue, std::int64_t maxValue)
 {
     find(key, true);
--- a/src/ibiswall/settings/objectreader.hpp
+++ b/src/ibiswall/settings/objectreader.hpp
@@ -30,6 +30,29 @@
     /// Reads a real number. Returns the fallback when the key is absent or the value is invalid.
     double realNumber(const char *key, double minValue, double maxValue, double fallback);
 
+    /// Reads true or false. Returns the fallback when the key is absent or the value is invalid.
+    bool boolean(const char *key, bool fallback);
+
+    /// Reads an object.
+    /// @param read converts it, given its ObjectReader
+    /// @return the fallback when the key is absent or the value is no object
+    template<typename T, typename Read>
+    T object(const char *key, T fallback, Read read)
+    {
+        const nlohmann::json *value = find(key, false);
+        if (value == nullptr) {
+            return fallback;
+        }
+        if (!value->is_object()) {
+            problem(key, "an object is required");
+            return fallback;
+        }
+        ObjectReader item(*value, prefix_ + key + '.', problems_);
+        T out = read(item);
+        item.reportUnknownKeys();
+        return out;
+    }
+
     /// Reads a required integer.
     std::int64_t requiredInteger(const char *key, std::int64_t minValue, std::int64_t maxValue);
 
--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -29,6 +29,8 @@
 constexpr std::int64_t minFrameBytes = 1024;
 constexpr std::int64_t maxConnections = 65536;
 constexpr std::int64_t maxCount = 10000000;
+// 16 TB.
+constexpr std::int64_t maxMemoryMb = 1 << 24;
 
 std::string readLogLevel(ObjectReader &reader)
 {
@@ -211,6 +213,24 @@
     return settings;
 }
 
+// Limits of the machine; both kinds of process of a cell have them.
+template<typename OwnSettings>
+void readMachineLimits(ObjectReader &reader, OwnSettings &settings)
+{
+    readSize(reader, "memory_mb", 0, maxMemoryMb, settings.memory_);
+    readSize(reader, "max_descriptors", 0, maxCount, settings.maxDescriptors_);
+}
+
+cell::SchedulingSettings readScheduling(ObjectReader &reader)
+{
+    cell::SchedulingSettings settings;
+    settings.admission_ = reader.boolean("admission", settings.admission_);
+    settings.queueFloor_ = reader.realNumber("queue_floor", 0, cell::maxQueueFloor, settings.queueFloor_);
+    settings.placeByEnd_ = reader.boolean("place_by_end", settings.placeByEnd_);
+    settings.separateInterfering_ = reader.boolean("separate_interfering", settings.separateInterfering_);
+    return settings;
+}
+
 CellEntrySettings readCellEntrySettings(ObjectReader &reader)
 {
     CellEntrySettings settings;
@@ -225,6 +245,8 @@
     settings.logLevel_ = readLogLevel(reader);
     settings.gracePeriod_ = {reader.integer("grace_ms", 0, maxDelayMs, settings.gracePeriod_.count_)};
     settings.stateRetention_ = {reader.integer("keep_states_ms", 0, maxRetentionMs, settings.stateRetention_.count_)};
+    readMachineLimits(reader, settings);
+    settings.scheduling_ = reader.object("scheduling", settings.scheduling_, readScheduling);
     return settings;
 }
 
@@ -240,6 +262,7 @@
     settings.logLevel_ = readLogLevel(reader);
     settings.gracePeriod_ = {reader.integer("grace_ms", 0, maxDelayMs, settings.gracePeriod_.count_)};
     settings.maxLease_ = {reader.integer("max_lease_ms", minLeaseMs, maxDelayMs, settings.maxLease_.count_)};
+    readMachineLimits(reader, settings);
     return settings;
 }
 
--- a/src/ibiswall/settings/settings_test.cpp
+++ b/src/ibiswall/settings/settings_test.cpp
@@ -125,6 +125,36 @@
     }
 }
 
+// Guards against misspelled switches that would silently leave a deployment without the behavior that it asks for.
+BOOST_AUTO_TEST_CASE(scheduling_of_a_cell_entry_is_read_and_checked)
+{
+    Json json = Json::parse(R"({"role": "cell-entry", "name": "e1", "domain": "fd-1", "callers": "127.0.0.1:1",
+        "ready": "127.0.0.1:2", "links": "127.0.0.1:3", "metrics": "127.0.0.1:4", "store": "127.0.0.1:5",
+        "memory_mb": 120, "max_descriptors": 3075,
+        "scheduling": {"admission": true, "queue_floor": 0.1, "place_by_end": true, "separate_interfering": false}})");
+    const auto parsed = parseSettings("e.json", json.dump());
+    BOOST_REQUIRE_MESSAGE(parsed.has_value(), (parsed.has_error() ? parsed.error().text_ : ""));
+    const auto &settings = std::get<CellEntrySettings>(parsed.value());
+    BOOST_TEST(settings.memory_ == 120U);
+    BOOST_TEST(settings.maxDescriptors_ == 3075U);
+    BOOST_TEST(settings.scheduling_.admission_);
+    BOOST_TEST(settings.scheduling_.queueFloor_ == 0.1);
+    BOOST_TEST(settings.scheduling_.placeByEnd_);
+    BOOST_TEST(!settings.scheduling_.separateInterfering_);
+    const std::pair<Json, const char *> invalid[] = {
+        {Json::object({{"queue_floor", 0.5}}), "e.json: scheduling.queue_floor: a number from 0 to 0.25 is required"},
+        {Json::object({{"admission", 1}}), "e.json: scheduling.admission: true or false is required"},
+        {Json::object({{"place_by_ends", true}}), "e.json: scheduling.place_by_ends: unknown key"},
+        {Json::array(), "e.json: scheduling: an object is required"},
+    };
+    for (const auto &[scheduling, problem] : invalid) {
+        json["scheduling"] = scheduling;
+        const auto rejected = parseSettings("e.json", json.dump());
+        BOOST_REQUIRE(rejected.has_error());
+        BOOST_TEST(rejected.error().text_.find(problem) != std::string::npos, rejected.error().text_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(example_settings_are_valid)
 {
     std::size_t files = 0;
