Accept times and machine limits with a fraction in the settings of a cell

A deployment whose grace period has a fraction rendered "6.5000", which was refused, so that no process started. The templates pass grace_s and keep_states_s in seconds; grace_ms and keep_states_ms are read as before.

Checks: settings_test (times_and_machine_limits_may_have_fractions is new); format.

--- a/src/ibiswall/settings/settings.cpp
+++ b/src/ibiswall/settings/settings.cpp
@@ -4,6 +4,7 @@
 
 #include "objectreader.hpp"
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -213,12 +214,21 @@
     return settings;
 }
 
-// Limits of the machine; both kinds of process of a cell have them.
+// Reads a time in milliseconds or, under another key, in seconds; either may have a fraction.
+Millis readTime(ObjectReader &reader, const char *millisKey, const char *secondsKey, std::int64_t maxValue, Millis fallback)
+{
+    constexpr double millisPerSecond = 1000;
+    const double millis = reader.realNumber(millisKey, 0, static_cast<double>(maxValue), static_cast<double>(fallback.count_));
+    const double seconds = reader.realNumber(secondsKey, 0, static_cast<double>(maxValue) / millisPerSecond, millis / millisPerSecond);
+    return {std::llround(seconds * millisPerSecond)};
+}
+
+// Limits of the machine; both kinds of process of a cell have them. Fractions are dropped.
 template<typename OwnSettings>
 void readMachineLimits(ObjectReader &reader, OwnSettings &settings)
 {
-    readSize(reader, "memory_mb", 0, maxMemoryMb, settings.memory_);
-    readSize(reader, "max_descriptors", 0, maxCount, settings.maxDescriptors_);
+    settings.memory_ = static_cast<std::size_t>(reader.realNumber("memory_mb", 0, maxMemoryMb, 0));
+    settings.maxDescriptors_ = static_cast<std::size_t>(reader.realNumber("max_descriptors", 0, maxCount, 0));
 }
 
 cell::SchedulingSettings readScheduling(ObjectReader &reader)
@@ -243,8 +253,8 @@
     settings.storeAddress_ = reader.address("store");
     settings.cores_ = reader.realNumber("cores", minCores, maxCores, settings.cores_);
     settings.logLevel_ = readLogLevel(reader);
-    settings.gracePeriod_ = {reader.integer("grace_ms", 0, maxDelayMs, settings.gracePeriod_.count_)};
-    settings.stateRetention_ = {reader.integer("keep_states_ms", 0, maxRetentionMs, settings.stateRetention_.count_)};
+    settings.gracePeriod_ = readTime(reader, "grace_ms", "grace_s", maxDelayMs, settings.gracePeriod_);
+    settings.stateRetention_ = readTime(reader, "keep_states_ms", "keep_states_s", maxRetentionMs, settings.stateRetention_);
     readMachineLimits(reader, settings);
     settings.scheduling_ = reader.object("scheduling", settings.scheduling_, readScheduling);
     return settings;
@@ -260,8 +270,9 @@
     settings.metricsAddress_ = reader.address("metrics");
     settings.storeAddress_ = reader.address("store");
     settings.logLevel_ = readLogLevel(reader);
-    settings.gracePeriod_ = {reader.integer("grace_ms", 0, maxDelayMs, settings.gracePeriod_.count_)};
-    settings.maxLease_ = {reader.integer("max_lease_ms", minLeaseMs, maxDelayMs, settings.maxLease_.count_)};
+    settings.gracePeriod_ = readTime(reader, "grace_ms", "grace_s", maxDelayMs, settings.gracePeriod_);
+    settings.maxLease_ = {static_cast<std::int64_t>(
+        reader.realNumber("max_lease_ms", minLeaseMs, maxDelayMs, static_cast<double>(settings.maxLease_.count_)))};
     readMachineLimits(reader, settings);
     return settings;
 }
--- a/src/ibiswall/settings/settings_test.cpp
+++ b/src/ibiswall/settings/settings_test.cpp
@@ -155,6 +155,23 @@
     }
 }
 
+// Guards against a process that does not start because a time or a limit of its machine is given with a fraction.
+BOOST_AUTO_TEST_CASE(times_and_machine_limits_may_have_fractions)
+{
+    const auto entry = parseSettings("e.json", R"({"role": "cell-entry", "name": "e1", "domain": "fd-1", "callers": "127.0.0.1:1",
+        "ready": "127.0.0.1:2", "links": "127.0.0.1:3", "metrics": "127.0.0.1:4", "store": "127.0.0.1:5",
+        "memory_mb": 120.5, "max_descriptors": 3075.0, "grace_s": 6.5, "keep_states_s": 120})");
+    BOOST_REQUIRE_MESSAGE(entry.has_value(), (entry.has_error() ? entry.error().text_ : ""));
+    BOOST_TEST(std::get<CellEntrySettings>(entry.value()).gracePeriod_.count_ == 6500);
+    BOOST_TEST(std::get<CellEntrySettings>(entry.value()).stateRetention_.count_ == 120000);
+    BOOST_TEST(std::get<CellEntrySettings>(entry.value()).memory_ == 120U);
+    const auto agent = parseSettings("a.json", R"({"role": "cell-agent", "name": "a1", "domain": "fd-1", "announcements": "127.0.0.1:1",
+        "target": "127.0.0.1:2", "metrics": "127.0.0.1:3", "store": "127.0.0.1:4", "grace_s": 0.25, "max_lease_ms": 1000.0})");
+    BOOST_REQUIRE_MESSAGE(agent.has_value(), (agent.has_error() ? agent.error().text_ : ""));
+    BOOST_TEST(std::get<CellAgentSettings>(agent.value()).gracePeriod_.count_ == 250);
+    BOOST_TEST(std::get<CellAgentSettings>(agent.value()).maxLease_.count_ == 1000);
+}
+
 BOOST_AUTO_TEST_CASE(example_settings_are_valid)
 {
     std::size_t files = 0;
