Choose targets by expected end, and leave stalled ones alone

With scheduling.place_by_end a target on which a task would end after its job is due is avoided while another has room, by the learned factors of kinds and targets. A target with several overdue runs that ends nothing meanwhile gets no starts until a probe has succeeded, and its overdue runs are stopped and placed elsewhere once their end is certain.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <ibiswall/cell/crashhistory.hpp>
 #include <ibiswall/cell/dispatcheractions.hpp>
 #include <ibiswall/cell/orphans.hpp>
+#include <ibiswall/cell/runtimes.hpp>
 #include <ibiswall/cell/schedulingsettings.hpp>
 #include <ibiswall/cell/targets.hpp>
 #include <optional>
@@ -174,6 +175,11 @@
         std::uint64_t run_ = 0;
         std::string agent_;
         Millis placedAt_;
+        /// Whether the latest run was taken over from an earlier dispatcher, so that it started before placedAt_.
+        bool adopted_ = false;
+        /// Whether the latest run was ordered to stop since its target stalled, and how often that happened to the task.
+        bool stallStopped_ = false;
+        std::uint8_t stallRestarts_ = 0;
         std::string checkpoint_;
     };
 
@@ -291,6 +297,15 @@
     bool isStepReady(const Job &job, std::size_t step) const;
     void place(Job &job, const TaskId &id, Target &target, Millis now);
     void acknowledge(Target &target);
+    static Millis slackOf(const Job &job, std::uint32_t step, Millis now);
+    void watchRun(const Job &job, const Run &run, Target &target, const ExpectedRatio &kind, Millis now);
+    void recordEndOfRun(const Job &job, const Task &task, Target &target, const RunResult &result, Millis now);
+    void updateStalls(Millis now);
+    void refreshFactors(Millis now);
+    bool isOpenRun(const Run &run);
+    void noteOverdue(const OverdueRun &overdue);
+    bool checkStall(Target &target, Millis now);
+    void stopOverdueRuns(Target &target, Millis now);
     const Queue *queueOf(const Job &job) const;
 
     std::uint64_t epoch_;
@@ -321,6 +336,14 @@
     CrashContainment containment_;
     /// By service, if it has contained queues.
     std::map<std::string, ContainedPool> containedPools_;
+    RunTimes runTimes_;
+    Millis factorsRefreshedAt_;
+    /// Runs by when they are overdue, if targets are chosen by expected end; may contain runs that have ended.
+    std::multimap<std::int64_t, OverdueRun> overdueAt_;
+    /// Agents whose targets are stalled or have overdue runs.
+    std::set<std::string> stallSuspects_;
+    Millis stallsCheckedAt_;
+    Millis stallsSuspendedUntil_;
     bool reconciled_ = false;
     DispatcherActions actions_;
 };
--- a/include/ibiswall/cell/dispatcheractions.hpp
+++ b/include/ibiswall/cell/dispatcheractions.hpp
@@ -44,6 +44,17 @@
     std::set<std::string> origins_;
 };
 
+/// A change of whether a target is considered stalled.
+struct StallChange
+{
+    enum class Kind : std::uint8_t { Stalled, Probed, Recovered };
+
+    std::string agent_;
+    Kind kind_ = Kind::Stalled;
+    /// Overdue runs on the target.
+    std::size_t overdue_ = 0;
+};
+
 /// What the owner of the dispatcher has to do: messages to send, and jobs to look up.
 struct DispatcherActions
 {
@@ -53,6 +64,8 @@
     std::vector<StopOrder> stops_;
     std::vector<AckOrder> acks_;
     std::vector<Notice> notices_;
+    /// To be logged.
+    std::vector<StallChange> stalls_;
 };
 
 /// A record to store if the stored one has the expected revision.
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <ibiswall/cell/crashhistory.hpp>
+#include <ibiswall/cell/endestimate.hpp>
 #include <ibiswall/cell/model.hpp>
+#include <ibiswall/cell/stalls.hpp>
 #include <set>
 
 namespace ibiswall::cell {
@@ -38,12 +40,15 @@
     bool contained_ = false;
     /// Moving average of run time over expected run time; 1 is as expected.
     double slowness_ = 1;
+    /// Logarithm of its factor in the run times of the dispatcher; unused if targets are not chosen by expected end.
+    double logFactor_ = 0;
     /// Moving average of failed runs, from 0 to 1.
     double failureRate_ = 0;
     /// Jobs that could run here but found too little free capacity, in the current scheduling pass, and the latest of them. With
     /// maxMisses of them the target is closed: its capacity is left to accumulate for them.
     std::uint32_t misses_ = 0;
     std::uint64_t missedJob_ = 0;
+    StallState stall_;
 };
 
 /// Targets by agent name.
@@ -73,6 +78,10 @@
     std::size_t jobsAtOnce_ = 1;
     /// Whether the targets reject tasks that do not fit.
     bool admissionControl_ = false;
+    /// Expected end of the task; null if targets are chosen without it.
+    const EndEstimate *end_ = nullptr;
+    /// Whether a run of the task was stopped on a stalled target, so that it must not probe one.
+    bool avoidStalled_ = false;
 };
 
 /// Why a task found no target.
@@ -87,7 +96,8 @@
 };
 
 /// Chooses the target with the largest share of free CPU, less penalties for slow or failing targets and for targets
-/// away from the data. Meant for a cell that is loaded to about half of its capacity or more.
+/// away from the data. With placement.end_, those on which the task would end in time come first. Meant for a cell that is loaded to about
+/// half of its capacity or more.
 /// @return null when no target can take the task now
 Target *chooseTarget(Targets &targets, const Placement &placement, Millis now);
 
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -52,6 +52,13 @@
 void Dispatcher::setScheduling(const SchedulingSettings &settings)
 {
     scheduling_ = settings;
+    if (!settings.placeByEnd_) {
+        overdueAt_.clear();
+        stallSuspects_.clear();
+        for (auto &[agent, target] : targets_) {
+            target.stall_ = {};
+        }
+    }
 }
 
 const Queue *Dispatcher::queueOf(const Job &job) const
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -40,6 +40,7 @@
 {
     addReturnedJobs(now);
     updateContainment(now);
+    updateStalls(now);
     openTargets(targets_);
     SchedulingPass pass;
     std::uint32_t priority = 0;
@@ -121,6 +122,10 @@
     Placement placement{stepSpec, queue.service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
     placement.contained_ = contained;
     placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
+    const ExpectedRatio kind
+        = scheduling_.placeByEnd_ ? expectedRatio(runTimes_, kindOf(queue.name_, step, stepSpec), {}) : ExpectedRatio{};
+    const EndEstimate end = scheduling_.placeByEnd_ ? estimateEnd(stepSpec.estimate_, kind, slackOf(job, step, now)) : EndEstimate{};
+    placement.end_ = scheduling_.placeByEnd_ ? &end : nullptr;
     for (std::uint32_t i = 0; i < stepSpec.count_; ++i) {
         const TaskId task{job.id_, step, i};
         if (job.tasks_[job.offsets_[step] + i].phase_ != Phase::Waiting || awaitsStoredCrash(job, task)) {
@@ -129,6 +134,7 @@
         const bool suspect = crashes_.isSuspect(task);
         placement.jobsAtOnce_ = suspect || !placement.contained_ ? 1 : containment_.jobsAtOnce(queue.name_);
         placement.suspects_ = suspect || placement.jobsAtOnce_ > 1 ? &crashes_ : nullptr;
+        placement.avoidStalled_ = job.tasks_[job.offsets_[step] + i].stallRestarts_ > 0;
         Target *target = chooseTarget(targets_, placement, now);
         if (target == nullptr && suspect) {
             // Other tasks may still find a target.
@@ -144,6 +150,7 @@
         }
         ++onAgent[target->agent_];
         place(job, task, *target, now);
+        watchRun(job, {task, job.tasks_[job.offsets_[step] + i].run_}, *target, kind, now);
         if (job.waiting_ == 0) {
             return std::nullopt;
         }
@@ -158,6 +165,8 @@
     task.run_ = epoch_ * runsPerEpoch + ++runsAssigned_;
     task.agent_ = target.agent_;
     task.placedAt_ = now;
+    task.adopted_ = false;
+    task.stallStopped_ = false;
     job.activeAt_ = now;
     const Resources &need = job.record_.spec_.steps_[id.step_].need_;
     target.allocated_ = target.allocated_ + need;
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -83,6 +83,8 @@
         return;
     }
     reported.insert(run.task_);
+    // An order to stop it may have been lost with the connection.
+    task->stallStopped_ = false;
     if (canAdopt) {
         adopt(*job, *task, agent, run, now);
     }
@@ -97,12 +99,16 @@
     task.agent_ = agent;
     task.run_ = run.number_;
     task.placedAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[run.task_.step_].need_;
+    task.adopted_ = true;
+    task.stallStopped_ = false;
+    const Step &step = job.record_.spec_.steps_[run.task_.step_];
+    const Resources &need = step.need_;
     Target &target = targets_[agent];
     target.allocated_ = target.allocated_ + need;
     target.runs_[run.task_] = need;
     target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
+    watchRun(job, run, target, expectedRatio(runTimes_, kindOf(job.record_.spec_.queue_, run.task_.step_, step), {}), now);
 }
 
 void Dispatcher::markMissingRunsLost(const std::string &agent, const std::set<TaskId> &reported, Millis now)
@@ -163,6 +169,9 @@
         target.highestResult_ = 0;
         target.acknowledged_ = 0;
         target.slowness_ = 1;
+        target.logFactor_ = 0;
+        forgetTarget(runTimes_, agent);
+        target.stall_ = {};
         target.failureRate_ = 0;
     }
     ++targetsVersion_;
@@ -198,6 +207,7 @@
     target.present_ = false;
     target.unlistedResults_ = false;
     target.missingRuns_.clear();
+    target.stall_ = {};
     const std::map<TaskId, Resources> runs = target.runs_;
     for (const auto &[id, need] : runs) {
         markRunLost(agent, id, now);
@@ -253,6 +263,9 @@
         return;
     }
     const bool current = task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent && task->run_ == result.run_.number_;
+    if (current) {
+        recordEndOfRun(*job, *task, target, result, now);
+    }
     if (task == nullptr || current) {
         if (const auto run = target.runs_.find(result.run_.task_); run != target.runs_.end()) {
             target.allocated_ = target.allocated_ - run->second;
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -61,7 +61,7 @@
 // Whether a target that matches can take starts now.
 bool isOpen(const Target &target, Millis now)
 {
-    return !target.unlistedResults_ && now >= target.pausedUntil_ && target.misses_ < maxMisses;
+    return !target.unlistedResults_ && now >= target.pausedUntil_ && target.misses_ < maxMisses && mayStart(target.stall_, now);
 }
 
 // Whether a target can take a task, given enough capacity.
@@ -73,6 +73,9 @@
     if (!placement.admissionControl_ && !target.unknownRuns_.empty()) {
         return false;
     }
+    if (placement.avoidStalled_ && target.stall_.stalled_) {
+        return false;
+    }
     if (placement.contained_ != target.contained_
         || (placement.contained_ && countOtherJobs(target, placement.job_) >= placement.jobsAtOnce_)) {
         return false;
@@ -91,7 +94,8 @@
 {
     const auto cpuCapacity = static_cast<double>(std::max<std::int64_t>(target.info_.capacity_.cpu_, 1));
     double score = static_cast<double>(target.info_.capacity_.cpu_ - target.allocated_.cpu_) / cpuCapacity;
-    score -= slownessWeight * std::max(0.0, target.slowness_ - 1);
+    score
+        += placement.end_ != nullptr ? endScore(*placement.end_, target.logFactor_) : -slownessWeight * std::max(0.0, target.slowness_ - 1);
     score -= failureWeight * target.failureRate_;
     if (!placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_)) {
         score -= remoteDataWeight;
