Refuse jobs on arrival when the queue ahead leaves no time for them

A job that could not be served in time waited until its useful time had passed and was refused then. With scheduling.admission the dispatcher predicts, after each placement, when the last task of a new job can start, from the work queued ahead, the capacity of the usable targets and the expected ends of what runs, and refuses it at once. Waiting jobs are checked again when the wait grows.

Checks: cell_test passes unchanged with the setting off.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <ibiswall/cell/orphans.hpp>
 #include <ibiswall/cell/schedulingsettings.hpp>
 #include <ibiswall/cell/targets.hpp>
+#include <ibiswall/cell/usage.hpp>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -124,8 +125,12 @@
     /// The store has not confirmed the removal of the records: retries it later.
     void requeueRemovals(std::vector<JobRemoval> removals);
 
+    /// Predicted time until the last task of a job that arrives now can start, by queue. Empty without admission control.
+    std::map<std::string, Millis> predictedWaits(Millis now) const;
+
     /// Places waiting tasks, by priority, then jobs that can still meet their objective, then by due time. Under
-    /// temporary overload, jobs that are already late do not delay others.
+    /// temporary overload, jobs that are already late do not delay others. With admission control, jobs that have arrived or become
+    /// late since the last call and found no target are refused if they cannot be served in time.
     void schedule(Millis now);
 
     /// Whether nothing runs on an agent's target, its results are known, and it is unresponsive or takes no starts.
@@ -208,6 +213,17 @@
         /// When its caller times out; 0 for never.
         Millis callerTimeoutAt_;
         std::uint64_t sequence_ = 0;
+        Millis addedAt_;
+        /// Failure domain of its callers; empty if not known.
+        std::string domain_;
+        /// Average task.
+        Work taskWork_;
+        /// Waiting tasks contained in backlog_, and their keys by pool and by queue.
+        std::uint32_t counted_ = 0;
+        BacklogKey poolKey_;
+        BacklogKey queueKey_;
+        /// When its caller should return if it is refused; 0 if not known.
+        Millis retryAfter_;
         /// When the record is to be stored; empty when the stored record is up to date.
         std::optional<Millis> writeDue_;
         bool writing_ = false;
@@ -255,7 +271,27 @@
         bool closed_ = false;
     };
 
+    /// Predictions in one pass, and the supply of each pool of targets.
+    struct Forecast
+    {
+        Millis now_;
+        std::map<std::string, Supply> supplies_;
+    };
+
     static ReadyKey keyOf(const Job &job);
+    // Admission (dispatcheradmission.cpp)
+    void initAdmission(Job &job, bool fresh, Millis now);
+    void countWaiting(Job &job);
+    void checkArrivals(Millis now);
+    std::vector<Job *> jobsToRecheck(Millis now);
+    const Supply &supplyFor(Forecast &forecast, const Queue &queue, const std::string &label) const;
+    Millis predict(Forecast &forecast, const Job &job, const Queue &queue, bool late) const;
+    bool isAdmissible(Forecast &forecast, const Job &job, Millis &wait) const;
+    void refuse(Job &job, const char *reason, Millis wait, Millis now);
+    void placeReady(Millis now);
+    // Runs on targets (dispatcherusage.cpp)
+    void addRun(Target &target, const Job &job, const TaskId &id, Millis now);
+    void removeRun(Target &target, const TaskId &id);
     Task *findTask(const TaskId &id, Job *&job);
     void setWaiting(Job &job, Task &task);
     void applyDoneOrFailed(Job &job, Task &task, const std::string &agent, const RunResult &result, Millis now);
@@ -321,6 +357,18 @@
     CrashContainment containment_;
     /// By service, if it has contained queues.
     std::map<std::string, ContainedPool> containedPools_;
+    /// Waiting work by pool of targets, and by queue. Empty without admission control.
+    Backlog poolBacklog_;
+    Backlog queueBacklog_;
+    /// By pool and queue.
+    std::map<std::pair<std::string, std::string>, ArrivalRate> arrivalRates_;
+    /// Jobs to be checked after the next placement: they have arrived or become late.
+    std::vector<std::string> arrivals_;
+    /// Predicted waits by queue at which its waiting jobs were checked last.
+    std::map<std::string, Millis> checkedWaits_;
+    Usage usage_;
+    /// When the first target reported; 0 if none has.
+    Millis firstReportAt_;
     bool reconciled_ = false;
     DispatcherActions actions_;
 };
--- a/include/ibiswall/cell/dispatcheractions.hpp
+++ b/include/ibiswall/cell/dispatcheractions.hpp
@@ -42,6 +42,21 @@
     JobState state_ = JobState::Pending;
     /// Entries whose callers wait for an ephemeral job; empty for every entry.
     std::set<std::string> origins_;
+    /// Of a refusal: when the caller should return; 0 if not known.
+    Millis retryAfter_{0};
+};
+
+/// A job that was refused since it cannot be served in time.
+struct Refusal
+{
+    std::string job_;
+    std::string queue_;
+    /// "arrival", "growth" of the wait since then, or "expired": it could end in time no longer.
+    const char *reason_ = "";
+    /// How long the leader has held it.
+    Millis held_;
+    /// Predicted time until its last task could have started; 0 if not predicted.
+    Millis wait_;
 };
 
 /// What the owner of the dispatcher has to do: messages to send, and jobs to look up.
@@ -53,6 +68,8 @@
     std::vector<StopOrder> stops_;
     std::vector<AckOrder> acks_;
     std::vector<Notice> notices_;
+    /// For logs and metrics only; the callers get notices.
+    std::vector<Refusal> refusals_;
 };
 
 /// A record to store if the stored one has the expected revision.
@@ -84,6 +101,8 @@
     Millis callerTimeout_;
     /// How long its caller has waited already.
     Millis age_;
+    /// Failure domain of the entry; empty if not known.
+    std::string domain_ = {};
 };
 
 } // namespace ibiswall::cell
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -8,6 +8,17 @@
 
 namespace ibiswall::cell {
 
+/// Resources of a run on a target, and whose it is.
+struct PlacedRun : Resources
+{
+    std::string service_;
+    std::string queue_;
+    /// Failure domain of the callers of its job; empty if not known.
+    std::string domain_;
+    /// When it is expected to end.
+    Millis end_;
+};
+
 /// A target and its agent.
 struct Target
 {
@@ -17,7 +28,7 @@
     bool present_ = false;
     Resources allocated_;
     /// Runs placed on the target with the resources that each needs.
-    std::map<TaskId, Resources> runs_;
+    std::map<TaskId, PlacedRun> runs_;
     /// Runs that the target has reported and whose needs are not known: of jobs that nobody has offered yet, or being stopped.
     /// None of them is in runs_ with the same number.
     std::map<TaskId, std::uint64_t> unknownRuns_;
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -52,6 +52,9 @@
 void Dispatcher::setScheduling(const SchedulingSettings &settings)
 {
     scheduling_ = settings;
+    for (auto &[id, job] : jobs_) {
+        countWaiting(job);
+    }
 }
 
 const Queue *Dispatcher::queueOf(const Job &job) const
@@ -101,6 +104,8 @@
     if (!added) {
         return std::nullopt;
     }
+    job.domain_ = offer.domain_;
+    const bool fresh = offer.fresh_;
     const std::string id = offer.id_;
     job.id_ = std::move(offer.id_);
     job.record_ = std::move(offer.record_);
@@ -115,6 +120,7 @@
     job.due_ = submittedAt + jobObjective;
     job.latestStart_ = job.due_ - chain;
     job.lastUsefulStart_ = submittedAt + Millis{usefulObjectiveFactor * jobObjective.count_} - chain;
+    initAdmission(job, fresh, now);
     const JobProgress &progress = job.record_.progress_;
     for (const Step &step : job.record_.spec_.steps_) {
         job.offsets_.push_back(static_cast<std::uint32_t>(job.tasks_.size()));
@@ -157,6 +163,7 @@
     if (job.waiting_++ == 0) {
         ready_[keyOf(job)] = &job;
     }
+    countWaiting(job);
 }
 
 void Dispatcher::finish(Job &job, JobState state, Millis now)
@@ -169,6 +176,7 @@
         job.waiting_ = 0;
         ready_.erase(keyOf(job));
     }
+    countWaiting(job);
     stopRuns(job);
     if (job.isEphemeral()) {
         finalizeJob(job, now);
@@ -185,7 +193,7 @@
     if (!job.isEphemeral()) {
         actions_.notices_.push_back({id, job.state_, {}});
     } else if (!job.origins_.empty()) {
-        actions_.notices_.push_back({id, job.state_, job.origins_});
+        actions_.notices_.push_back({id, job.state_, job.origins_, job.retryAfter_});
     }
     finalJobs_[id] = {job.state_, now, job.isEphemeral(), job.revision_, false, false};
     std::vector<ResultRef> results = std::move(job.unsaved_);
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -40,6 +40,12 @@
 {
     addReturnedJobs(now);
     updateContainment(now);
+    placeReady(now);
+    checkArrivals(now);
+}
+
+void Dispatcher::placeReady(Millis now)
+{
     openTargets(targets_);
     SchedulingPass pass;
     std::uint32_t priority = 0;
@@ -53,6 +59,8 @@
             // Visited again later in this loop, after the jobs of its priority that can still meet their objective.
             ready_.erase(keyOf(job));
             job.late_ = true;
+            countWaiting(job);
+            arrivals_.push_back(job.id_);
             const auto moved = ready_.emplace(keyOf(job), &job).first;
             if (next == ready_.end() || moved->first < next->first) {
                 next = moved;
@@ -96,6 +104,7 @@
     if (unmatched) {
         job.unmatchedIn_ = targetsVersion_;
     }
+    countWaiting(job);
 }
 
 // Places tasks of a step until one finds no target. Returns why it found none, or nothing if all were placed or have to wait for another
@@ -159,9 +168,7 @@
     task.agent_ = target.agent_;
     task.placedAt_ = now;
     job.activeAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[id.step_].need_;
-    target.allocated_ = target.allocated_ + need;
-    target.runs_[id] = need;
+    addRun(target, job, id, now);
     if (--job.waiting_ == 0) {
         ready_.erase(keyOf(job));
     }
@@ -190,6 +197,13 @@
 void Dispatcher::refuseUnservable(Millis now)
 {
     std::vector<Job *> unservable;
+    Forecast forecast{now, {}};
+    for (Job *job : jobsToRecheck(now)) {
+        Millis wait;
+        if (!isAdmissible(forecast, *job, wait)) {
+            refuse(*job, "growth", wait, now);
+        }
+    }
     std::map<std::string_view, std::size_t> containedJobs;
     for (const auto &[key, job] : ready_) {
         const bool backlogged = isContained(*job, now) && isBacklogged(*job, containedJobs[queueOf(*job)->service_]++, now);
@@ -198,7 +212,7 @@
         }
     }
     for (Job *job : unservable) {
-        finish(*job, JobState::Refused, now);
+        refuse(*job, "expired", {}, now);
     }
 }
 
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -45,6 +45,7 @@
     }
     followIncarnation(agent, incarnation);
     target.present_ = true;
+    firstReportAt_ = firstReportAt_ == Millis{0} ? now : firstReportAt_;
     ++targetsVersion_;
     target.unknownRuns_.clear();
     target.missingRuns_.clear();
@@ -97,10 +98,9 @@
     task.agent_ = agent;
     task.run_ = run.number_;
     task.placedAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[run.task_.step_].need_;
+    countWaiting(job);
     Target &target = targets_[agent];
-    target.allocated_ = target.allocated_ + need;
-    target.runs_[run.task_] = need;
+    addRun(target, job, run.task_, now);
     target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
 }
@@ -122,8 +122,7 @@
         } else if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent) {
             applyResult(agent, {0, {id, task->run_}, RunOutcome::Lost, {}}, now);
         } else {
-            target.allocated_ = target.allocated_ - target.runs_[id];
-            target.runs_.erase(id);
+            removeRun(target, id);
         }
     }
 }
@@ -198,7 +197,7 @@
     target.present_ = false;
     target.unlistedResults_ = false;
     target.missingRuns_.clear();
-    const std::map<TaskId, Resources> runs = target.runs_;
+    const std::map<TaskId, PlacedRun> runs = target.runs_;
     for (const auto &[id, need] : runs) {
         markRunLost(agent, id, now);
         if (const auto finalJob = finalJobs_.find(id.job_); finalJob != finalJobs_.end()) {
@@ -206,7 +205,9 @@
         }
     }
     orphans_.markLost(agent, now);
-    target.runs_.clear();
+    for (const auto &[id, run] : runs) {
+        removeRun(target, id);
+    }
     target.allocated_ = {};
 }
 
@@ -254,10 +255,7 @@
     }
     const bool current = task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent && task->run_ == result.run_.number_;
     if (task == nullptr || current) {
-        if (const auto run = target.runs_.find(result.run_.task_); run != target.runs_.end()) {
-            target.allocated_ = target.allocated_ - run->second;
-            target.runs_.erase(run);
-        }
+        removeRun(target, result.run_.task_);
     }
     const bool counts = result.kind_ == RunOutcome::Done || result.kind_ == RunOutcome::Failed;
     if (task != nullptr && counts && task->phase_ != Phase::Done && !isFinal(job->state_)) {
@@ -305,6 +303,7 @@
     } else if (task.phase_ == Phase::Waiting && --job.waiting_ == 0) {
         ready_.erase(keyOf(job));
     }
+    countWaiting(job);
     task.phase_ = Phase::Done;
     --job.openInStep_[result.run_.task_.step_];
     scheduleWrite(job, agent, result, now + progressDelay);
