--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -45,6 +45,7 @@
     }
     followIncarnation(agent, incarnation);
     target.present_ = true;
+    firstReportAt_ = firstReportAt_ == Millis{0} ? now : firstReportAt_;
     ++targetsVersion_;
     target.unknownRuns_.clear();
     target.missingRuns_.clear();
@@ -101,11 +102,10 @@
     task.placedAt_ = now;
     task.adopted_ = true;
     task.stallStopped_ = false;
+    countWaiting(job);
     const Step &step = job.record_.spec_.steps_[run.task_.step_];
-    const Resources &need = step.need_;
     Target &target = targets_[agent];
-    target.allocated_ = target.allocated_ + need;
-    target.runs_[run.task_] = need;
+    addRun(target, job, run.task_, now);
     target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
     watchRun(job, run, target, expectedRatio(runTimes_, kindOf(job.record_.spec_.queue_, run.task_.step_, step), {}), now);
@@ -128,8 +128,7 @@
         } else if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent) {
             applyResult(agent, {0, {id, task->run_}, RunOutcome::Lost, {}}, now);
         } else {
-            target.allocated_ = target.allocated_ - target.runs_[id];
-            target.runs_.erase(id);
+            removeRun(target, id);
         }
     }
 }
@@ -208,7 +207,7 @@
     target.unlistedResults_ = false;
     target.missingRuns_.clear();
     target.stall_ = {};
-    const std::map<TaskId, Resources> runs = target.runs_;
+    const std::map<TaskId, PlacedRun> runs = target.runs_;
     for (const auto &[id, need] : runs) {
         markRunLost(agent, id, now);
         if (const auto finalJob = finalJobs_.find(id.job_); finalJob != finalJobs_.end()) {
@@ -216,7 +215,9 @@
         }
     }
     orphans_.markLost(agent, now);
-    target.runs_.clear();
+    for (const auto &[id, run] : runs) {
+        removeRun(target, id);
+    }
     target.allocated_ = {};
 }
 
@@ -267,10 +268,7 @@
         recordEndOfRun(*job, *task, target, result, now);
     }
     if (task == nullptr || current) {
-        if (const auto run = target.runs_.find(result.run_.task_); run != target.runs_.end()) {
-            target.allocated_ = target.allocated_ - run->second;
-            target.runs_.erase(run);
-        }
+        removeRun(target, result.run_.task_);
     }
     const bool counts = result.kind_ == RunOutcome::Done || result.kind_ == RunOutcome::Failed;
     if (task != nullptr && counts && task->phase_ != Phase::Done && !isFinal(job->state_)) {
@@ -318,6 +316,7 @@
     } else if (task.phase_ == Phase::Waiting && --job.waiting_ == 0) {
         ready_.erase(keyOf(job));
     }
+    countWaiting(job);
     task.phase_ = Phase::Done;
     --job.openInStep_[result.run_.task_.step_];
     scheduleWrite(job, agent, result, now + progressDelay);
