Hand the leadership over without a pause in placing

A stopping leader stopped placing before its successor read the leader key, acquired it, and read jobs and agents one after the other. It names its successor now, sends it the registered agents, and places until the successor leads. Jobs and agents are read at the same time, and the leader key is acquired without a read if the epoch is known.

--- a/src/ibiswall/cell/cellsimulation.hpp
+++ b/src/ibiswall/cell/cellsimulation.hpp
@@ -28,6 +28,8 @@
     std::size_t listedResults_ = 500;
     /// Times that the capacity of a target shrinks or grows.
     int capacityChanges_ = 0;
+    /// Time in ms after which a new dispatcher has read the stored jobs. It begins without them, as after a planned handover.
+    int storeReadMillis_ = 0;
     /// Disables a safeguard to verify that the checks detect it: orders do not name the report that they are based on.
     bool ignoreReportNumbers_ = false;
     /// Same: reports older than the accepted ones are applied.
@@ -38,6 +40,8 @@
     bool skipWaitForReports_ = false;
     /// Same: a list of results that may be cut off is taken for a whole one.
     bool ignoreUnlistedResults_ = false;
+    /// Same: a new dispatcher accepts offers of stored jobs before it has read these.
+    bool skipWaitForRead_ = false;
 };
 
 /// Outcome of a scenario.
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -139,6 +139,10 @@
     /// Set once all reachable agents have reported; offers wait for it.
     bool agentsReported_ = false;
     std::vector<JobOffer> earlyOffers_;
+    /// Set once the stored jobs have been read; offers of stored jobs and lookups wait for it.
+    bool storeRead_ = false;
+    std::vector<JobOffer> earlyStoredOffers_;
+    std::set<std::string> earlyLookups_;
     bool alive_ = true;
 };
 
@@ -685,6 +689,8 @@
     {
         if (!leader.agentsReported_) {
             leader.earlyOffers_.push_back(offer);
+        } else if (!leader.storeRead_ && !offer.record_.spec_.ephemeral_ && !settings_.skipWaitForRead_) {
+            leader.earlyStoredOffers_.push_back(offer);
         } else if (leader.dispatcher_.addJob(offer, {now_}) && openJobs_.erase(offer.id_) > 0) {
             ++result_.completed_;
         }
@@ -692,7 +698,7 @@
 
     bool isReconciled(const SimulatedLeader &leader) const
     {
-        if (leader.dispatcher_.hasUnlistedResults()) {
+        if (!leader.storeRead_ || leader.dispatcher_.hasUnlistedResults()) {
             return false;
         }
         if (settings_.skipReconciliation_ || leader.confirmedAt_ > leader.startedAt_ + leaderLease + leaseMargin) {
@@ -722,17 +728,44 @@
             }
         }
         for (const std::string &job : actions.lookups_) {
-            const auto stored = store_.find(job);
-            if (stored != store_.end()) {
-                leader.dispatcher_.addJob({job, stored->second.first, stored->second.second, false, {}, {}, {}}, {now_});
+            if (leader.storeRead_) {
+                lookUp(leader, job);
             } else {
-                const auto self = findLeader(leader.epoch_);
-                after(2500, [self, job] {
-                    if (!self->dispatcher_.hasJob(job)) {
-                        self->dispatcher_.discardUnknownJob(job);
-                    }
-                });
+                leader.earlyLookups_.insert(job);
+            }
+        }
+    }
+
+    void lookUp(SimulatedLeader &leader, const std::string &job)
+    {
+        const auto stored = store_.find(job);
+        if (stored != store_.end()) {
+            leader.dispatcher_.addJob({job, stored->second.first, stored->second.second, false, {}, {}, {}}, {now_});
+            return;
+        }
+        const auto self = findLeader(leader.epoch_);
+        after(2500, [self, job] {
+            if (!self->dispatcher_.hasJob(job)) {
+                self->dispatcher_.discardUnknownJob(job);
             }
+        });
+    }
+
+    void readStore(SimulatedLeader &leader)
+    {
+        leader.storeRead_ = true;
+        for (const auto &[id, stored] : store_) {
+            if (!leader.dispatcher_.hasJob(id)) {
+                leader.dispatcher_.addJob({id, stored.first, stored.second, false, {}, {}, {}}, {now_});
+            }
+        }
+        for (const std::string &job : std::exchange(leader.earlyLookups_, {})) {
+            if (!leader.dispatcher_.hasJob(job)) {
+                lookUp(leader, job);
+            }
+        }
+        for (const JobOffer &offer : std::exchange(leader.earlyStoredOffers_, {})) {
+            offerTo(leader, offer);
         }
     }
 
@@ -823,8 +856,10 @@
             hiddenFrom_ = epoch_;
             hiddenUntil_[static_cast<std::size_t>(randomBelow(settings_.agents_))] = now_ + 6000;
         }
-        for (const auto &[id, stored] : store_) {
-            leader->dispatcher_.addJob({id, stored.first, stored.second, false, {}, {}, {}}, {now_});
+        if (settings_.storeReadMillis_ == 0 || epoch_ == 1) {
+            readStore(*leader);
+        } else {
+            after(settings_.storeReadMillis_, [this, leader] { readStore(*leader); });
         }
         const bool alone = std::none_of(leaders_.begin(), leaders_.end() - 1, [this](const auto &each) {
             return each->alive_ && now_ < each->confirmedAt_ + leaderLease + agentLease + leaseMargin;
@@ -1026,6 +1061,27 @@
     BOOST_TEST(findsViolation(settings));
 }
 
+// A successor that takes over as planned starts jobs before it has read what its predecessor stored.
+BOOST_AUTO_TEST_CASE(successor_that_has_not_read_the_stored_jobs_yet_runs_no_task_twice)
+{
+    for (int i = 0; i < simulationCount() / 2; ++i) {
+        SimulationSettings settings;
+        settings.seed_ = firstSeed() + static_cast<std::uint32_t>(i);
+        settings.storeReadMillis_ = 400;
+        for (const std::string &violation : runSimulation(settings).violations_) {
+            BOOST_TEST(false, "seed " << settings.seed_ << ": " << violation);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(detects_successor_that_accepts_outdated_offers_of_stored_jobs)
+{
+    SimulationSettings settings;
+    settings.storeReadMillis_ = 400;
+    settings.skipWaitForRead_ = true;
+    BOOST_TEST(findsViolation(settings));
+}
+
 BOOST_AUTO_TEST_CASE(detects_dispatcher_that_accepts_offers_too_early)
 {
     SimulationSettings settings;
--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -39,10 +39,17 @@
     if (!leadership_.shouldCampaign(now - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), now)) {
         return;
     }
-    if (isHeldBack() && succession_.isLeaderRead(leadership_.leaderInfo().epoch_)) {
+    const std::uint64_t epoch = leadership_.leaderInfo().epoch_;
+    if (isHeldBack() && succession_.isLeaderRead(epoch)) {
         return;
     }
-    readLeader();
+    // The epoch is the revision of the leader key, so a write on condition of it fails if it is outdated. Only an earlier attempt with an
+    // unknown outcome, or a leader that may not know of this entry, requires a read.
+    if (epoch != 0 && leaderNonce_.empty() && !isHeldBack()) {
+        acquireLead(static_cast<std::int64_t>(epoch));
+    } else {
+        readLeader();
+    }
 }
 
 // Whether a leader that does not know of this entry may still be acting. An earlier incarnation of this process is not.
@@ -66,25 +73,40 @@
             return;
         }
         const platform::Item &item = answer.items_.front();
-        const auto epoch = static_cast<std::uint64_t>(item.revision_);
-        if (!leaderNonce_.empty() && item.value_ == leaderNonce_) {
-            // An earlier attempt succeeded, but its answer was lost.
-            leaderNonce_.clear();
-            startLeading(epoch, sentAt, false);
+        if (onLeaderItem(item, sentAt)) {
             return;
         }
-        const LeaderNonce nonce = parseLeaderNonce(item.value_);
-        succession_.onLeaderRead(epoch, nonce.leader_, nonce.incarnation_);
-        if (leadership_.updateLeader({epoch, nonce.leader_}, bootClock())) {
-            onLeaderChanged();
-        } else if (isHeldBack()) {
-            logEvent("lead.awaited", {{"epoch", logNumber(epoch)}, {"leader", std::string_view(nonce.leader_)}});
-        } else if (leadership_.shouldCampaign(bootClock() - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), bootClock())) {
+        const Millis now = bootClock();
+        const LeaderInfo &info = leadership_.leaderInfo();
+        if (isHeldBack()) {
+            logEvent("lead.awaited", {{"epoch", logNumber(info.epoch_)}, {"leader", std::string_view(info.leader_)}});
+        } else if (leadership_.shouldCampaign(now - store_.health().lastAnsweredSentAt_, stop_.hasBegun(), now)
+                   || takeover_.isPrepared(info.epoch_, now)) {
             acquireLead(item.revision_);
         }
     });
 }
 
+// Applies the leader key as it is in the store.
+// @return whether it names this entry as the leader, or a leader that was not known
+bool EntryNode::onLeaderItem(const platform::Item &item, Millis sentAt)
+{
+    const auto epoch = static_cast<std::uint64_t>(item.revision_);
+    if (!leaderNonce_.empty() && item.value_ == leaderNonce_) {
+        // An earlier attempt succeeded, but its answer was lost.
+        leaderNonce_.clear();
+        startLeading(epoch, sentAt, replacedRevision_);
+        return true;
+    }
+    const LeaderNonce nonce = parseLeaderNonce(item.value_);
+    succession_.onLeaderRead(epoch, nonce.leader_, nonce.incarnation_);
+    if (leadership_.updateLeader({epoch, nonce.leader_}, bootClock())) {
+        onLeaderChanged();
+        return true;
+    }
+    return false;
+}
+
 void EntryNode::acquireLead(std::int64_t expected)
 {
     if (succession_.registration() == 0) {
@@ -92,6 +114,7 @@
     }
     campaigning_ = true;
     leaderNonce_ = self_.name_ + ' ' + std::to_string(self_.incarnation_) + ' ' + std::to_string(nextNonce_++);
+    replacedRevision_ = expected;
     platform::Transaction transaction;
     transaction.conditions_.push_back({keys::leader, expected});
     transaction.conditions_.push_back({keys::entries + self_.name_, succession_.registration()});
@@ -101,13 +124,24 @@
         campaigning_ = false;
         if (answer.outcome_ == platform::StoreOutcome::Ok) {
             leaderNonce_.clear();
-            startLeading(static_cast<std::uint64_t>(answer.revision_), sentAt, expected == 0);
+            startLeading(static_cast<std::uint64_t>(answer.revision_), sentAt, expected);
         } else if (answer.outcome_ == platform::StoreOutcome::Conflict) {
-            checkRegistration(answer.items_);
+            onAcquireConflict(answer.items_, sentAt);
         }
     });
 }
 
+// The transaction was not carried out: another leader is known to the store, or the registration of this entry has changed.
+void EntryNode::onAcquireConflict(Span<const platform::Item> current, Millis sentAt)
+{
+    checkRegistration(current);
+    const auto leader = std::find_if(current.begin(), current.end(), [](const platform::Item &item) { return item.key_ == keys::leader; });
+    if (leader != current.end()) {
+        onLeaderItem(*leader, sentAt);
+        leaderNonce_.clear();
+    }
+}
+
 // The registration of this entry may be the reason why a transaction was not carried out.
 void EntryNode::checkRegistration(Span<const platform::Item> current)
 {
@@ -121,7 +155,56 @@
     }
 }
 
-void EntryNode::startLeading(std::uint64_t epoch, Millis acquiredAt, bool first)
+// Asks the leader for its list if it has designated this entry.
+void EntryNode::requestHandover(Millis now)
+{
+    if (campaigning_ || leaderSession_ || !configured_ || stop_.hasBegun() || isHeldBack()) {
+        return;
+    }
+    if (const auto request = takeover_.takeRequest(now)) {
+        sendTo(leadership_.leaderInfo().leader_, *request);
+    }
+}
+
+void EntryNode::onHandoverList(const std::string &from, const HandoverFrame &frame)
+{
+    const LeaderInfo &info = leadership_.leaderInfo();
+    if (campaigning_ || stop_.hasBegun() || from != info.leader_ || frame.epoch_ != info.epoch_ || !takeover_.onList(frame, bootClock())) {
+        return;
+    }
+    logEvent("lead.offered", {{"epoch", logNumber(frame.epoch_)}, {"agents", logNumber(frame.agents_.size())}});
+    if (leaderNonce_.empty()) {
+        acquireLead(static_cast<std::int64_t>(frame.epoch_));
+    } else {
+        readLeader();
+    }
+}
+
+// At the leader: begins a handover, designates another entry if the successor has become unreachable, and steps down if nobody takes over.
+void EntryNode::updateHandover(Millis now)
+{
+    if (!leaderSession_) {
+        return;
+    }
+    if (leaderSession_->hasSteppedDown()) {
+        if (leadership_.shouldResume(leaderSession_->steppedDownAt(), now)) {
+            leaderSession_->resume();
+        }
+        return;
+    }
+    const std::string next = leadership_.successor(leaderSession_->storeContact(), stop_.departure(), now);
+    if (!leaderSession_->isHandoverOverdue(now)) {
+        if (!next.empty()) {
+            leaderSession_->handOver(next);
+        }
+    } else if (next.empty()) {
+        leaderSession_->cancelHandover();
+    } else {
+        leaderSession_->stepDown();
+    }
+}
+
+void EntryNode::startLeading(std::uint64_t epoch, Millis acquiredAt, std::int64_t replaced)
 {
     if (leaderSession_) {
         leaderSession_->stop();
@@ -157,11 +240,11 @@
             }
         });
     };
-    leaderSession_ = std::make_shared<LeaderSession>(io_, store_, hooks, epoch, acquiredAt, first, settings_.stateRetention_);
+    leaderSession_ = std::make_shared<LeaderSession>(io_, store_, hooks, epoch, acquiredAt, replaced == 0, settings_.stateRetention_);
     leaderSession_->setConfig(config_, evacuatedDomains_);
     leaderSession_->setScheduling(settings_.scheduling_);
     leaderSession_->containQueues(contained_);
-    leaderSession_->start();
+    leaderSession_->start(takeover_.agentsAfter(static_cast<std::uint64_t>(replaced), bootClock()));
     onLeaderChanged();
     sendHeartbeats();
 }
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -44,6 +44,8 @@
             succession_.onLeaderHeard(heartbeat->epoch_);
             waiting_ = heartbeat->waiting_;
             contained_ = heartbeat->contained_;
+            takeover_.onLeaderHeartbeat(heartbeat->epoch_, heartbeat->successor_ == self_.name_, heartbeat->sentAt_);
+            requestHandover(bootClock());
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -53,6 +55,8 @@
         }
     } else if (const auto *unknown = std::get_if<UnknownJobFrame>(&frame)) {
         onUnknownJob(unknown->job_);
+    } else if (const auto *list = std::get_if<HandoverFrame>(&frame)) {
+        onHandoverList(from, *list);
     } else if (leaderSession_) {
         leaderSession_->onFrame(from, std::move(frame));
     }
@@ -235,6 +239,7 @@
         waiting_ = frame.waiting_;
         frame.contained_ = leaderSession_->containedQueues();
         contained_ = frame.contained_;
+        frame.successor_ = leaderSession_->successor();
     }
     return frame;
 }
@@ -243,16 +248,10 @@
 void EntryNode::sendHeartbeats()
 {
     const Millis now = bootClock();
-    if (leaderSession_ && leaderSession_->hasSteppedDown()) {
-        if (leadership_.shouldResume(leaderSession_->steppedDownAt(), now)) {
-            leaderSession_->resume();
-        }
-    } else if (leaderSession_ && leadership_.shouldStepDown(leaderSession_->storeContact(), stop_.departure(), now)) {
-        leaderSession_->stepDown();
-    }
+    updateHandover(now);
     HeartbeatFrame frame = makeHeartbeat(now);
     const auto stateOf = [](const HeartbeatFrame &each) {
-        return std::tie(each.epoch_, each.leaving_, each.accepting_, each.steppedDown_);
+        return std::tie(each.epoch_, each.leaving_, each.accepting_, each.steppedDown_, each.successor_);
     };
     const bool changed = stateOf(frame) != stateOf(lastHeartbeat_);
     lastHeartbeat_ = frame;
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -55,6 +55,7 @@
              }})
     , leadership_(settings.name_, millicoresOf(settings), {})
     , succession_(SuccessionSettings{})
+    , takeover_(HandoverSettings{})
     , stop_(stopSettings(settings))
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
@@ -113,6 +114,7 @@
     const Millis now = bootClock();
     sendHeartbeats();
     maybeCampaign();
+    requestHandover(now);
     readEntries();
     expireCallers(now);
     reportReadiness();
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -4,6 +4,7 @@
 
 #include "acceptor.hpp"
 #include "gracefulstop.hpp"
+#include "handover.hpp"
 #include "leadersession.hpp"
 #include "leadership.hpp"
 #include "mesh.hpp"
@@ -93,9 +94,14 @@
     void maybeCampaign();
     bool isHeldBack() const;
     void readLeader();
+    bool onLeaderItem(const platform::Item &item, Millis sentAt);
     void acquireLead(std::int64_t expected);
+    void onAcquireConflict(Span<const platform::Item> current, Millis sentAt);
     void checkRegistration(Span<const platform::Item> current);
-    void startLeading(std::uint64_t epoch, Millis acquiredAt, bool first);
+    void startLeading(std::uint64_t epoch, Millis acquiredAt, std::int64_t replaced);
+    void updateHandover(Millis now);
+    void requestHandover(Millis now);
+    void onHandoverList(const std::string &from, const HandoverFrame &frame);
 
     // Registry of entries (entryregistration.cpp)
     void readEntries();
@@ -122,6 +128,7 @@
     Mesh mesh_;
     Leadership leadership_;
     Succession succession_;
+    PlannedTakeover takeover_;
     GracefulStop stop_;
     Acceptor acceptor_;
     HttpServer callers_;
@@ -139,7 +146,10 @@
 
     std::shared_ptr<LeaderSession> leaderSession_;
     bool campaigning_ = false;
+    /// Value that the latest attempt to acquire the leadership writes, until its outcome is known.
     std::string leaderNonce_;
+    /// Revision of the leader key that this attempt replaces; 0 if there has been no leader.
+    std::int64_t replacedRevision_ = 0;
 
     std::unordered_map<std::string, KnownJob> jobs_;
     /// Callers waiting for a job to be stored, or for an ephemeral job to end.
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -140,7 +140,7 @@
 {
     return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.steppedDown_,
                         frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_,
-                        frame.nextIn_.count_, Json(frame.contained_)});
+                        frame.nextIn_.count_, Json(frame.contained_), frame.successor_});
 }
 
 Json body(const OffersFrame &frame)
@@ -172,6 +172,16 @@
     return frame.job_;
 }
 
+Json body(const HandoverRequestFrame &frame)
+{
+    return Json::array({frame.epoch_, frame.requestedAt_.count_});
+}
+
+Json body(const HandoverFrame &frame)
+{
+    return Json::array({frame.epoch_, frame.requestedAt_.count_, Json(frame.agents_)});
+}
+
 ReportFrame parseReport(const Json &json)
 {
     std::size_t at = 0;
@@ -251,6 +261,9 @@
     if (json.size() > at) {
         frame.contained_ = json.at(at++).get<std::set<std::string>>();
     }
+    if (json.size() > at) {
+        frame.successor_ = json.at(at++).get<std::string>();
+    }
     return frame;
 }
 
@@ -289,7 +302,7 @@
 }
 
 // Kinds of frames on the wire, in the order of the variant.
-enum Kind : std::size_t { Lead, Ping, Pong, Report, Orders, Heartbeat, Offers, Notices, Cancel, UnknownJob };
+enum Kind : std::size_t { Lead, Ping, Pong, Report, Orders, Heartbeat, Offers, Notices, Cancel, UnknownJob, HandoverRequest, Handover };
 
 Frame readFrame(std::size_t kind, const Json &json)
 {
@@ -314,6 +327,10 @@
         return CancelFrame{json.at(0).get<std::string>(), json.at(1).get<bool>()};
     case UnknownJob:
         return UnknownJobFrame{json.get<std::string>()};
+    case HandoverRequest:
+        return HandoverRequestFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}};
+    case Handover:
+        return HandoverFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}, json.at(2).get<RegisteredAgents>()};
     default:
         throw std::out_of_range("unknown frame kind " + std::to_string(kind));
     }
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -81,6 +81,28 @@
     std::map<std::string, std::size_t> waiting_;
     /// From the leader: contained queues, which a successor has to contain from its start.
     std::set<std::string> contained_;
+    /// From the leader: the entry that it hands the leadership over to; empty if there is none. It goes on placing tasks meanwhile,
+    /// but relies on no hold-off.
+    std::string successor_;
+};
+
+/// Revision in the store of the registration of each agent, by name.
+using RegisteredAgents = std::map<std::string, std::int64_t>;
+
+/// Request of the designated successor for what it needs to take over.
+struct HandoverRequestFrame
+{
+    std::uint64_t epoch_ = 0;
+    /// The successor's clock, echoed in the answer.
+    Millis requestedAt_;
+};
+
+struct HandoverFrame
+{
+    std::uint64_t epoch_ = 0;
+    Millis requestedAt_;
+    /// All agents that may hold a lease of this or an earlier leader.
+    RegisteredAgents agents_;
 };
 
 /// Jobs that an entry registers with the leader.
@@ -120,7 +142,9 @@
                            OffersFrame,
                            NoticesFrame,
                            CancelFrame,
-                           UnknownJobFrame>;
+                           UnknownJobFrame,
+                           HandoverRequestFrame,
+                           HandoverFrame>;
 
 std::string formatFrame(const Frame &frame);
 
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -4,6 +4,7 @@
 
 #include "keys.hpp"
 #include "metrics.hpp"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <ibiswall/log/eventlog.hpp>
 
@@ -11,7 +12,6 @@
 
 namespace {
 
-constexpr Millis loadRetryDelay{100};
 // A write whose answer was lost may take effect this late, so the jobs of a lost entry are scanned for again after it.
 constexpr Millis lateWriteDelay{7000};
 
@@ -33,16 +33,25 @@
     , dispatcher_(epoch)
     , timer_(io)
     , storeTimer_(io)
+    , loadTimer_(io)
     , startedAt_(bootClock())
     , confirmedAt_(acquiredAt)
 {
 }
 
-void LeaderSession::start()
+void LeaderSession::start(const std::optional<RegisteredAgents> &agents)
 {
     count("ibiswall_lead_taken_total");
-    logEvent("lead.taken", {{"epoch", logNumber(epoch_)}});
+    logEvent("lead.taken", {{"epoch", logNumber(epoch_)}, {"prepared", agents ? 1 : 0}});
     load();
+    if (agents) {
+        for (const auto &[name, revision] : *agents) {
+            addAgent(name, revision);
+        }
+        loaded_ = true;
+        loadedAt_ = bootClock();
+        contactAgents();
+    }
     tick();
 }
 
@@ -51,74 +60,7 @@
     stopped_ = true;
     timer_.cancel();
     storeTimer_.cancel();
-}
-
-void LeaderSession::load()
-{
-    store_.readAll(keys::jobs, false, [self = shared_from_this()](const platform::StoreResult &answer) { self->onLoaded(answer); });
-}
-
-void LeaderSession::onLoaded(const platform::StoreResult &jobs)
-{
-    if (stopped_) {
-        return;
-    }
-    if (jobs.outcome_ != platform::StoreOutcome::Ok) {
-        storeTimer_.expires_after(std::chrono::milliseconds(loadRetryDelay.count_));
-        storeTimer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
-            if (!error) {
-                self->load();
-            }
-        });
-        return;
-    }
-    for (const platform::Item &item : jobs.items_) {
-        addStored(item);
-    }
-    store_.readAll(keys::agents, false, [self = shared_from_this(), count = jobs.items_.size()](const platform::StoreResult &answer) {
-        logEvent("lead.loaded",
-                 {{"epoch", logNumber(self->epoch_)}, {"jobs", logNumber(count)}, {"agents", logNumber(answer.items_.size())}});
-        self->onAgentsLoaded(answer);
-    });
-}
-
-void LeaderSession::addStored(const platform::Item &item)
-{
-    auto record = cell::parseRecord(item.value_);
-    if (record.has_error()) {
-        logEvent("job.unreadable", {{"key", std::string_view(item.key_)}, {"reason", std::string_view(record.error().text_)}});
-        return;
-    }
-    dispatcher_.addJob({keys::nameOf(item.key_, keys::jobs), std::move(record.value()), item.revision_, false, {}, {}, {}}, bootClock());
-}
-
-void LeaderSession::onAgentsLoaded(const platform::StoreResult &agents)
-{
-    if (stopped_) {
-        return;
-    }
-    if (agents.outcome_ != platform::StoreOutcome::Ok) {
-        load();
-        return;
-    }
-    for (const platform::Item &item : agents.items_) {
-        AgentState &agent = agents_[keys::nameOf(item.key_, keys::agents)];
-        agent.registered_ = true;
-        agent.revision_ = item.revision_;
-    }
-    loaded_ = true;
-    loadedAt_ = bootClock();
-    contactAgents();
-}
-
-void LeaderSession::contactAgents()
-{
-    for (const std::string &agent : hooks_.reachableAgents_()) {
-        sendLead(agent);
-    }
-    // An entry that failed while the jobs were loaded may have stored one that was not read.
-    scheduleSweeps();
-    dispatch();
+    loadTimer_.cancel();
 }
 
 void LeaderSession::setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut)
@@ -175,6 +117,8 @@
         onReport(from, std::move(*report));
     } else if (const auto *cancel = std::get_if<CancelFrame>(&frame)) {
         onCancel(from, *cancel);
+    } else if (const auto *request = std::get_if<HandoverRequestFrame>(&frame)) {
+        onHandoverRequest(from, *request);
     }
 }
 
@@ -184,6 +128,16 @@
         earlyOffers_.emplace_back(from, std::move(frame));
         return;
     }
+    if (!storeRead_) {
+        const auto stored = std::stable_partition(frame.offers_.begin(), frame.offers_.end(),
+                                                  [](const cell::JobOffer &offer) { return offer.record_.spec_.ephemeral_; });
+        OffersFrame deferred;
+        std::move(stored, frame.offers_.end(), std::back_inserter(deferred.offers_));
+        frame.offers_.erase(stored, frame.offers_.end());
+        if (!deferred.offers_.empty()) {
+            earlyStoredOffers_.emplace_back(from, std::move(deferred));
+        }
+    }
     NoticesFrame ended{epoch_, false, {}};
     NoticesFrame endedEphemeral{epoch_, true, {}};
     for (cell::JobOffer &offer : frame.offers_) {
@@ -252,6 +206,10 @@
 // Looks up a job that no entry has offered and of which a target reports runs or results.
 void LeaderSession::lookUpOrphan(const std::string &job)
 {
+    if (!storeRead_) {
+        earlyLookups_.insert(job);
+        return;
+    }
     if (!lookingUp_.insert(job).second) {
         return;
     }
@@ -275,6 +233,7 @@
 {
     if (!hasSteppedDown()) {
         steppedDownAt_ = bootClock();
+        handover_.end();
         logEvent("lead.yielded", {{"epoch", logNumber(epoch_)}, {"proof_age_ms", confirmationAge().count_}});
     }
 }
@@ -311,9 +270,13 @@
     return std::max(confirmedAt_ + leaseSettings_.confirmationLimit_, heldOffUntil());
 }
 
-// Until when no other entry can have become the leader, judging by their hold-offs.
+// Until when no other entry can have become the leader, judging by their hold-offs. The designated successor campaigns in spite of its
+// own; those given before the handover have expired when this leader resumes after it.
 Millis LeaderSession::heldOffUntil() const
 {
+    if (handover_.isActive()) {
+        return {0};
+    }
     return std::min(hooks_.heldOffUntil_(), confirmedAt_ + leaseSettings_.holdOffLimit_);
 }
 
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -4,6 +4,7 @@
 
 #include "../../../platform/store.hpp"
 #include "frames.hpp"
+#include "handover.hpp"
 #include "leadership.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <ibiswall/cell/reports.hpp>
@@ -58,14 +59,26 @@
                   bool first,
                   Millis stateRetention);
 
-    /// Loads jobs and agents from the store, then asks the agents for reports.
-    void start();
+    /// Loads jobs and agents from the store, and asks the agents for reports.
+    /// @param agents the registered agents, if the former leader has handed them over: agents are asked at once then, and jobs that no
+    /// leader can have started need not wait for the store
+    void start(const std::optional<RegisteredAgents> &agents);
     void stop();
 
     /// Stops placing tasks and granting agent leases, so that another entry can take over without waiting.
     void stepDown();
     bool hasSteppedDown() const;
 
+    /// Hands the leadership over to an entry. Placing continues until it has taken over, and hold-offs no longer count.
+    void handOver(const std::string &successor);
+
+    /// Continues to lead, since no entry is left to take over. To be called only once the handover is overdue.
+    void cancelHandover();
+
+    /// The entry that is to take over; empty if there is none.
+    const std::string &successor() const;
+    bool isHandoverOverdue(Millis now) const;
+
     /// When it stepped down; 0 if it has not.
     Millis steppedDownAt() const;
 
@@ -118,8 +131,10 @@
     };
 
     void load();
-    void onLoaded(const platform::StoreResult &jobs);
-    void onAgentsLoaded(const platform::StoreResult &agents);
+    void onRead();
+    void addAgent(const std::string &name, std::int64_t revision);
+    void onHandoverRequest(const std::string &from, const HandoverRequestFrame &frame);
+    bool isFirstReportNeeded(const std::string &agent) const;
     void addStored(const platform::Item &item);
     void contactAgents();
     void sendLead(const std::string &agent);
@@ -164,18 +179,29 @@
     std::map<std::string, AgentState> agents_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer storeTimer_;
+    boost::asio::steady_timer loadTimer_;
     Millis startedAt_;
     /// When the latest store call that confirmed the leadership was sent.
     Millis confirmedAt_;
     bool confirming_ = false;
     /// When the first unanswered call for a confirmation was sent, 0 for none.
     Millis unansweredSince_;
+    /// The registered agents are known, from the former leader or the store.
     bool loaded_ = false;
+    /// Answers to the reads of jobs and agents, until both have arrived.
+    std::optional<platform::StoreResult> jobsRead_;
+    std::optional<platform::StoreResult> agentsRead_;
+    /// Jobs and agents have been read in this epoch, so nothing that an earlier leader has stored is unknown.
+    bool storeRead_ = false;
     bool reconciled_ = false;
+    HandoverOffer handover_{HandoverSettings{}};
     /// Set once the reachable agents have reported. Offers are deferred until then: a caller that lost its connection may
     /// submit again, through another entry and as a new job, what an agent still runs for the previous leader.
     bool agentsReported_ = false;
     std::vector<std::pair<std::string, OffersFrame>> earlyOffers_;
+    /// Offers of jobs that are stored, which may be outdated or have been started from the store by an earlier leader; deferred until
+    /// storeRead_.
+    std::vector<std::pair<std::string, OffersFrame>> earlyStoredOffers_;
     Millis loadedAt_;
     bool stopped_ = false;
     /// When it stepped down, 0 if it has not.
@@ -196,6 +222,8 @@
     std::map<std::string, Millis> unstoredOrphans_;
     /// Jobs of orphan runs whose lookup got no answer and is retried.
     std::set<std::string> lookupRetries_;
+    /// Jobs of orphan runs that are looked up if the first read of all jobs does not return them.
+    std::set<std::string> earlyLookups_;
 };
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -250,6 +250,9 @@
             confirmLeadership();
         }
     }
+    if (!storeRead_ || !handover_.mayRemoveAgents(now)) {
+        return;
+    }
     for (const std::string &name : idle) {
         deregisterAgent(name);
     }
@@ -261,15 +264,29 @@
         return true;
     }
     const std::vector<std::string> reachable = hooks_.reachableAgents_();
-    return std::all_of(reachable.begin(), reachable.end(), [this](const std::string &name) {
-        const auto found = agents_.find(name);
-        return found == agents_.end() || !found->second.registered_ || found->second.reports_.isComplete();
-    });
+    return std::none_of(reachable.begin(), reachable.end(), [this](const std::string &name) { return isFirstReportNeeded(name); });
+}
+
+// Whether fresh jobs wait for the report of a reachable agent.
+bool LeaderSession::isFirstReportNeeded(const std::string &agent) const
+{
+    const auto found = agents_.find(agent);
+    if (found != agents_.end() && found->second.registered_) {
+        return !found->second.reports_.isComplete();
+    }
+    if (storeRead_) {
+        return false;
+    }
+    // It may have been registered after the former leader sent its list. A report without runs rules out that it runs anything.
+    const bool hasNoRuns = found != agents_.end() && !found->second.deferredReports_.empty()
+        && found->second.deferredReports_.front().report_.running_.empty()
+        && found->second.deferredReports_.front().report_.results_.empty();
+    return !hasNoRuns;
 }
 
 bool LeaderSession::isReconciled(Millis now) const
 {
-    if (dispatcher_.hasUnlistedResults()) {
+    if (!storeRead_ || dispatcher_.hasUnlistedResults()) {
         return false;
     }
     // After the wait for unreachable agents the leadership must be confirmed once more, since a newer leader may have renewed
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -50,6 +50,11 @@
             onOffers(from, std::move(frame));
         }
     }
+    if (agentsReported_ && storeRead_) {
+        for (auto &[from, frame] : std::exchange(earlyStoredOffers_, {})) {
+            onOffers(from, std::move(frame));
+        }
+    }
     if (!reconciled_ && isReconciled(now)) {
         reconciled_ = true;
         logEvent("lead.gathered", {{"epoch", logNumber(epoch_)}, {"after_ms", (now - startedAt_).count_}});
@@ -352,7 +357,7 @@
     dispatcher_.expireFinalJobs(now - ephemeralRetention, now - stateRetention_);
     dispatcher_.expireCrashes(now - cell::crashRetention);
     const auto due = std::remove_if(sweeps_.begin(), sweeps_.end(), [now](Millis at) { return at <= now; });
-    if (due != sweeps_.end() && loaded_ && !sweeping_) {
+    if (due != sweeps_.end() && storeRead_ && !sweeping_) {
         sweeps_.erase(due, sweeps_.end());
         sweep();
     }
--- a/src/ibiswall/node/leadership.cpp
+++ b/src/ibiswall/node/leadership.cpp
@@ -51,7 +51,8 @@
     }
     lastContactAt_ = {std::max(lastContactAt_.count_, (now - heartbeat.leaderAge_).count_)};
     if (from == leaderInfo_.leader_) {
-        leaderClock_ = heartbeat.steppedDown_ ? Millis{0} : heartbeat.sentAt_;
+        const bool reliesOnHoldOff = !heartbeat.steppedDown_ && heartbeat.successor_.empty();
+        leaderClock_ = reliesOnHoldOff ? heartbeat.sentAt_ : Millis{0};
     }
     return changed;
 }
@@ -159,11 +160,16 @@
 
 bool Leadership::shouldStepDown(const StoreContact &store, Departure departure, Millis now) const
 {
+    return !successor(store, departure, now).empty();
+}
+
+std::string Leadership::successor(const StoreContact &store, Departure departure, Millis now) const
+{
+    std::pair<std::int64_t, std::string> first;
     const bool storeLost = store.age_ > settings_.maxLeaderStoreAge_ && store.unansweredSince_ != Millis{0};
-    return std::any_of(others_.begin(), others_.end(), [&](const auto &each) {
-        const OtherEntry &other = each.second;
+    for (const auto &[name, other] : others_) {
         if (!isEligible(other, now)) {
-            return false;
+            continue;
         }
         // When the store answers nobody, the other entries' last answers still look recent for a while. Only an answer later
         // than this leader's unanswered call shows that they reach the store.
@@ -172,8 +178,12 @@
         const bool isWeaker = static_cast<double>(millicores_) >= settings_.minCpuRatio_ * static_cast<double>(other.millicores_);
         const bool isEstablished = now >= other.upSince_ + settings_.minUptime_;
         const bool leaving = departure == Departure::Closing || (departure == Departure::Accepting && isEstablished && !isWeaker);
-        return leaving || (storeLost && answeredLater) || (isStronger && isEstablished);
-    });
+        const std::pair rank(-other.millicores_, name);
+        if ((leaving || (storeLost && answeredLater) || (isStronger && isEstablished)) && (first.second.empty() || rank < first)) {
+            first = rank;
+        }
+    }
+    return first.second;
 }
 
 bool Leadership::shouldResume(Millis steppedDownAt, Millis now) const
--- a/src/ibiswall/node/leadership.hpp
+++ b/src/ibiswall/node/leadership.hpp
@@ -143,6 +143,9 @@
     /// jobs, for an entry of comparable CPU share that has been up long enough to be linked to the agents.
     bool shouldStepDown(const StoreContact &store, Departure departure, Millis now) const;
 
+    /// The entry to step down for, of several the one that campaigns first; empty if shouldStepDown() is false.
+    std::string successor(const StoreContact &store, Departure departure, Millis now) const;
+
     /// At a leader that has stepped down: whether to resume since no entry has succeeded it. While the store is down none can.
     bool shouldResume(Millis steppedDownAt, Millis now) const;
 
--- a/src/ibiswall/node/leadership_test.cpp
+++ b/src/ibiswall/node/leadership_test.cpp
@@ -297,6 +297,38 @@
     BOOST_TEST(!weak.shouldStepDown(answered, Departure::None, now));
 }
 
+BOOST_AUTO_TEST_CASE(designates_the_entry_that_would_campaign_first_and_another_if_it_is_lost)
+{
+    const LeadershipSettings settings;
+    Leadership leader("e1", 500, settings);
+    leader.acquire(5, {1000});
+    BOOST_TEST(leader.successor(answered, Departure::Closing, {1000}).empty());
+    HeartbeatFrame ofStrong = heartbeatOf(5, "e1");
+    ofStrong.millicores_ = 600;
+    leader.onHeartbeat("e2", heartbeatOf(5, "e1"), {1000});
+    leader.onHeartbeat("e3", ofStrong, {1000});
+    leader.onHeartbeat("e4", ofStrong, {1000});
+    BOOST_TEST(leader.successor(answered, Departure::Closing, {1000}) == "e3");
+    BOOST_TEST(leader.successor(answered, Departure::None, {1000}).empty());
+    const Millis later = Millis{1001} + settings.peerTimeout_;
+    leader.onHeartbeat("e4", ofStrong, later);
+    BOOST_TEST(leader.successor(answered, Departure::Closing, later) == "e4");
+}
+
+// Two leaders would place the tasks of a lost agent: one that relies on the hold-off of its successor, and the successor.
+BOOST_AUTO_TEST_CASE(gives_no_hold_off_to_a_leader_that_hands_over)
+{
+    Leadership successor("e2", 500, {});
+    successor.onHeartbeat("e1", heartbeatOf(5, "e1"), {1000});
+    BOOST_TEST((successor.holdOffFrom() == Millis{1}));
+    HeartbeatFrame heartbeat = heartbeatOf(5, "e1");
+    heartbeat.successor_ = "e2";
+    successor.onHeartbeat("e1", heartbeat, {1100});
+    BOOST_TEST((successor.holdOffFrom() == Millis{0}));
+    // A leader that hands over still leads.
+    BOOST_TEST(!successor.shouldCampaign(fresh, false, {1101}));
+}
+
 BOOST_AUTO_TEST_CASE(does_not_step_down_for_an_entry_of_equal_cpu_share)
 {
     Leadership one("e2", 500, {});
--- a/tests/system/cell_test.cpp
+++ b/tests/system/cell_test.cpp
@@ -1,5 +1,6 @@
 // Tests a cell end to end: normal service, killed and suspended processes, store outages, planned stops, evacuation and invalid input.
 
+#include "callerthreads.hpp"
 #include "cell.hpp"
 #include "cluster.hpp"
 
@@ -11,36 +12,6 @@
 
 namespace {
 
-// Submits jobs from several threads, each sending one job after the other.
-class CallerThreads
-{
-public:
-    CallerThreads(const Cell &cell, int threads, int jobs, int runMillis)
-        : answers_(static_cast<std::size_t>(threads * jobs))
-    {
-        for (int thread = 0; thread < threads; ++thread) {
-            threads_.emplace_back([this, &cell, thread, jobs, runMillis] {
-                for (int i = 0; i < jobs; ++i) {
-                    const int number = thread * jobs + i;
-                    answers_[static_cast<std::size_t>(number)] = cell.submit(jobId(number + 1), 3, runMillis, true, {60000});
-                }
-            });
-        }
-    }
-
-    std::vector<SubmitResult> join()
-    {
-        for (std::thread &each : threads_) {
-            each.join();
-        }
-        return answers_;
-    }
-
-private:
-    std::vector<SubmitResult> answers_;
-    std::vector<std::thread> threads_;
-};
-
 void checkAllCompleted(const std::vector<SubmitResult> &answers, const Cell &cell)
 {
     for (const SubmitResult &answer : answers) {
