Refuse jobs that no leader can start in time, and record the stages of a recovery

An entry that knows no leader, or has no path to it, held ephemeral jobs until their deadline. It refuses them (503, Retry-After) once no leader could start them in time; jobs that were not sent to a leader count as not offered. Entries log recovery.stage and export ibiswall_recovery_seconds.

--- a/include/ibiswall/cell/usefultime.hpp
+++ b/include/ibiswall/cell/usefultime.hpp
@@ -6,9 +6,6 @@
 
 namespace ibiswall::cell {
 
-/// After this many times its objective, the result of a job is worth nothing to its caller.
-constexpr std::int64_t usefulObjectiveFactor = 3;
-
 /// Times of a job, measured from its submission.
 struct UsefulTime
 {
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -3,40 +3,10 @@
 #include <ibiswall/cell/dispatcher.hpp>
 
 #include <algorithm>
+#include <ibiswall/cell/usefultime.hpp>
 
 namespace ibiswall::cell {
 
-namespace {
-
-// Objective of a job whose queue is no longer configured.
-constexpr Millis unknownObjective{1000};
-
-// Estimated run time of the longest chain of steps.
-Millis longestChain(const JobSpec &spec)
-{
-    std::vector<std::int64_t> ends;
-    std::int64_t longest = 0;
-    for (const Step &step : spec.steps_) {
-        std::int64_t begin = 0;
-        for (const std::uint32_t before : step.after_) {
-            begin = std::max(begin, ends.at(before));
-        }
-        ends.push_back(begin + step.estimate_.count_);
-        longest = std::max(longest, ends.back());
-    }
-    return {longest};
-}
-
-Millis objective(Millis chain, const Queue *queue)
-{
-    if (queue == nullptr) {
-        return unknownObjective;
-    }
-    return {static_cast<std::int64_t>(static_cast<double>(chain.count_) * queue->stretch_) + queue->allowance_.count_};
-}
-
-} // namespace
-
 Dispatcher::Dispatcher(std::uint64_t epoch)
     : epoch_(epoch)
 {
@@ -109,12 +79,11 @@
     job.sequence_ = nextSequence_++;
     const Queue *queue = queueOf(job);
     job.priority_ = queue == nullptr ? 0 : queue->priority_;
-    const Millis chain = longestChain(job.record_.spec_);
-    const Millis jobObjective = objective(chain, queue);
+    const UsefulTime useful = usefulTime(job.record_.spec_, queue);
     const Millis submittedAt = now - offer.age_;
-    job.due_ = submittedAt + jobObjective;
-    job.latestStart_ = job.due_ - chain;
-    job.lastUsefulStart_ = submittedAt + Millis{usefulObjectiveFactor * jobObjective.count_} - chain;
+    job.due_ = submittedAt + useful.objective_;
+    job.latestStart_ = job.due_ - useful.chain_;
+    job.lastUsefulStart_ = submittedAt + useful.lastStart_;
     const JobProgress &progress = job.record_.progress_;
     for (const Step &step : job.record_.spec_.steps_) {
         job.offsets_.push_back(static_cast<std::uint32_t>(job.tasks_.size()));
--- a/src/ibiswall/cell/usefultime.cpp
+++ b/src/ibiswall/cell/usefultime.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/cell/usefultime.hpp>
 
 #include <algorithm>
+#include <ibiswall/cell/dispatcher.hpp>
 
 namespace ibiswall::cell {
 
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -6,6 +6,7 @@
 #include "keys.hpp"
 #include <algorithm>
 #include <charconv>
+#include <ibiswall/cell/usefultime.hpp>
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -20,6 +21,8 @@
 constexpr Millis storeRetryAfter{2000};
 constexpr Millis startRetryAfter{1000};
 constexpr Millis prunePeriod{1000};
+// A leader needs at least an offer and an order to start a job, each over links of up to 2.8 ms.
+constexpr Millis minStartDelay{5};
 
 enum Status {
     Success = 200,
@@ -310,6 +313,33 @@
     expireCallers(bootClock());
 }
 
+// Refuses jobs that no leader has been offered and that none could start in time any more.
+void EntryNode::refuseUnoffered(Millis now)
+{
+    std::vector<std::string> refused;
+    for (const auto &[id, callers] : submitters_) {
+        const auto job = jobs_.find(id);
+        if (job == jobs_.end() || !job->second.isEphemeral() || job->second.offeredEpoch_ != 0 || callers.empty()) {
+            continue;
+        }
+        const cell::JobSpec &spec = job->second.record_->spec_;
+        const auto queue = config_.queues_.find(spec.queue_);
+        const cell::UsefulTime useful = usefulTime(spec, queue == config_.queues_.end() ? nullptr : &queue->second);
+        // A later caller of the same job may still be served.
+        const Caller &latest = callers.back();
+        if (isTooLateToOffer(useful, latest.since_, latest.deadline_, minStartDelay, now)) {
+            refused.push_back(id);
+        }
+    }
+    for (const std::string &id : refused) {
+        count("ibiswall_refusals_total", "no_leader");
+        logEvent("job.refused",
+                 {{"job", std::string_view(id)}, {"reason", "no leader"}, {"leader_age_ms", leadership_.leaderAge(now).count_}});
+        jobs_.erase(id);
+        answerAll(submitters_, id, errorReply(Unavailable, Code::NotReady, "not run: no leader", startRetryAfter));
+    }
+}
+
 // Answers callers whose deadline is near and whose outcome is still unknown, and discards final states after their retention.
 void EntryNode::expireCallers(Millis now)
 {
--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -232,6 +232,9 @@
     hooks.heldOffUntil_ = [this] {
         return std::min(leadership_.heldOffUntil(succession_.candidates()), succession_.registryValidUntil());
     };
+    hooks.reached_ = [this](RecoveryStage stage) {
+        reachStage(stage);
+    };
     hooks.leadershipLost_ = [this] {
         leadership_.release();
         boost::asio::post(io_, [this] {
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -149,19 +149,21 @@
     OffersFrame frame;
     const std::uint64_t epoch = leadership_.leaderInfo().epoch_;
     const auto send = [&] {
-        if (!frame.offers_.empty()) {
-            sendTo(leadership_.leaderInfo().leader_, frame);
-            frame.offers_.clear();
+        // Without a path to the leader the jobs remain unoffered; they are offered when there is one.
+        if (!frame.offers_.empty() && sendTo(leadership_.leaderInfo().leader_, frame)) {
+            for (const cell::JobOffer &offer : frame.offers_) {
+                jobs_.at(offer.id_).offeredEpoch_ = epoch;
+            }
         }
+        frame.offers_.clear();
     };
     for (const std::string &id : std::exchange(offerQueue_, {})) {
         const auto found = jobs_.find(id);
         if (found == jobs_.end() || !found->second.record_ || epoch == 0) {
             continue;
         }
-        KnownJob &job = found->second;
+        const KnownJob &job = found->second;
         frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id)});
-        job.offeredEpoch_ = epoch;
         if (frame.offers_.size() == maxOffers) {
             send();
         }
@@ -204,6 +206,7 @@
 // Offers again all jobs that the leader may not have, and discards non-final states, which may be outdated.
 void EntryNode::onLeaderChanged()
 {
+    reachStage(RecoveryStage::Leader);
     logEvent("lead.changed",
              {{"epoch", static_cast<std::int64_t>(leadership_.leaderInfo().epoch_)},
               {"leader", std::string_view(leadership_.leaderInfo().leader_)}});
--- a/src/ibiswall/node/entryconfig.cpp
+++ b/src/ibiswall/node/entryconfig.cpp
@@ -72,6 +72,7 @@
             configRevision_ = item.revision_;
             config_ = std::move(config.value());
             configured_ = true;
+            reachStage(RecoveryStage::Configuration);
             changed = true;
             logEvent("config.applied",
                      {{"version", static_cast<std::int64_t>(config_.version_)},
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -57,6 +57,7 @@
     , succession_(SuccessionSettings{})
     , takeover_(HandoverSettings{})
     , stop_(stopSettings(settings))
+    , stages_(bootClock())
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
     , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
     , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { answerHealthCheck(respond); })
@@ -116,6 +117,7 @@
     maybeCampaign();
     requestHandover(now);
     readEntries();
+    refuseUnoffered(now);
     expireCallers(now);
     reportReadiness();
     gauge("ibiswall_leading", leaderSession_ && leadership_.isLeader() ? 1 : 0);
@@ -124,6 +126,15 @@
     }
 }
 
+void EntryNode::reachStage(RecoveryStage stage)
+{
+    constexpr double millisPerSecond = 1000;
+    if (const auto after = stages_.reach(stage, bootClock())) {
+        logEvent("recovery.stage", {{"stage", stageName(stage)}, {"after_ms", after->count_}});
+        gauge("ibiswall_recovery_seconds", static_cast<double>(after->count_) / millisPerSecond, stageName(stage));
+    }
+}
+
 void EntryNode::answerHealthCheck(const Respond &respond)
 {
     constexpr int ok = 200;
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -9,6 +9,7 @@
 #include "leadership.hpp"
 #include "mesh.hpp"
 #include "metrics.hpp"
+#include "recoverystages.hpp"
 #include "stopsignals.hpp"
 #include "succession.hpp"
 #include <ibiswall/settings.hpp>
@@ -70,6 +71,7 @@
     void onNotice(const cell::Notice &notice);
     void onUnknownJob(const std::string &id);
     void expireCallers(Millis now);
+    void refuseUnoffered(Millis now);
     bool isStoreLost() const;
 
     // Other processes of the cell (entrycell.cpp)
@@ -114,6 +116,7 @@
     void applyConfig(Span<const platform::Item> items, bool isSnapshot);
     void onConfigChanged();
 
+    void reachStage(RecoveryStage stage);
     void tick();
     void answerHealthCheck(const Respond &respond);
     void reportReadiness();
@@ -130,6 +133,7 @@
     Succession succession_;
     PlannedTakeover takeover_;
     GracefulStop stop_;
+    RecoveryStages stages_;
     Acceptor acceptor_;
     HttpServer callers_;
     HttpServer ready_;
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -6,6 +6,7 @@
 #include "frames.hpp"
 #include "handover.hpp"
 #include "leadership.hpp"
+#include "recoverystages.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <ibiswall/cell/reports.hpp>
 
@@ -43,6 +44,8 @@
     std::function<Millis()> heldOffUntil_;
     /// The leadership is lost: another entry has become the leader, or has to. This session has stopped.
     std::function<void()> leadershipLost_;
+    /// The cell has passed a stage of its recovery; called again each time.
+    std::function<void(RecoveryStage)> reached_;
 };
 
 /// Work of the leader during one epoch. Must be owned by a shared_ptr, since handlers of pending store calls keep it alive.
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -136,6 +136,9 @@
                   {"unlisted", report.unlistedResults_.value_or(false) ? 1 : 0}});
         agent.mayHoldLease_ = true;
         agent.leaseGrantedAt_ = now;
+        if (report.info_ && report.info_->responsive_ && !report.info_->draining_) {
+            hooks_.reached_(RecoveryStage::FirstTarget);
+        }
         dispatcher_.setUnlistedResults(from, report.unlistedResults_.value_or(false), now);
         dispatcher_.applyFullReport(from, report.info_, report.targetIncarnation_, report.running_, report.results_, now);
         hooks_.send_(from, PongFrame{epoch_, {}, {}});
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -59,6 +59,7 @@
         reconciled_ = true;
         logEvent("lead.gathered", {{"epoch", logNumber(epoch_)}, {"after_ms", (now - startedAt_).count_}});
         dispatcher_.markReconciled(now);
+        hooks_.reached_(RecoveryStage::AllTargets);
     }
     dispatcher_.requeueLostTasks(now < heldOffUntil() ? now : confirmedAt_);
     // Without a recent confirmation of the leadership, another entry may be placing the same tasks.
@@ -72,6 +73,9 @@
 
 void LeaderSession::send(cell::DispatcherActions &&actions)
 {
+    if (!actions.starts_.empty()) {
+        hooks_.reached_(RecoveryStage::FirstStart);
+    }
     std::map<std::string, OrdersFrame> orders;
     for (cell::StartOrder &start : actions.starts_) {
         count("ibiswall_placements_total");
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -32,6 +32,7 @@
         {"ibiswall_accept_seconds", {"Time from a submission to its being stored", ""}},
         {"ibiswall_lead_taken_total", {"Times that this entry took the lead", ""}},
         {"ibiswall_lead_lost_total", {"Times that this entry lost the lead", ""}},
+        {"ibiswall_recovery_seconds", {"Time from the start of the process to a stage of its recovery", "stage"}},
         {"ibiswall_leading", {"1 while this entry leads", ""}},
         {"ibiswall_ready", {"1 while this entry reports that it is ready", ""}},
         {"ibiswall_health_checks_total", {"Health checks of the load balancer by status of the answer", "status"}},
@@ -112,9 +113,9 @@
         .Observe(static_cast<double>(duration.count_) / millisPerSecond);
 }
 
-void gauge(const std::string &name, double value)
+void gauge(const std::string &name, double value, const std::string &label)
 {
-    find(metrics().gauges_, name, {}, [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Gauge & {
+    find(metrics().gauges_, name, label, [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Gauge & {
         return prometheus::BuildGauge().Name(name).Help(description.help_).Register(metrics().registry_).Add(labels);
     }).Set(value);
 }
--- a/tests/system/callerthreads.hpp
+++ b/tests/system/callerthreads.hpp
@@ -25,10 +25,20 @@
         }
     }
 
+    ~CallerThreads()
+    {
+        join();
+    }
+
+    CallerThreads(const CallerThreads &) = delete;
+    CallerThreads &operator=(const CallerThreads &) = delete;
+
     std::vector<SubmitResult> join()
     {
         for (std::thread &each : threads_) {
-            each.join();
+            if (each.joinable()) {
+                each.join();
+            }
         }
         return answers_;
     }
--- a/tests/system/handover_test.cpp
+++ b/tests/system/handover_test.cpp
@@ -15,10 +15,27 @@
 constexpr int jobsOfThread = 25;
 constexpr int runMillis = 60;
 
-bool hasLogged(const CellEntry &entry, const std::string &text)
+// What the entries of a cell have logged so far.
+class EntryLogs
 {
-    return entry.process_->unreadOutput().find(text) != std::string::npos;
-}
+public:
+    explicit EntryLogs(Cell &cell)
+        : cell_(cell)
+        , texts_(cell.entries().size())
+    {
+    }
+
+    bool has(std::size_t entry, const std::string &text)
+    {
+        const auto &process = cell_.entries()[entry].process_;
+        texts_[entry] += process->unreadOutput();
+        return texts_[entry].find(text) != std::string::npos;
+    }
+
+private:
+    Cell &cell_;
+    std::vector<std::string> texts_;
+};
 
 void checkAllCompleted(const std::vector<SubmitResult> &answers, const Cell &cell)
 {
@@ -30,12 +47,12 @@
 }
 
 // Waits until the successor of a leader is known, and returns its index.
-std::size_t awaitDesignated(Cell &cell, std::size_t leader)
+std::size_t awaitDesignated(Cell &cell, EntryLogs &logs, std::size_t leader)
 {
     std::size_t successor = leader;
     await("a successor is designated", [&] {
         for (std::size_t i = 0; i < cell.entries().size(); ++i) {
-            if (hasLogged(cell.entries()[leader], "\"successor\":\"" + cell.entries()[i].name_ + "\"")) {
+            if (logs.has(leader, "\"successor\":\"" + cell.entries()[i].name_ + "\"")) {
                 successor = i;
             }
         }
@@ -54,15 +71,15 @@
 {
     Cell cell({3, 4, 0});
     cell.awaitReady();
+    EntryLogs logs(cell);
     cell.setStoreMode({{"slow_ms", 300}});
     CallerThreads callers(cell, threads, jobsOfThread, runMillis);
     const std::size_t leader = cell.leader();
-    CellEntry &first = cell.entries()[leader];
-    first.process_->signal(SIGTERM);
-    const std::size_t successor = awaitDesignated(cell, leader);
-    await("the successor leads", [&] { return hasLogged(cell.entries()[successor], "\"lead.taken\""); });
-    BOOST_TEST(hasLogged(cell.entries()[successor], "\"prepared\":1"));
-    BOOST_TEST(!hasLogged(first, "\"lead.yielded\""));
+    cell.entries()[leader].process_->signal(SIGTERM);
+    const std::size_t successor = awaitDesignated(cell, logs, leader);
+    await("the successor leads", [&] { return logs.has(successor, "\"lead.taken\""); });
+    BOOST_TEST(logs.has(successor, "\"prepared\":1"));
+    BOOST_TEST(!logs.has(leader, "\"lead.yielded\""));
     checkAllCompleted(callers.join(), cell);
 }
 
@@ -70,14 +87,15 @@
 {
     Cell cell({3, 4, 0});
     cell.awaitReady();
+    EntryLogs logs(cell);
     cell.setStoreMode({{"slow_ms", 700}});
     CallerThreads callers(cell, threads, jobsOfThread, runMillis);
     const std::size_t leader = cell.leader();
     cell.entries()[leader].process_->signal(SIGTERM);
-    const std::size_t successor = awaitDesignated(cell, leader);
+    const std::size_t successor = awaitDesignated(cell, logs, leader);
     cell.entries()[successor].process_->kill();
     const std::size_t third = 3 - leader - successor;
-    await("the third entry leads", [&] { return hasLogged(cell.entries()[third], "\"lead.taken\""); });
+    await("the third entry leads", [&] { return logs.has(third, "\"lead.taken\""); });
     cell.setStoreMode({{"slow_ms", 0}});
     checkAllCompleted(callers.join(), cell);
 }
@@ -86,14 +104,15 @@
 {
     Cell cell({3, 4, 0});
     cell.awaitReady();
+    EntryLogs logs(cell);
     cell.setStoreMode({{"lose_writes", true}});
     CallerThreads callers(cell, threads, jobsOfThread, runMillis);
     const std::size_t leader = cell.leader();
     cell.entries()[leader].process_->signal(SIGTERM);
-    awaitDesignated(cell, leader);
+    awaitDesignated(cell, logs, leader);
     const auto hasSuccessor = [&] {
         for (std::size_t i = 0; i < cell.entries().size(); ++i) {
-            if (i != leader && hasLogged(cell.entries()[i], "\"lead.taken\"")) {
+            if (i != leader && logs.has(i, "\"lead.taken\"")) {
                 return true;
             }
         }
@@ -109,11 +128,12 @@
 {
     Cell cell({3, 4, 0});
     cell.awaitReady();
+    EntryLogs logs(cell);
     CallerThreads callers(cell, threads, jobsOfThread, runMillis);
     const std::size_t leader = cell.leader();
     cell.setStoreMode({{"slow_ms", 700}});
     cell.entries()[leader].process_->signal(SIGTERM);
-    awaitDesignated(cell, leader);
+    awaitDesignated(cell, logs, leader);
     cell.setStoreMode({{"slow_ms", 0}, {"silent", true}});
     std::this_thread::sleep_for(std::chrono::milliseconds(2500));
     cell.setStoreMode({{"silent", false}});
