--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -44,6 +44,8 @@
             succession_.onLeaderHeard(heartbeat->epoch_);
             waiting_ = heartbeat->waiting_;
             contained_ = heartbeat->contained_;
+            takeover_.onLeaderHeartbeat(heartbeat->epoch_, heartbeat->successor_ == self_.name_, heartbeat->sentAt_);
+            requestHandover(bootClock());
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -53,6 +55,8 @@
         }
     } else if (const auto *unknown = std::get_if<UnknownJobFrame>(&frame)) {
         onUnknownJob(unknown->job_);
+    } else if (const auto *list = std::get_if<HandoverFrame>(&frame)) {
+        onHandoverList(from, *list);
     } else if (leaderSession_) {
         leaderSession_->onFrame(from, std::move(frame));
     }
@@ -145,19 +149,21 @@
     OffersFrame frame;
     const std::uint64_t epoch = leadership_.leaderInfo().epoch_;
     const auto send = [&] {
-        if (!frame.offers_.empty()) {
-            sendTo(leadership_.leaderInfo().leader_, frame);
-            frame.offers_.clear();
+        // Without a path to the leader the jobs remain unoffered; they are offered when there is one.
+        if (!frame.offers_.empty() && sendTo(leadership_.leaderInfo().leader_, frame)) {
+            for (const cell::JobOffer &offer : frame.offers_) {
+                jobs_.at(offer.id_).offeredEpoch_ = epoch;
+            }
         }
+        frame.offers_.clear();
     };
     for (const std::string &id : std::exchange(offerQueue_, {})) {
         const auto found = jobs_.find(id);
         if (found == jobs_.end() || !found->second.record_ || epoch == 0) {
             continue;
         }
-        KnownJob &job = found->second;
+        const KnownJob &job = found->second;
         frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id)});
-        job.offeredEpoch_ = epoch;
         if (frame.offers_.size() == maxOffers) {
             send();
         }
@@ -200,6 +206,7 @@
 // Offers again all jobs that the leader may not have, and discards non-final states, which may be outdated.
 void EntryNode::onLeaderChanged()
 {
+    reachStage(RecoveryStage::Leader);
     logEvent("lead.changed",
              {{"epoch", static_cast<std::int64_t>(leadership_.leaderInfo().epoch_)},
               {"leader", std::string_view(leadership_.leaderInfo().leader_)}});
@@ -235,6 +242,7 @@
         waiting_ = frame.waiting_;
         frame.contained_ = leaderSession_->containedQueues();
         contained_ = frame.contained_;
+        frame.successor_ = leaderSession_->successor();
     }
     return frame;
 }
@@ -243,16 +251,10 @@
 void EntryNode::sendHeartbeats()
 {
     const Millis now = bootClock();
-    if (leaderSession_ && leaderSession_->hasSteppedDown()) {
-        if (leadership_.shouldResume(leaderSession_->steppedDownAt(), now)) {
-            leaderSession_->resume();
-        }
-    } else if (leaderSession_ && leadership_.shouldStepDown(leaderSession_->storeContact(), stop_.departure(), now)) {
-        leaderSession_->stepDown();
-    }
+    updateHandover(now);
     HeartbeatFrame frame = makeHeartbeat(now);
     const auto stateOf = [](const HeartbeatFrame &each) {
-        return std::tie(each.epoch_, each.leaving_, each.accepting_, each.steppedDown_);
+        return std::tie(each.epoch_, each.leaving_, each.accepting_, each.steppedDown_, each.successor_);
     };
     const bool changed = stateOf(frame) != stateOf(lastHeartbeat_);
     lastHeartbeat_ = frame;
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -50,10 +50,16 @@
             onOffers(from, std::move(frame));
         }
     }
+    if (agentsReported_ && storeRead_) {
+        for (auto &[from, frame] : std::exchange(earlyStoredOffers_, {})) {
+            onOffers(from, std::move(frame));
+        }
+    }
     if (!reconciled_ && isReconciled(now)) {
         reconciled_ = true;
         logEvent("lead.gathered", {{"epoch", logNumber(epoch_)}, {"after_ms", (now - startedAt_).count_}});
         dispatcher_.markReconciled(now);
+        hooks_.reached_(RecoveryStage::AllTargets);
     }
     dispatcher_.requeueLostTasks(now < heldOffUntil() ? now : confirmedAt_);
     // Without a recent confirmation of the leadership, another entry may be placing the same tasks.
@@ -67,6 +73,9 @@
 
 void LeaderSession::send(cell::DispatcherActions &&actions)
 {
+    if (!actions.starts_.empty()) {
+        hooks_.reached_(RecoveryStage::FirstStart);
+    }
     std::map<std::string, OrdersFrame> orders;
     for (cell::StartOrder &start : actions.starts_) {
         count("ibiswall_placements_total");
@@ -352,7 +361,7 @@
     dispatcher_.expireFinalJobs(now - ephemeralRetention, now - stateRetention_);
     dispatcher_.expireCrashes(now - cell::crashRetention);
     const auto due = std::remove_if(sweeps_.begin(), sweeps_.end(), [now](Millis at) { return at <= now; });
-    if (due != sweeps_.end() && loaded_ && !sweeping_) {
+    if (due != sweeps_.end() && storeRead_ && !sweeping_) {
         sweeps_.erase(due, sweeps_.end());
         sweep();
     }
