--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -62,31 +62,33 @@
         const std::string name = "entry-" + std::to_string(i);
         entries_.push_back({name, freePort(), freePort(), freePort(), folder_ / (name + ".json"), std::nullopt, nullptr});
         CellEntry &entry = entries_.back();
-        const Json settings = {{"role", "cell-entry"},
-                               {"name", name},
-                               {"domain", "fd-1"},
-                               {"callers", loopback(entry.callersPort_)},
-                               {"ready", loopback(entry.readyPort_)},
-                               {"links", loopback(freePort())},
-                               {"metrics", loopback(entry.metricsPort_)},
-                               {"store", loopback(makeStorePath(entry.storePath_))},
-                               {"grace_ms", 6000},
-                               {"keep_states_ms", config_.stateRetention_.count_}};
+        Json settings = {{"role", "cell-entry"},
+                         {"name", name},
+                         {"domain", "fd-1"},
+                         {"callers", loopback(entry.callersPort_)},
+                         {"ready", loopback(entry.readyPort_)},
+                         {"links", loopback(freePort())},
+                         {"metrics", loopback(entry.metricsPort_)},
+                         {"store", loopback(makeStorePath(entry.storePath_))},
+                         {"grace_ms", 6000},
+                         {"keep_states_ms", config_.stateRetention_.count_}};
+        settings.update(config_.entrySettings_);
         std::ofstream(entry.settingsFile_) << settings.dump(2);
     }
     for (int i = 1; i <= config.workers_; ++i) {
         const std::string name = "agent-" + std::to_string(i);
-        workerNodes_.push_back(
-            {name, freePort(), freePort(), folder_ / (name + ".json"), folder_ / (name + ".record"), std::nullopt, std::nullopt, nullptr});
+        workerNodes_.push_back({name, freePort(), freePort(), freePort(), folder_ / (name + ".json"), folder_ / (name + ".record"),
+                                std::nullopt, std::nullopt, nullptr});
         WorkerNode &node = workerNodes_.back();
-        const Json settings = {{"role", "cell-agent"},
-                               {"name", name},
-                               {"domain", "fd-1"},
-                               {"announcements", loopback(node.agentPort_)},
-                               {"target", loopback(node.workerPort_)},
-                               {"metrics", loopback(freePort())},
-                               {"store", loopback(makeStorePath(node.storePath_))},
-                               {"grace_ms", 6000}};
+        Json settings = {{"role", "cell-agent"},
+                         {"name", name},
+                         {"domain", "fd-1"},
+                         {"announcements", loopback(node.agentPort_)},
+                         {"target", loopback(node.workerPort_)},
+                         {"metrics", loopback(node.metricsPort_)},
+                         {"store", loopback(makeStorePath(node.storePath_))},
+                         {"grace_ms", 6000}};
+        settings.update(config_.agentSettings_);
         std::ofstream(node.settingsFile_) << settings.dump(2);
     }
     for (std::size_t i = 0; i < entries_.size(); ++i) {
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -29,6 +29,9 @@
     bool admissionControl_ = true;
     /// Whether each entry and agent reaches the store through a relay of its own.
     bool useStoreRelays_ = false;
+    /// Merged into the settings of each entry and agent.
+    nlohmann::json entrySettings_ = nlohmann::json::object();
+    nlohmann::json agentSettings_ = nlohmann::json::object();
 };
 
 /// A worker process and its agent.
@@ -37,6 +40,7 @@
     std::string name_;
     std::uint16_t workerPort_ = 0;
     std::uint16_t agentPort_ = 0;
+    std::uint16_t metricsPort_ = 0;
     std::filesystem::path settingsFile_;
     std::filesystem::path runRecordFile_;
     std::optional<Process> worker_;
