Bound what one HTTP connection may send and hold

Beast's flat_buffer had no maximum, so trailers and chunk extensions that never end were buffered without limit, and string_body reserved the declared length. A full server closes the connection that has waited longest without a complete request.

--- a/include/ibiswall/net/httpserver.hpp
+++ b/include/ibiswall/net/httpserver.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <ibiswall/base.hpp>
+#include <ibiswall/net/budget.hpp>
 #include <map>
 #include <memory>
 
@@ -48,8 +49,10 @@
 {
     std::size_t maxBody_ = 8U << 20U;
     std::size_t maxHeader_ = 8192;
+    /// When it is reached, the connection that has waited longest without a complete request is closed in favour of a new one.
     std::size_t maxConnections_ = 1024;
-    /// Limit for receiving a complete request, and for writing a reply; the connection is closed afterwards.
+    /// Limit for receiving a complete request, and for writing a reply; the connection is closed afterwards. A request whose
+    /// header is complete is answered with 408 before.
     Millis idleTimeout_{30000};
     /// Name in lower case of one more header that is passed to the handler; may be empty.
     std::string extraHeader_ = {};
@@ -57,6 +60,11 @@
     bool detectPeerClose_ = false;
     /// Receives the reason when the handler fails with an exception; may be empty. The request is answered with HandlerFailed.
     std::function<void(std::string_view)> onHandlerFailure_ = {};
+    /// Receives the reason when the server refuses a request or closes a connection itself; may be empty.
+    std::function<void(std::string_view)> onClosed_ = {};
+    /// Limits the bytes of buffers, bodies and replies; may be null. When it is exhausted, the largest incomplete request is
+    /// closed in favour of smaller ones.
+    std::shared_ptr<Budget> budget_ = {};
 };
 
 /// Sends the reply to one request. May be called after the handler has returned, on the server's event loop.
--- a/src/ibiswall/net/httprequest.hpp
+++ b/src/ibiswall/net/httprequest.hpp
@@ -3,13 +3,55 @@
 #pragma once
 
 #include <algorithm>
+#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <ibiswall/net/httpserver.hpp>
 
 namespace ibiswall {
 
+/// Body of a request. Unlike string_body it does not reserve the length that a client declares.
+struct GrowingBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool isRequest, typename Fields>
+        reader(boost::beast::http::header<isRequest, Fields> & /*header*/, value_type &body)
+            : body_(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> & /*length*/, boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+        template<typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::beast::error_code &error)
+        {
+            error = {};
+            std::size_t added = 0;
+            for (const auto &buffer : boost::beast::buffers_range_ref(buffers)) {
+                body_.append(static_cast<const char *>(buffer.data()), buffer.size());
+                added += buffer.size();
+            }
+            return added;
+        }
+
+        void finish(boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type &body_;
+    };
+};
+
 /// @param extraHeader see HttpLimits::extraHeader_
-inline HttpRequest toRequest(boost::beast::http::request<boost::beast::http::string_body> &&message, std::string_view extraHeader)
+inline HttpRequest toRequest(boost::beast::http::request<GrowingBody> &&message, std::string_view extraHeader)
 {
     const std::string target(message.target());
     const auto queryStart = target.find('?');
