--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <ibiswall/base/budget.hpp>
 #include <ibiswall/cell/containment.hpp>
 #include <ibiswall/cell/crashhistory.hpp>
 #include <ibiswall/cell/dispatcheractions.hpp>
@@ -37,6 +38,10 @@
 
     void setScheduling(const SchedulingSettings &settings);
 
+    /// Limits the bytes of tasks. Ephemeral jobs of which no dispatcher can have started a task are refused beyond it; others are
+    /// always added.
+    void setTaskBudget(std::shared_ptr<Budget> budget);
+
     /// Adds a job. Does not change a job that was added before.
     /// @return the job's state if it is final already, to be reported to the offering entry
     std::optional<JobState> addJob(JobOffer offer, Millis now);
@@ -223,6 +228,8 @@
         /// Whether an earlier dispatcher may have started any of its tasks, in which case the job must not be refused
         /// as not run.
         bool mayHaveStarted_ = false;
+        /// Bytes of the tasks.
+        BudgetShare share_;
 
         bool isEphemeral() const
         {
@@ -298,6 +305,8 @@
     std::uint64_t nextSequence_ = 1;
     CellConfig config_;
     SchedulingSettings scheduling_;
+    /// Null for no limit.
+    std::shared_ptr<Budget> taskBudget_;
     std::set<std::string> domainsOut_;
     std::unordered_map<std::string, Job> jobs_;
     /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -66,6 +66,9 @@
 /// Most tasks of a job.
 constexpr std::uint32_t maxTasksOfJob = 100000;
 
+/// Memory that a leader uses for a task, in bytes, without what a run adds.
+constexpr std::size_t taskBytes = 112;
+
 /// Number of tasks of a job, over all steps.
 std::uint32_t taskCount(const JobSpec &spec);
 
--- a/include/ibiswall/net.hpp
+++ b/include/ibiswall/net.hpp
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <ibiswall/net/budget.hpp> // IWYU pragma: export
 #include <ibiswall/net/channel.hpp> // IWYU pragma: export
 #include <ibiswall/net/httpcall.hpp> // IWYU pragma: export
 #include <ibiswall/net/httppool.hpp> // IWYU pragma: export
--- a/include/ibiswall/net/httpserver.hpp
+++ b/include/ibiswall/net/httpserver.hpp
@@ -5,7 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <ibiswall/base.hpp>
-#include <ibiswall/net/budget.hpp>
+#include <ibiswall/base/budget.hpp>
 #include <map>
 #include <memory>
 
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -54,6 +54,11 @@
     scheduling_ = settings;
 }
 
+void Dispatcher::setTaskBudget(std::shared_ptr<Budget> budget)
+{
+    taskBudget_ = std::move(budget);
+}
+
 const Queue *Dispatcher::queueOf(const Job &job) const
 {
     const auto found = config_.queues_.find(job.record_.spec_.queue_);
@@ -89,6 +94,12 @@
         }
         return state;
     }
+    const std::size_t bytes = taskCount(offer.record_.spec_) * taskBytes;
+    if (taskBudget_ && !mayHaveStarted && offer.record_.spec_.ephemeral_ && jobs_.count(offer.id_) == 0 && !taskBudget_->hasRoomFor(bytes)
+        && !mayRunSomewhere(offer.id_)) {
+        finalJobs_[offer.id_] = {JobState::Refused, now, true, offer.revision_, false, false};
+        return JobState::Refused;
+    }
     const auto [entry, added] = jobs_.try_emplace(offer.id_);
     Job &job = entry->second;
     if (!offer.origin_.empty()) {
@@ -104,6 +115,9 @@
     const std::string id = offer.id_;
     job.id_ = std::move(offer.id_);
     job.record_ = std::move(offer.record_);
+    static_assert(sizeof(Task) <= taskBytes);
+    job.share_ = BudgetShare(taskBudget_);
+    job.share_.resize(bytes);
     job.revision_ = offer.revision_;
     job.activeAt_ = now;
     job.sequence_ = nextSequence_++;
--- a/src/ibiswall/entry/callersloop.cpp
+++ b/src/ibiswall/entry/callersloop.cpp
@@ -2,6 +2,7 @@
 
 #include "callersloop.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <ibiswall/log.hpp>
 
@@ -74,6 +75,16 @@
         "intent " + std::string(accepted ? "accepted" : "refused") + ": " + intent + (accepted ? std::string() : ", " + reply.body_));
 }
 
+// A full set of connections with large bodies at a time exceeds the memory of any process.
+HttpLimits limitsOf(const EntrySettings &settings)
+{
+    constexpr std::size_t minBudget = 64U << 20U;
+    constexpr std::size_t bodiesAtATime = 8;
+    HttpLimits limits{settings.maxBody_, settings.maxHeader_, settings.maxConnections_, settings.idleTimeout_};
+    limits.budget_ = std::make_shared<Budget>(std::max(minBudget, bodiesAtATime * settings.maxBody_));
+    return limits;
+}
+
 } // namespace
 
 CallersLoop::CallersLoop(boost::asio::io_context &io, const EntrySettings &settings, std::function<bool(DispatchMessage)> forward)
@@ -81,9 +92,7 @@
     , members_(namesByAuthorization(settings.members_))
     , operators_(namesByAuthorization(settings.operators_))
     , self_(settings.name_)
-    , server_(io,
-              HttpLimits{settings.maxBody_, settings.maxHeader_, settings.maxConnections_, settings.idleTimeout_},
-              [this](const HttpRequest &request, const Respond &respond) { handleMeasured(request, respond); })
+    , server_(io, limitsOf(settings), [this](const HttpRequest &request, const Respond &respond) { handleMeasured(request, respond); })
 {
 }
 
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -4,6 +4,7 @@
 
 #include "../../../platform/announcements.hpp"
 #include "eventloop.hpp"
+#include "httplimits.hpp"
 #include "keys.hpp"
 #include "pinginterval.hpp"
 #include <algorithm>
@@ -28,7 +29,9 @@
 
 HttpLimits announcementLimits()
 {
-    HttpLimits limits;
+    HttpLimits limits = monitoringLimits("announcements");
+    // A target with a thousand labels.
+    limits.maxBody_ = 65536;
     limits.onHandlerFailure_ = reportHandlerFailure;
     return limits;
 }
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -62,7 +62,7 @@
 
 void EntryNode::serve(HttpRequest &&request, Respond respond)
 {
-    count("ibiswall_requests_total", request.method_);
+    count("ibiswall_requests_total", methodLabel(request.method_));
     if (!configured_) {
         respond(errorReply(Unavailable, Code::NotReady, {}, startRetryAfter));
         return;
@@ -129,6 +129,14 @@
         respond(errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
         return;
     }
+    if (!acceptor_.isPending(id)) {
+        auto shares = acquireShares(spec.value());
+        if (!shares) {
+            refuse(id, "memory", respond);
+            return;
+        }
+        acceptingShares_[id] = std::move(*shares);
+    }
     submitters_[id].push_back({std::move(respond), deadlineOf(request), nextCaller_++, bootClock()});
     cell::JobRecord record;
     record.spec_ = std::move(spec.value());
@@ -139,6 +147,13 @@
 // The caller waits until the job has ended. Nothing is stored; a caller that loses its connection has to retry.
 void EntryNode::submitEphemeral(const std::string &id, cell::JobSpec spec, const HttpRequest &request, Respond respond)
 {
+    const auto known = jobs_.find(id);
+    const bool isNew = known == jobs_.end() || !known->second.record_;
+    std::optional<JobShares> shares = isNew ? acquireShares(spec) : std::nullopt;
+    if (isNew && !shares) {
+        refuse(id, "memory", respond);
+        return;
+    }
     const std::uint64_t number = nextCaller_++;
     if (request.onPeerClosed_) {
         *request.onPeerClosed_ = [this, id, number] {
@@ -147,15 +162,24 @@
     }
     submitters_[id].push_back({std::move(respond), deadlineOf(request), number, bootClock()});
     KnownJob &job = jobs_[id];
-    if (job.record_) {
+    if (!isNew) {
         return;
     }
+    job.shares_ = std::move(*shares);
     logEvent("job.received", {{"job", std::string_view(id)}, {"queue", std::string_view(spec.queue_)}});
     job.record_.emplace();
     job.record_->spec_ = std::move(spec);
     queueOffer(id);
 }
 
+// Refuses a request that has neither been stored nor offered to a leader.
+void EntryNode::refuse(const std::string &id, const char *reason, const Respond &respond)
+{
+    count("ibiswall_refusals_total", reason);
+    logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", std::string_view(reason)}});
+    respond(errorReply(Unavailable, Code::Overloaded, {}, startRetryAfter));
+}
+
 // Handles a caller that closed its connection before the answer.
 void EntryNode::onCallerDisconnected(const std::string &id, std::uint64_t number)
 {
@@ -193,6 +217,11 @@
 
 void EntryNode::onAccepted(const std::string &id, const AcceptedJob &job)
 {
+    JobShares shares;
+    if (const auto found = acceptingShares_.find(id); found != acceptingShares_.end()) {
+        shares = std::move(found->second);
+        acceptingShares_.erase(found);
+    }
     if (job.acceptance_ == Acceptance::NotStored) {
         count("ibiswall_refusals_total", "store_refused");
         logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", "store refused"}});
@@ -209,6 +238,7 @@
     known.revision_ = job.revision_;
     if (!isFinal(known.state_)) {
         known.record_ = job.record_;
+        known.shares_ = std::move(shares);
         // A job that was stored before may be known to another entry or an earlier leader.
         known.offeredEpoch_ = job.acceptance_ == Acceptance::Created ? 0 : leadership_.leaderInfo().epoch_;
         queueOffer(id);
@@ -222,7 +252,13 @@
         respond(jsonReply(Success, platform::formatState(known->second.state_)));
         return;
     }
+    if (lookups_ >= maxLookups) {
+        refuse(id, "lookups", respond);
+        return;
+    }
+    ++lookups_;
     store_.get(keys::job(id), [this, id, respond](const platform::StoreResult &answer) {
+        --lookups_;
         if (answer.outcome_ == platform::StoreOutcome::NotFound) {
             logEvent("job.unknown", {{"job", std::string_view(id)}});
             respond(errorReply(Gone, Code::UnknownJob, {}));
@@ -248,6 +284,10 @@
         respond(jsonReply(Success, platform::formatState(known->second.state_)));
         return;
     }
+    if (cancellers_.size() >= maxLookups && cancellers_.count(id) == 0) {
+        refuse(id, "cancels", respond);
+        return;
+    }
     cancellers_[id].push_back({std::move(respond), deadline, nextCaller_++, bootClock()});
     flushOffers();
     sendTo(leadership_.leaderInfo().leader_, CancelFrame{id});
@@ -269,6 +309,7 @@
     logEvent("job.ended", {{"job", std::string_view(notice.job_)}, {"state", platform::stateName(notice.state_)}});
     const bool ephemeral = job.isEphemeral();
     job.record_.reset();
+    job.shares_ = {};
     job.endedAt_ = bootClock();
     const HttpReply reply = notice.state_ == cell::JobState::Refused ? errorReply(Unavailable, Code::Overloaded, {}, startRetryAfter)
                                                                      : jsonReply(Success, platform::formatState(notice.state_));
--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -159,6 +159,7 @@
     };
     leaderSession_ = std::make_shared<LeaderSession>(io_, store_, hooks, epoch, acquiredAt, first, settings_.stateRetention_);
     leaderSession_->setConfig(config_, evacuatedDomains_);
+    leaderSession_->setTaskBudget(limits_.tasks_);
     leaderSession_->setScheduling(settings_.scheduling_);
     leaderSession_->containQueues(contained_);
     leaderSession_->start();
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -4,6 +4,7 @@
 
 #include "../../../platform/callers.hpp"
 #include "eventloop.hpp"
+#include "httplimits.hpp"
 #include <ibiswall/log/eventlog.hpp>
 
 namespace ibiswall::node {
@@ -13,12 +14,16 @@
 // Calls to the store normally take a few milliseconds, and some hundreds when it is slow.
 constexpr Millis storeTimeout{1000};
 
-HttpLimits callerLimits()
+HttpLimits callerLimits(const ProcessLimits &process)
 {
     HttpLimits limits;
     limits.maxBody_ = 1U << 20U;
     limits.maxHeader_ = 16384;
-    limits.maxConnections_ = 3500;
+    limits.maxConnections_ = process.maxConnections_;
+    limits.budget_ = process.connections_;
+    limits.onClosed_ = [](std::string_view reason) {
+        reportClosed("callers", reason);
+    };
     limits.idleTimeout_ = {60000};
     limits.extraHeader_ = platform::callerTimeoutHeader;
     limits.detectPeerClose_ = true;
@@ -45,6 +50,7 @@
 EntryNode::EntryNode(boost::asio::io_context &io, const CellEntrySettings &settings)
     : io_(io)
     , settings_(settings)
+    , limits_(processLimits(settings.memory_, settings.maxDescriptors_))
     , self_{settings.name_, wallClock().count_, true}
     , store_(io, settings.storeAddress_, storeTimeout)
     , mesh_(io,
@@ -57,8 +63,8 @@
     , succession_(SuccessionSettings{})
     , stop_(stopSettings(settings))
     , acceptor_(io, store_, [this](const std::string &id, const AcceptedJob &job) { onAccepted(id, job); })
-    , callers_(io, callerLimits(), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
-    , ready_(io, {}, [this](const HttpRequest &, const Respond &respond) { answerHealthCheck(respond); })
+    , callers_(io, callerLimits(limits_), [this](HttpRequest request, Respond respond) { serve(std::move(request), std::move(respond)); })
+    , ready_(io, monitoringLimits("ready"), [this](const HttpRequest &, const Respond &respond) { answerHealthCheck(respond); })
     , metrics_(io)
     , timer_(io)
     , configTimer_(io)
@@ -117,6 +123,9 @@
     expireCallers(now);
     reportReadiness();
     gauge("ibiswall_leading", leaderSession_ && leadership_.isLeader() ? 1 : 0);
+    gauge("ibiswall_connection_bytes", static_cast<double>(limits_.connections_->used()));
+    gauge("ibiswall_job_bytes", static_cast<double>(limits_.jobs_->used()));
+    gauge("ibiswall_task_bytes", static_cast<double>(limits_.tasks_->used()));
     if (stop_.hasBegun()) {
         continueStop();
     }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -8,6 +8,7 @@
 #include "leadership.hpp"
 #include "mesh.hpp"
 #include "metrics.hpp"
+#include "processlimits.hpp"
 #include "stopsignals.hpp"
 #include "succession.hpp"
 #include <ibiswall/settings.hpp>
@@ -27,6 +28,13 @@
     void apply(const CellEntrySettings &settings);
 
 private:
+    /// Bytes of an open job.
+    struct JobShares
+    {
+        BudgetShare record_;
+        BudgetShare durableTasks_;
+    };
+
     /// What this entry knows about a job.
     struct KnownJob
     {
@@ -38,6 +46,8 @@
         std::uint64_t offeredEpoch_ = 0;
         /// When this entry was notified of the final state.
         Millis endedAt_;
+        /// Taken from ProcessLimits while record_ is set.
+        JobShares shares_;
 
         bool isEphemeral() const
         {
@@ -61,6 +71,8 @@
     void submit(const cell::Queue &queue, const std::string &id, const HttpRequest &request, Respond respond);
     void submitEphemeral(const std::string &id, cell::JobSpec spec, const HttpRequest &request, Respond respond);
     void onCallerDisconnected(const std::string &id, std::uint64_t number);
+    std::optional<JobShares> acquireShares(const cell::JobSpec &spec) const;
+    void refuse(const std::string &id, const char *reason, const Respond &respond);
     void answerAll(Callers &waiting, const std::string &id, const HttpReply &reply);
     void answerState(const std::string &id, const Respond &respond);
     void cancel(const std::string &id, Millis deadline, Respond respond);
@@ -117,6 +129,7 @@
 
     boost::asio::io_context &io_;
     CellEntrySettings settings_;
+    ProcessLimits limits_;
     Peer self_;
     platform::StoreClient store_;
     Mesh mesh_;
@@ -145,6 +158,10 @@
     /// Callers waiting for a job to be stored, or for an ephemeral job to end.
     Callers submitters_;
     Callers cancellers_;
+    /// Of jobs that are being stored.
+    std::unordered_map<std::string, JobShares> acceptingShares_;
+    /// Reads of states from the store that are in progress.
+    std::size_t lookups_ = 0;
     std::uint64_t nextCaller_ = 1;
     std::vector<std::string> offerQueue_;
     /// The leader's count of jobs with no task started, by queue.
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -127,6 +127,11 @@
     scheduleDispatch();
 }
 
+void LeaderSession::setTaskBudget(std::shared_ptr<Budget> budget)
+{
+    dispatcher_.setTaskBudget(std::move(budget));
+}
+
 void LeaderSession::setScheduling(const cell::SchedulingSettings &settings)
 {
     dispatcher_.setScheduling(settings);
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -2,6 +2,8 @@
 
 #include "metrics.hpp"
 
+#include "httplimits.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -29,6 +31,10 @@
         {"ibiswall_jobs_total", {"Jobs by how they ended for their callers", "outcome"}},
         {"ibiswall_job_seconds", {"Time from a submission to its answer, by outcome", "outcome"}},
         {"ibiswall_refusals_total", {"Jobs refused as not run, by reason", "reason"}},
+        {"ibiswall_connections_closed_total", {"Requests refused and connections closed by the HTTP servers, by reason", "reason"}},
+        {"ibiswall_connection_bytes", {"Bytes of callers' connections, bodies and replies", ""}},
+        {"ibiswall_job_bytes", {"Bytes of open jobs at this entry, without their tasks", ""}},
+        {"ibiswall_task_bytes", {"Bytes of the tasks of this leader", ""}},
         {"ibiswall_accept_seconds", {"Time from a submission to its being stored", ""}},
         {"ibiswall_lead_taken_total", {"Times that this entry took the lead", ""}},
         {"ibiswall_lead_lost_total", {"Times that this entry lost the lead", ""}},
@@ -131,7 +137,7 @@
 }
 
 MetricsServer::MetricsServer(boost::asio::io_context &io)
-    : server_(io, {}, [](const HttpRequest &request, const Respond &respond) {
+    : server_(io, monitoringLimits("metrics"), [](const HttpRequest &request, const Respond &respond) {
         constexpr int ok = 200;
         constexpr int notFound = 404;
         HttpReply reply = jsonReply(request.path_ == "/metrics" ? ok : notFound, {});
--- /dev/null
+++ b/src/ibiswall/node/processlimits.hpp
@@ -0,0 +1,38 @@
+// What a process of a cell holds for its clients, derived from its memory and its file descriptors.
+
+#pragma once
+
+#include <ibiswall/base/budget.hpp>
+#include <ibiswall/cell/model.hpp>
+
+namespace ibiswall::node {
+
+struct ProcessLimits
+{
+    /// Buffers of connections, bodies being received and replies not yet written.
+    std::shared_ptr<Budget> connections_;
+    /// Jobs that this entry has accepted and that have not ended, without their tasks.
+    std::shared_ptr<Budget> jobs_;
+    /// Tasks of stored jobs that the entries of the cell have accepted; each entry uses an equal part.
+    std::shared_ptr<Budget> durableTasks_;
+    /// Tasks of the jobs of this leader.
+    std::shared_ptr<Budget> tasks_;
+    /// Connections of callers.
+    std::size_t maxConnections_ = 0;
+};
+
+/// @param memory megabytes; 0 for a default
+/// @param maxDescriptors 0 for the limit of the process
+ProcessLimits processLimits(std::size_t memory, std::size_t maxDescriptors);
+
+/// Bytes that an entry holds for a job until it has ended.
+std::size_t recordBytes(const cell::JobSpec &spec);
+
+/// Most ids whose cancellation, or whose state in the store, is awaited at a time. A call to the store takes 4 ms, so that 128 are
+/// more than its 6,000 reads/s; twelve entries together stay below the requests that it answers in its time limit when it is slow.
+constexpr std::size_t maxLookups = 128;
+
+/// The method itself if callers may use it, otherwise `other`, so that clients cannot create metrics.
+std::string methodLabel(const std::string &method);
+
+} // namespace ibiswall::node
