--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -60,18 +60,19 @@
     putKey("op/config", makeConfiguration(config.admissionControl_));
     for (int i = 1; i <= config.entries_; ++i) {
         const std::string name = "entry-" + std::to_string(i);
-        entries_.push_back({name, freePort(), freePort(), freePort(), folder_ / (name + ".json"), std::nullopt, nullptr});
+        entries_.push_back({name, freePort(), freePort(), freePort(), freePort(), folder_ / (name + ".json"), std::nullopt, nullptr});
         CellEntry &entry = entries_.back();
-        const Json settings = {{"role", "cell-entry"},
-                               {"name", name},
-                               {"domain", "fd-1"},
-                               {"callers", loopback(entry.callersPort_)},
-                               {"ready", loopback(entry.readyPort_)},
-                               {"links", loopback(freePort())},
-                               {"metrics", loopback(entry.metricsPort_)},
-                               {"store", loopback(makeStorePath(entry.storePath_))},
-                               {"grace_ms", 6000},
-                               {"keep_states_ms", config_.stateRetention_.count_}};
+        Json settings = {{"role", "cell-entry"},
+                         {"name", name},
+                         {"domain", "fd-1"},
+                         {"callers", loopback(entry.callersPort_)},
+                         {"ready", loopback(entry.readyPort_)},
+                         {"links", loopback(entry.linksPort_)},
+                         {"metrics", loopback(entry.metricsPort_)},
+                         {"store", loopback(makeStorePath(entry.storePath_))},
+                         {"grace_ms", 6000},
+                         {"keep_states_ms", config_.stateRetention_.count_}};
+        settings.update(config_.entrySettings_);
         std::ofstream(entry.settingsFile_) << settings.dump(2);
     }
     for (int i = 1; i <= config.workers_; ++i) {
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -29,6 +29,8 @@
     bool admissionControl_ = true;
     /// Whether each entry and agent reaches the store through a relay of its own.
     bool useStoreRelays_ = false;
+    /// Further settings of every entry.
+    nlohmann::json entrySettings_ = nlohmann::json::object();
 };
 
 /// A worker process and its agent.
@@ -51,6 +53,7 @@
     std::uint16_t callersPort_ = 0;
     std::uint16_t readyPort_ = 0;
     std::uint16_t metricsPort_ = 0;
+    std::uint16_t linksPort_ = 0;
     std::filesystem::path settingsFile_;
     std::optional<Process> process_;
     /// Set with CellConfig::useStoreRelays_.
