--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -1,3 +1,5 @@
+set(IBISWALL_SANITIZE "" CACHE STRING "Sanitizers to build with, such as address,undefined")
+
 # Sets the compiler options that all CMake targets of the project share.
 function(ibiswall_options target)
   target_compile_features(${target} PUBLIC cxx_std_17)
@@ -5,6 +7,10 @@
   # g++ 12 gives false positives for strings inside moved aggregates.
   target_compile_options(${target} PRIVATE -Wno-maybe-uninitialized)
   target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+  if(IBISWALL_SANITIZE)
+    target_compile_options(${target} PRIVATE -fsanitize=${IBISWALL_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    target_link_options(${target} PUBLIC -fsanitize=${IBISWALL_SANITIZE})
+  endif()
 endfunction()
 
 # Adds the library ibiswall_NAME from src/ibiswall/NAME, and its unit tests.
--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -18,7 +18,8 @@
     std::function<void(LinkId)> opened_;
     std::function<void(LinkId)> closed_;
     std::function<void(LinkId, std::string_view)> received_;
-    /// Receives the reason when a server refuses a connection; may be empty.
+    /// Receives the reason when a server refuses a connection or closes a link that is not identified; may be empty. The number of
+    /// reasons is limited.
     std::function<void(std::string_view)> refused_;
 };
 
@@ -27,12 +28,18 @@
 {
     /// A larger frame closes the link.
     std::size_t maxFrameBytes_ = 16U << 20U;
+    /// The same for a link of a server before LinkServer::identify. Identification frames of both protocols have names of at most 64
+    /// characters and a few numbers.
+    std::size_t maxUnidentifiedFrameBytes_ = 4096;
     /// A link whose send buffer exceeds this is closed.
     std::size_t maxBufferedBytes_ = 64U << 20U;
-    /// Maximum number of links of a server, including connections whose handshake is in progress.
+    /// Maximum number of identified links of a server.
     std::size_t maxLinks_ = 4096;
-    /// A server closes a connection whose handshake takes longer, and a link that sends no frame within this time after it.
-    Millis firstFrameTimeout_{5000};
+    /// Maximum number of connections of a server that are not identified links. The oldest one is closed in favour of a new one: a peer
+    /// identifies itself within two round trips, so it is not displaced unless so many strangers connect within that time.
+    std::size_t maxUnidentified_ = 64;
+    /// A server closes a connection whose handshake takes longer, and a link that is not identified within this time after it.
+    Millis identificationTimeout_{5000};
     /// Upper limit of the base delay between two connection attempts of a client, before jitter.
     Millis maxReconnectDelay_{2000};
 };
@@ -54,6 +61,10 @@
     /// @return false if the link is closed, or is closed now because its send buffer is full
     bool send(LinkId link, std::string_view frame);
 
+    /// Accepts the identification of a peer: larger frames and an unlimited time are allowed from now on.
+    /// @return false if the link is closed, or is closed now because there are LinkLimits::maxLinks_ identified ones
+    bool identify(LinkId link);
+
     /// Closes a link with a closing handshake; closed_ is called afterwards.
     void close(LinkId link);
 
--- a/src/ibiswall/cell/malformed_test.cpp
+++ b/src/ibiswall/cell/malformed_test.cpp
@@ -1,6 +1,7 @@
 // Tests that malformed records are rejected and never reach the dispatcher.
 
 #include "../../../tests/environment.hpp"
+#include "../../../tests/mutation.hpp"
 #include "testparts.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -53,32 +54,6 @@
     return numberFromEnvironment("IBISWALL_HISTORIES", inCi);
 }
 
-// Changes a few bytes, removes some or repeats some.
-std::string mutate(std::string bytes, std::minstd_rand &random)
-{
-    const auto below = [&random](std::size_t limit) {
-        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
-    };
-    for (std::size_t changes = 1 + below(4); changes > 0 && !bytes.empty(); --changes) {
-        const std::size_t at = below(bytes.size());
-        switch (below(4)) {
-        case 0:
-            bytes[at] = static_cast<char>(below(256));
-            break;
-        case 1:
-            bytes[at] = static_cast<char>(static_cast<unsigned char>(bytes[at]) ^ (1U << below(8)));
-            break;
-        case 2:
-            bytes.erase(at, 1 + below(4));
-            break;
-        default:
-            bytes.insert(at, bytes.substr(below(bytes.size()), 1 + below(8)));
-            break;
-        }
-    }
-    return bytes;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(malformed)
--- a/src/ibiswall/entry/dispatchloop.cpp
+++ b/src/ibiswall/entry/dispatchloop.cpp
@@ -3,6 +3,7 @@
 #include "dispatchloop.hpp"
 
 #include "views.hpp"
+#include <algorithm>
 #include <ibiswall/log.hpp>
 
 namespace ibiswall {
@@ -28,8 +29,11 @@
 {
     LinkLimits limits;
     limits.maxFrameBytes_ = settings.maxFrame_;
-    limits.maxLinks_ = settings.maxLinks_;
-    limits.firstFrameTimeout_ = settings.helloTimeout_;
+    // Together not more than the descriptors that are counted for links.
+    constexpr std::size_t unidentifiedShare = 4;
+    limits.maxUnidentified_ = std::clamp<std::size_t>(settings.maxLinks_ / unidentifiedShare, 1, limits.maxUnidentified_);
+    limits.maxLinks_ = std::max<std::size_t>(settings.maxLinks_ - limits.maxUnidentified_, 1);
+    limits.identificationTimeout_ = settings.helloTimeout_;
     return limits;
 }
 
@@ -239,6 +243,9 @@
         links_.close(link);
         return;
     }
+    if (!links_.identify(link)) {
+        return;
+    }
     log(LogLevel::Info, component, "target " + hello.info_.place_.target_ + " announced in " + hello.info_.place_.domain_);
     DispatchActions actions;
     joinAgent(dispatcher_, readClocks(), link, hello.info_, actions);
@@ -281,6 +288,9 @@
         links_.close(link);
         return;
     }
+    if (!links_.identify(link)) {
+        return;
+    }
     entryLinks_[link] = hello.entry_;
     links_.send(link, encode(PeerHello{protocolVersion, dispatcher_.self_}));
 }
--- a/src/ibiswall/net/linkserver.cpp
+++ b/src/ibiswall/net/linkserver.cpp
@@ -4,7 +4,6 @@
 
 #include "endpoint.hpp"
 #include <map>
-#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -27,36 +26,42 @@
     {
     }
 
-    // Applies the connection limit before anything is read from a connection.
+    // Makes room for the connection before anything is read from it.
     void onConnected(const Handle &handle)
     {
-        if (handshaking_.size() + links_.size() >= limits_.maxLinks_) {
-            reportRefusal("more than " + std::to_string(limits_.maxLinks_) + " links");
-            boost::system::error_code ignored;
-            server_.get_con_from_hdl(handle)->get_raw_socket().close(ignored);
-            return;
+        if (unidentified_.size() >= limits_.maxUnidentified_) {
+            reportRefusal("too many connections without identification");
+            dropUnidentified(unidentified_.begin()->first);
         }
-        handshaking_.insert(handle);
+        const LinkId link = nextLink_++;
+        ids_[handle] = link;
+        unidentified_[link] = handle;
     }
 
     void onHandshakeFailed(const Handle &handle)
     {
-        if (handshaking_.erase(handle) > 0) {
+        const auto found = ids_.find(handle);
+        if (found == ids_.end()) {
+            return;
+        }
+        if (unidentified_.erase(found->second) > 0) {
             reportRefusal("WebSocket handshake failed: " + server_.get_con_from_hdl(handle)->get_ec().message());
         }
+        ids_.erase(found);
     }
 
     void onOpened(const Handle &handle)
     {
-        handshaking_.erase(handle);
-        const LinkId link = nextLink_++;
+        const auto found = ids_.find(handle);
+        if (found == ids_.end() || unidentified_.count(found->second) == 0) {
+            return;
+        }
+        const LinkId link = found->second;
         links_[link] = handle;
-        ids_[handle] = link;
-        awaitingFirstFrame_.insert(link);
-        server_.set_timer(limits_.firstFrameTimeout_.count_, [this, link](const websocketpp::lib::error_code &error) {
-            if (!error && awaitingFirstFrame_.erase(link) > 0) {
-                reportRefusal("no frame within " + std::to_string(limits_.firstFrameTimeout_.count_) + " ms");
-                closeWithoutFirstFrame(link);
+        server_.set_timer(limits_.identificationTimeout_.count_, [this, link](const websocketpp::lib::error_code &error) {
+            if (!error && unidentified_.count(link) != 0) {
+                reportRefusal("no identification within the time limit");
+                dropUnidentified(link);
             }
         });
         events_.opened_(link);
@@ -70,9 +75,10 @@
         }
         const LinkId link = found->second;
         ids_.erase(found);
-        links_.erase(link);
-        awaitingFirstFrame_.erase(link);
-        if (!stopping_) {
+        unidentified_.erase(link);
+        identified_.erase(link);
+        pongAt_.erase(link);
+        if (links_.erase(link) > 0 && !stopping_) {
             events_.closed_(link);
         }
     }
@@ -80,18 +86,42 @@
     void onMessage(const Handle &handle, const Server::message_ptr &message)
     {
         const auto found = ids_.find(handle);
-        if (found != ids_.end()) {
-            awaitingFirstFrame_.erase(found->second);
+        if (found != ids_.end() && links_.count(found->second) != 0) {
             events_.received_(found->second, message->get_payload());
         }
     }
 
-    void closeWithoutFirstFrame(LinkId link)
+    // Whether to answer a ping. A peer that sends pings and does not read would fill the send buffer with pongs; an answer to the latest
+    // ping is enough (RFC 6455, 5.5.3).
+    bool onPing(const Handle &handle)
     {
-        const auto found = links_.find(link);
-        if (found != links_.end()) {
-            websocketpp::lib::error_code ignored;
-            server_.close(found->second, websocketpp::close::status::policy_violation, "silent", ignored);
+        constexpr Millis minPongInterval{1000};
+        const auto found = ids_.find(handle);
+        if (found == ids_.end()) {
+            return false;
+        }
+        const auto [last, isFirst] = pongAt_.try_emplace(found->second, bootClock());
+        if (!isFirst && bootClock() < last->second + minPongInterval) {
+            return false;
+        }
+        last->second = bootClock();
+        return true;
+    }
+
+    // Closes the socket at once, since a closing handshake would keep the descriptor for as long as the peer does not answer.
+    void dropUnidentified(LinkId link)
+    {
+        const auto found = unidentified_.find(link);
+        if (found == unidentified_.end()) {
+            return;
+        }
+        const Handle handle = found->second;
+        unidentified_.erase(found);
+        websocketpp::lib::error_code error;
+        const auto connection = server_.get_con_from_hdl(handle, error);
+        if (!error) {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().close(ignored);
         }
     }
 
@@ -105,13 +135,16 @@
     LinkLimits limits_;
     LinkEvents events_;
     Server server_;
-    /// Open links by id, and ids by connection; both maps hold the same pairs.
-    std::unordered_map<LinkId, Handle> links_;
+    /// Ids by connection, from its acceptance to its end.
     std::map<Handle, LinkId, std::owner_less<Handle>> ids_;
-    /// Connections whose handshake is in progress.
-    std::set<Handle, std::owner_less<Handle>> handshaking_;
-    /// Links that have not sent a frame; a subset of links_.
-    std::unordered_set<LinkId> awaitingFirstFrame_;
+    /// Open links by id.
+    std::unordered_map<LinkId, Handle> links_;
+    /// Connections whose handshake is in progress and links that are not identified, the oldest first.
+    std::map<LinkId, Handle> unidentified_;
+    /// A subset of links_.
+    std::unordered_set<LinkId> identified_;
+    /// When the latest pong was sent on each link that has received a ping.
+    std::unordered_map<LinkId, Millis> pongAt_;
     LinkId nextLink_ = 1;
     bool stopping_ = false;
 };
@@ -120,13 +153,16 @@
     : state_(std::make_unique<State>(limits, std::move(events)))
 {
     Server &server = state_->server_;
-    prepareEndpoint(server, io, limits.maxFrameBytes_);
+    prepareEndpoint(server, io, limits.maxUnidentifiedFrameBytes_);
     server.set_reuse_addr(true);
-    server.set_open_handshake_timeout(limits.firstFrameTimeout_.count_);
+    server.set_open_handshake_timeout(limits.identificationTimeout_.count_);
+    // An upgrade has no body; the library accepts 32 MB. It limits the header to 16,000 bytes.
+    server.set_max_http_body_size(0);
     server.set_tcp_pre_init_handler([this](const Handle &handle) { state_->onConnected(handle); });
     server.set_fail_handler([this](const Handle &handle) { state_->onHandshakeFailed(handle); });
     server.set_open_handler([this](const Handle &handle) { state_->onOpened(handle); });
     server.set_close_handler([this](const Handle &handle) { state_->onClosed(handle); });
+    server.set_ping_handler([this](const Handle &handle, const std::string & /*payload*/) { return state_->onPing(handle); });
     server.set_message_handler([this](const Handle &handle, const Server::message_ptr &message) { state_->onMessage(handle, message); });
 }
 
@@ -169,6 +205,28 @@
     return !error;
 }
 
+bool LinkServer::identify(LinkId link)
+{
+    const auto found = state_->links_.find(link);
+    if (found == state_->links_.end() || state_->unidentified_.count(link) == 0) {
+        return found != state_->links_.end() && state_->identified_.count(link) != 0;
+    }
+    if (state_->identified_.size() >= state_->limits_.maxLinks_) {
+        state_->reportRefusal("too many links");
+        state_->dropUnidentified(link);
+        return false;
+    }
+    websocketpp::lib::error_code error;
+    const auto connection = state_->server_.get_con_from_hdl(found->second, error);
+    if (error) {
+        return false;
+    }
+    connection->set_max_message_size(state_->limits_.maxFrameBytes_);
+    state_->unidentified_.erase(link);
+    state_->identified_.insert(link);
+    return true;
+}
+
 void LinkServer::close(LinkId link)
 {
     const auto found = state_->links_.find(link);
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -33,6 +33,15 @@
     return static_cast<std::int64_t>(settings.cores_ * millicoresPerCore);
 }
 
+MeshSettings meshSettings(const Peer &self, const CellEntrySettings &settings)
+{
+    MeshSettings out;
+    out.self_ = self;
+    out.listen_ = settings.linksAddress_;
+    out.maxDescriptors_ = settings.maxDescriptors_;
+    return out;
+}
+
 GracefulStopSettings stopSettings(const CellEntrySettings &settings)
 {
     GracefulStopSettings out;
@@ -48,7 +57,7 @@
     , self_{settings.name_, wallClock().count_, true}
     , store_(io, settings.storeAddress_, storeTimeout)
     , mesh_(io,
-            {self_, settings.linksAddress_},
+            meshSettings(self_, settings),
             {[this](const Peer &peer) { onPeerUp(peer); }, [this](const std::string &name) { onPeerDown(name); },
              [this](const std::string &from, std::string_view bytes) {
                  receive(from, bytes);
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -3,7 +3,10 @@
 #include "mesh.hpp"
 
 #include "meshwire.hpp"
+#include "metrics.hpp"
+#include <algorithm>
 #include <ibiswall/log/eventlog.hpp>
+#include <sys/resource.h>
 
 namespace ibiswall::node {
 
@@ -16,6 +19,8 @@
 constexpr std::size_t maxFrame = 16U << 20U;
 // Unsent bytes of one link. Links of small VMs drain slowly, and their memory holds a few dozen links.
 constexpr std::size_t maxBuffered = 4U << 20U;
+// Strangers may connect and send malformed frames without end: at most one of each event is logged in this time.
+constexpr Millis minLogInterval{10000};
 
 LinkLimits meshLimits()
 {
@@ -26,6 +31,24 @@
     return limits;
 }
 
+// Half of the descriptors is left for callers, the store, metrics and files. Those of strangers are an eighth of that half, apart
+// from the links of peers.
+LinkLimits serverLimits(const MeshSettings &settings)
+{
+    constexpr std::size_t linksShare = 2;
+    constexpr std::size_t unidentifiedShare = 8;
+    std::size_t descriptors = settings.maxDescriptors_;
+    if (rlimit limit{}; descriptors == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        descriptors = limit.rlim_cur;
+    }
+    LinkLimits limits = meshLimits();
+    const std::size_t forLinks = std::min(descriptors / linksShare, limits.maxLinks_);
+    limits.maxUnidentified_ = std::clamp<std::size_t>(forLinks / unidentifiedShare, 1, limits.maxUnidentified_);
+    limits.maxLinks_ = std::max<std::size_t>(forLinks - std::min(forLinks, limits.maxUnidentified_), 1);
+    limits.identificationTimeout_ = settings.identificationTimeout_;
+    return limits;
+}
+
 } // namespace
 
 Mesh::Mesh(boost::asio::io_context &io, MeshSettings settings, MeshEvents events)
@@ -33,7 +56,7 @@
     , settings_(std::move(settings))
     , events_(std::move(events))
     , server_(io,
-              meshLimits(),
+              serverLimits(settings_),
               {[this](LinkId id) {
                    onLinkOpened({false, id}, nullptr);
                },
@@ -43,7 +66,9 @@
                [this](LinkId id, std::string_view frame) {
                    onFrame({false, id}, frame);
                },
-               {}})
+               [this](std::string_view reason) {
+                   recordRefusedLink(reason);
+               }})
     , timer_(io)
     , announceTimer_(io)
 {
@@ -191,7 +216,11 @@
         if (failed == links_.end()) {
             return;
         }
-        logEvent("link.malformed", {{"peer", std::string_view(failed->second.peer_.name_)}, {"reason", error.what()}});
+        count("ibiswall_links_malformed_total");
+        if (const Millis now = bootClock(); malformedLoggedAt_ == Millis{0} || now >= malformedLoggedAt_ + minLogInterval) {
+            malformedLoggedAt_ = now;
+            logEvent("link.malformed", {{"peer", std::string_view(failed->second.peer_.name_)}, {"reason", error.what()}});
+        }
         failed->second.client_ ? failed->second.client_->drop() : server_.drop(key.second);
     }
 }
@@ -199,7 +228,7 @@
 void Mesh::onIdentification(Key key, Peer peer)
 {
     Link &link = links_.at(key);
-    if (link.identified_) {
+    if (link.identified_ || (!link.client_ && !server_.identify(link.id_))) {
         return;
     }
     link.peer_ = std::move(peer);
@@ -240,6 +269,18 @@
     }
 }
 
+void Mesh::recordRefusedLink(std::string_view reason)
+{
+    count("ibiswall_links_refused_total", std::string(reason));
+    ++refusedLinks_;
+    const Millis now = bootClock();
+    if (refusalLoggedAt_ != Millis{0} && now < refusalLoggedAt_ + minLogInterval) {
+        return;
+    }
+    refusalLoggedAt_ = now;
+    logEvent("link.refused", {{"reason", reason}, {"refused", static_cast<std::int64_t>(refusedLinks_)}});
+}
+
 void Mesh::tick()
 {
     timer_.expires_after(std::chrono::milliseconds(settings_.heartbeatInterval_.count_ / 3));
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -52,6 +52,14 @@
     Millis linkTimeout_{1200};
     /// An entry connects to one that should have connected to it, but has not for this long. Longer than a reconnection.
     Millis missedEntryDelay_{500};
+    /// A link on which the peer has not identified itself is closed after this time. Peers send the identification first, so this
+    /// allows for a slow connection and a process that has just started.
+    Millis identificationTimeout_{5000};
+    /// Descriptors that the process may open; 0 for the limit that the system sets. At most half of them are links.
+    std::size_t maxDescriptors_ = 0;
+    /// Peers that one entry may announce, and peers known in total. The largest cells have 20,000 targets.
+    std::size_t maxNeighbours_ = 20480;
+    std::size_t maxPeers_ = 32768;
 };
 
 /// Maintains links to peers. Of two entries the one whose name sorts first connects, and the other if that one does not; agents
@@ -134,6 +142,7 @@
     std::optional<Key> relayTo(const Paths &paths) const;
     std::optional<Key> linkTo(const Paths &paths) const;
     void reportLostFrames(Key key, const std::string &name);
+    void recordRefusedLink(std::string_view reason);
     void tick();
 
     boost::asio::io_context &io_;
@@ -151,6 +160,11 @@
     std::map<std::string, Millis> missedSince_;
     std::uint64_t nextClient_ = 1;
     std::uint64_t nextSerial_ = 1;
+    std::uint64_t refusedLinks_ = 0;
+    /// When the latest refused link was logged; 0 for never.
+    Millis refusalLoggedAt_;
+    /// The same for links closed because of a malformed frame.
+    Millis malformedLoggedAt_;
     /// Peers whose direct link has changed since the last announcement.
     std::set<std::string> unannounced_;
 };
--- a/src/ibiswall/node/meshpaths.cpp
+++ b/src/ibiswall/node/meshpaths.cpp
@@ -4,6 +4,7 @@
 
 #include "meshwire.hpp"
 #include <algorithm>
+#include <stdexcept>
 
 namespace ibiswall::node {
 
@@ -54,6 +55,13 @@
     if (link == links_.end() || peer.name_ == settings_.self_.name_) {
         return;
     }
+    if (link->second.neighbours_.size() >= settings_.maxNeighbours_) {
+        throw std::out_of_range("more than " + std::to_string(settings_.maxNeighbours_) + " neighbours");
+    }
+    if (paths_.size() >= settings_.maxPeers_ && paths_.count(peer.name_) == 0) {
+        // Its direct link is still accepted.
+        return;
+    }
     peer.path_ = relayedPath(link->second.serial_, peer.path_);
     const std::string name = peer.name_;
     link->second.neighbours_.insert(name);
@@ -78,16 +86,20 @@
 void Mesh::relay(Key key, std::string_view bytes)
 {
     const Json json = cell::parseCbor(bytes);
-    const std::string to = json.at(0).get<std::string>();
-    const std::string from = json.at(1).get<std::string>();
+    const std::string to = parseName(json.at(0));
+    const std::string from = parseName(json.at(1));
     const auto &payload = json.at(2).get_binary();
     if (to == settings_.self_.name_) {
         const auto paths = paths_.find(from);
         const bool announced = paths != paths_.end() && paths->second.relays_.count(key) != 0;
-        if (announced || !settings_.self_.isEntry_) {
+        const bool isRecorded = paths != paths_.end() || paths_.size() < settings_.maxPeers_;
+        if (announced || (!settings_.self_.isEntry_ && isRecorded)) {
             paths_[from].arrivedOn_ = key;
         }
         events_.received_(from, std::string_view(reinterpret_cast<const char *>(payload.data()), payload.size()));
+    } else if (from != links_.at(key).peer_.name_) {
+        // An agent keeps the sender of every relayed frame, so a peer must not be able to invent senders.
+        throw std::out_of_range("relayed frame of another sender");
     } else if (Link *next = directLink(to); next != nullptr && next != &links_.at(key)) {
         std::string frame(1, Relayed);
         frame.append(bytes);
--- a/src/ibiswall/node/meshwire.hpp
+++ b/src/ibiswall/node/meshwire.hpp
@@ -4,6 +4,7 @@
 
 #include "mesh.hpp"
 #include <ibiswall/cell/cbor.hpp>
+#include <stdexcept>
 
 namespace ibiswall::node::wire {
 
@@ -33,9 +34,20 @@
     return nlohmann::json::array({peer.name_, peer.incarnation_, peer.isEntry_, peer.path_});
 }
 
+/// Names of settings have at most 64 characters. Throws std::out_of_range for a longer one, which no process of the cell has.
+inline std::string parseName(const nlohmann::json &json)
+{
+    constexpr std::size_t maxName = 64;
+    const auto &name = json.get_ref<const std::string &>();
+    if (name.size() > maxName) {
+        throw std::out_of_range("name of " + std::to_string(name.size()) + " bytes");
+    }
+    return name;
+}
+
 inline Peer parsePeer(const nlohmann::json &json)
 {
-    return {json.at(0).get<std::string>(), json.at(1).get<std::int64_t>(), json.at(2).get<bool>(), json.at(3).get<std::uint64_t>()};
+    return {parseName(json.at(0)), json.at(1).get<std::int64_t>(), json.at(2).get<bool>(), json.at(3).get<std::uint64_t>()};
 }
 
 inline nlohmann::json binary(std::string_view bytes)
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -35,6 +35,8 @@
         {"ibiswall_leading", {"1 while this entry leads", ""}},
         {"ibiswall_ready", {"1 while this entry reports that it is ready", ""}},
         {"ibiswall_health_checks_total", {"Health checks of the load balancer by status of the answer", "status"}},
+        {"ibiswall_links_refused_total", {"Connections to the links' port refused or closed before identification", "reason"}},
+        {"ibiswall_links_malformed_total", {"Links closed because of a malformed frame", ""}},
         {"ibiswall_agents_lost_total", {"Agents whose right ran out", ""}},
         {"ibiswall_placements_total", {"Runs placed by this leader", ""}},
         {"ibiswall_ends_total", {"Ends of runs told to this leader, by kind", "how"}},
