--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -1,6 +1,7 @@
 // Tests links over loopback: direct and relayed paths, and reconnects.
 
 #include "mesh.hpp"
+#include "meshwire.hpp"
 
 #include <algorithm>
 #include <array>
@@ -314,6 +315,118 @@
     BOOST_TEST(entry.received_[0].second == "still here");
 }
 
+// Counts the closes of a link that sends frames as soon as it opens.
+struct Stranger
+{
+    Stranger(boost::asio::io_context &io, const Address &address, std::vector<std::string> frames)
+        : frames_(std::move(frames))
+        , client_(io, address, {}, {[this](LinkId) { sendAll(); }, [this](LinkId) { ++closed_; }, [](LinkId, std::string_view) {}, {}})
+    {
+        client_.start();
+    }
+
+    void sendAll()
+    {
+        for (const std::string &frame : frames_) {
+            client_.send(frame);
+        }
+    }
+
+    std::vector<std::string> frames_;
+    int closed_ = 0;
+    LinkClient client_;
+};
+
+std::string identificationOf(const std::string &name, bool isEntry)
+{
+    return wire::pack(wire::Identification, wire::formatPeer({name, 1, isEntry, 1}));
+}
+
+// Frames of unidentified links were ignored up to 16 MB each, and the links kept for as long as they sent anything.
+BOOST_AUTO_TEST_CASE(links_without_identification_are_closed)
+{
+    boost::asio::io_context io;
+    MeshSettings settings = TestNode::settingsOf("e1", true, {3600000});
+    settings.identificationTimeout_ = {200};
+    settings.maxDescriptors_ = 64;
+    Mesh mesh(io, settings,
+              {[](const Peer &) {}, [](const std::string &) {},
+               [](const std::string &, std::string_view) {
+               }});
+    const Address address{"127.0.0.1", mesh.listen().value()};
+    Stranger silent(io, address, {"b", "b"});
+    Stranger large(io, address, {std::string(5000, 'i')});
+    Stranger longName(io, address, {identificationOf(std::string(65, 'n'), false)});
+    BOOST_TEST(runUntil(io, [&] { return silent.closed_ > 0 && large.closed_ > 0 && longName.closed_ > 0; }));
+}
+
+// Connections of strangers took the place of the cell's own agents.
+BOOST_AUTO_TEST_CASE(idle_connections_do_not_displace_peers)
+{
+    boost::asio::io_context io;
+    MeshSettings settings = TestNode::settingsOf("e1", true, {3600000});
+    settings.identificationTimeout_ = {3600000};
+    settings.maxDescriptors_ = 64;
+    Mesh mesh(io, settings,
+              {[](const Peer &) {}, [](const std::string &) {},
+               [](const std::string &, std::string_view) {
+               }});
+    const Address address{"127.0.0.1", mesh.listen().value()};
+    TestNode agent(io, "a1", false);
+    agent.mesh_.setEntries({{"e1", address}});
+    BOOST_REQUIRE(runUntil(io, [&] { return mesh.isReachable("a1"); }));
+    std::vector<boost::asio::ip::tcp::socket> idle;
+    for (int i = 0; i < 100; ++i) {
+        idle.emplace_back(io).connect({boost::asio::ip::address_v4::loopback(), address.port_});
+        io.poll();
+    }
+    TestNode late(io, "a2", false);
+    late.mesh_.setEntries({{"e1", address}});
+    BOOST_TEST(runUntil(io, [&] { return mesh.isReachable("a2") && late.mesh_.isReachable("e1"); }));
+    BOOST_TEST(agent.upEvents_.size() == 1U);
+    BOOST_TEST(mesh.isReachable("a1"));
+}
+
+BOOST_AUTO_TEST_CASE(identified_peers_may_send_large_frames)
+{
+    boost::asio::io_context io;
+    TestNode entry(io, "e1", true);
+    TestNode agent(io, "a1", false);
+    agent.mesh_.setEntries({{"e1", entry.address_}});
+    BOOST_REQUIRE(runUntil(io, [&] { return agent.mesh_.isReachable("e1"); }));
+    const std::string large(15U << 20U, 'x');
+    BOOST_TEST(agent.mesh_.send("e1", large));
+    BOOST_TEST(runUntil(io, [&] { return !entry.received_.empty(); }));
+    BOOST_TEST(entry.received_[0].second.size() == large.size());
+}
+
+// An entry kept every announced name, and an agent every sender of a relayed frame.
+BOOST_AUTO_TEST_CASE(invented_neighbours_and_senders_close_the_link)
+{
+    boost::asio::io_context io;
+    MeshSettings settings = TestNode::settingsOf("e1", true, {3600000});
+    settings.maxNeighbours_ = 3;
+    Mesh mesh(io, settings,
+              {[](const Peer &) {}, [](const std::string &) {},
+               [](const std::string &, std::string_view) {
+               }});
+    const Address address{"127.0.0.1", mesh.listen().value()};
+    TestNode agent(io, "a1", false);
+    agent.mesh_.setEntries({{"e1", address}});
+    BOOST_REQUIRE(runUntil(io, [&] { return mesh.isReachable("a1"); }));
+    nlohmann::json names = nlohmann::json::array();
+    for (int i = 0; i < 4; ++i) {
+        names.push_back(wire::formatPeer({"n" + std::to_string(i), 1, false, 1}));
+    }
+    Stranger announcer(io, address, {identificationOf("s1", true), wire::pack(wire::Neighbours, names)});
+    Stranger sender(
+        io, address,
+        {identificationOf("s2", false), wire::pack(wire::Relayed, nlohmann::json::array({"a1", "another", wire::binary("x")}))});
+    BOOST_TEST(runUntil(io, [&] { return announcer.closed_ > 0 && sender.closed_ > 0; }));
+    BOOST_TEST(agent.received_.empty());
+    BOOST_TEST(runUntil(io, [&] { return mesh.reachable().size() == 1U || !mesh.isReachable("n0"); }));
+}
+
 // An entry that came back could not reach a leader that had removed it from the registry and then lost the store.
 BOOST_AUTO_TEST_CASE(entry_connects_to_one_that_does_not_know_of_it)
 {
--- a/tests/system/badinput_test.cpp
+++ b/tests/system/badinput_test.cpp
@@ -3,6 +3,7 @@
 #include "cluster.hpp"
 #include "rawpeer.hpp"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
@@ -273,17 +274,35 @@
     });
 }
 
+// A connection that the other side has neither closed nor sent anything on.
+bool isOpen(tcp::socket &socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true);
+    socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+// Connections that send nothing must neither stay open beyond the limit nor keep out an agent.
 BOOST_AUTO_TEST_CASE(links_over_the_limit_are_closed)
 {
-    const Cluster cluster(lowLimitsConfig());
+    ClusterConfig config = lowLimitsConfig();
+    // Only the limit closes them.
+    config.entrySettings_["hello_ms"] = 60000;
+    Cluster cluster(config);
+    cluster.awaitAgents(1);
     boost::asio::io_context io;
     std::vector<tcp::socket> connections;
     for (std::size_t i = 0; i < 3 * maxLinks; ++i) {
         connections.emplace_back(io).connect({boost::asio::ip::address_v4::loopback(), cluster.entries_[0].linksPort_});
     }
-    BOOST_CHECK_NO_THROW(sendFrame(cluster.entries_[0].linksPort_, encode(PeerHello{protocolVersion, {"entry-9", 1}})));
+    await("connections over the limit are closed",
+          [&] { return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), isOpen)) <= maxLinks; });
     checkHealthy(cluster, "links over the limit");
-    connections.clear();
+    cluster.awaitAgents(1);
+    cluster.targetNodes_[0].agent_.reset();
+    cluster.startAgent(0);
     cluster.awaitAgents(1);
 }
 
