--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -387,6 +387,29 @@
     BOOST_TEST(mesh.isReachable("a1"));
 }
 
+// Of 8 descriptors half are for links, one of these for a link without identification.
+BOOST_AUTO_TEST_CASE(identified_links_over_the_limit_are_refused)
+{
+    boost::asio::io_context io;
+    MeshSettings settings = TestNode::settingsOf("e1", true, {3600000});
+    settings.maxDescriptors_ = 8;
+    Mesh mesh(io, settings,
+              {[](const Peer &) {}, [](const std::string &) {},
+               [](const std::string &, std::string_view) {
+               }});
+    const Address address{"127.0.0.1", mesh.listen().value()};
+    std::vector<std::unique_ptr<TestNode>> agents;
+    for (const char *name : {"a1", "a2", "a3"}) {
+        agents.push_back(std::make_unique<TestNode>(io, name, false));
+        agents.back()->mesh_.setEntries({{"e1", address}});
+        BOOST_REQUIRE(runUntil(io, [&] { return mesh.isReachable(name); }));
+    }
+    Stranger further(io, address, {identificationOf("a4", false)});
+    BOOST_TEST(runUntil(io, [&] { return further.closed_ > 0; }));
+    BOOST_TEST(!mesh.isReachable("a4"));
+    BOOST_TEST(mesh.reachable().size() == agents.size());
+}
+
 BOOST_AUTO_TEST_CASE(identified_peers_may_send_large_frames)
 {
     boost::asio::io_context io;
