--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -55,6 +55,7 @@
     std::uint16_t callersPort_ = 0;
     std::uint16_t readyPort_ = 0;
     std::uint16_t metricsPort_ = 0;
+    std::uint16_t linksPort_ = 0;
     std::filesystem::path settingsFile_;
     std::optional<Process> process_;
     /// Set with CellConfig::useStoreRelays_.
