--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -94,6 +94,18 @@
     /// Queues that may use only a part of the targets, since their jobs crash targets.
     const std::set<std::string> &containedQueues() const;
 
+    /// Takes over what an earlier dispatcher had learned of interference.
+    void adoptInterference(Span<const InterferingPair> pairs, Millis now);
+
+    /// The believed pairs with the largest factors.
+    std::vector<InterferingPair> interferingPairs(std::size_t most) const;
+
+    /// Number of believed pairs.
+    std::size_t interferingPairCount() const;
+
+    /// Takes the pairs that have been believed or forgotten since the last call.
+    std::vector<InterferenceChange> takeInterferenceChanges();
+
     /// Forgets the crashes of jobs that are not open if the latest one was before the given time.
     void expireCrashes(Millis before);
 
@@ -253,6 +265,8 @@
         std::map<std::tuple<std::string_view, std::string_view, bool>, ExhaustedNeeds> exhausted_;
         /// Whether a task has found all its targets closed since this was checked.
         bool closed_ = false;
+        /// Share of the CPU in use by service, for those with tasks that interfere, at their first placement in the pass.
+        std::map<std::string_view, double> utilization_;
     };
 
     static ReadyKey keyOf(const Job &job);
@@ -290,6 +304,9 @@
     std::optional<Shortage> placeStep(Job &job, std::uint32_t step, const Queue &queue, SchedulingPass &pass, Millis now);
     bool isStepReady(const Job &job, std::size_t step) const;
     void place(Job &job, const TaskId &id, Target &target, Millis now);
+    PlacedRun describeRun(const Job &job, std::uint32_t step, Millis now);
+    void learnFromRun(Target &target, const PlacedRun &run, const Job &job, const TaskId &id, Millis runTime, Millis now);
+    void avoidInterference(Placement &placement, const std::string &kind, SchedulingPass &pass, Millis now);
     void acknowledge(Target &target);
     const Queue *queueOf(const Job &job) const;
 
@@ -317,6 +334,7 @@
     Targets targets_;
     /// Incremented when a target or the configuration has changed.
     std::uint64_t targetsVersion_ = 1;
+    Interference interference_;
     CrashHistory crashes_;
     CrashContainment containment_;
     /// By service, if it has contained queues.
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -26,6 +26,9 @@
 /// Returns whether the free resources meet the need.
 bool fits(const Resources &need, const Resources &free);
 
+/// Longest Step::image_ in bytes. The heartbeats of the leader carry the images of interfering pairs.
+constexpr std::size_t maxImage = 128;
+
 /// A group of identical tasks of a job.
 struct Step
 {
--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -3,11 +3,24 @@
 #pragma once
 
 #include <ibiswall/cell/crashhistory.hpp>
+#include <ibiswall/cell/interference.hpp>
 #include <ibiswall/cell/model.hpp>
+#include <optional>
 #include <set>
 
 namespace ibiswall::cell {
 
+/// A run that is placed on a target.
+struct PlacedRun
+{
+    Resources need_;
+    KindId kind_ = untrackedKind;
+    /// Distinct kinds of the other runs when it was placed.
+    std::vector<KindId> beside_;
+    /// Whether its start and everything that ran beside it are known, so that its run time says something.
+    bool measured_ = false;
+};
+
 /// A target and its agent.
 struct Target
 {
@@ -16,8 +29,10 @@
     /// Whether the agent has reported in this epoch and has not been lost since.
     bool present_ = false;
     Resources allocated_;
-    /// Runs placed on the target with the resources that each needs.
-    std::map<TaskId, Resources> runs_;
+    /// Runs placed on the target. Changed by addRun, removeRun and clearRuns only, which keep allocated_ and kinds_ up to date.
+    std::map<TaskId, PlacedRun> runs_;
+    /// Number of runs in runs_ by kind; none is 0.
+    std::vector<KindCount> kinds_;
     /// Runs that the target has reported and whose needs are not known: of jobs that nobody has offered yet, or being stopped.
     /// None of them is in runs_ with the same number.
     std::map<TaskId, std::uint64_t> unknownRuns_;
@@ -38,6 +53,8 @@
     bool contained_ = false;
     /// Moving average of run time over expected run time; 1 is as expected.
     double slowness_ = 1;
+    /// How long runs take here, for the detection of interference.
+    Pace pace_;
     /// Moving average of failed runs, from 0 to 1.
     double failureRate_ = 0;
     /// Jobs that could run here but found too little free capacity, in the current scheduling pass, and the latest of them. With
@@ -57,6 +74,17 @@
     return first != runs.end() && first->first.job_ == job;
 }
 
+/// Adds a run to a target, and fills in what runs beside it.
+/// @param model counts the runs in progress by kind
+void addRun(Target &target, Interference &model, const TaskId &id, PlacedRun run);
+
+/// Removes a run from a target.
+/// @return the run; nothing if it was not there
+std::optional<PlacedRun> removeRun(Target &target, Interference &model, const TaskId &id);
+
+/// Removes all runs from a target.
+void clearRuns(Target &target, Interference &model);
+
 /// Constraints on the placement of a task.
 struct Placement
 {
@@ -73,6 +101,11 @@
     std::size_t jobsAtOnce_ = 1;
     /// Whether the targets reject tasks that do not fit.
     bool admissionControl_ = false;
+    /// Set if targets with runs that the task would slow down, or that would slow it down, are to be avoided.
+    const Interference *interference_ = nullptr;
+    KindId kind_ = untrackedKind;
+    /// From separationWeight.
+    double separation_ = 0;
 };
 
 /// Why a task found no target.
@@ -87,7 +120,7 @@
 };
 
 /// Chooses the target with the largest share of free CPU, less penalties for slow or failing targets and for targets
-/// away from the data. Meant for a cell that is loaded to about half of its capacity or more.
+/// away from the data. Among targets that are as close to the data and do not fail, one with less interference is preferred. Meant for a cell that is loaded to about half of its capacity or more.
 /// @return null when no target can take the task now
 Target *chooseTarget(Targets &targets, const Placement &placement, Millis now);
 
@@ -108,6 +141,9 @@
 /// Whether any target could take a start in this pass, given enough capacity.
 bool isAnyOpen(const Targets &targets, Millis now);
 
+/// Share of the CPU of a service's usable targets that is in use; 1 if there are none.
+double utilizationOf(const Targets &targets, std::string_view service);
+
 /// Updates the statistics of a target after a run that ended as done or failed.
 /// @param ratio run time over expected run time; ignored for failed runs
 void recordRun(Target &target, bool failed, double ratio);
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -40,6 +40,7 @@
 {
     addReturnedJobs(now);
     updateContainment(now);
+    expireInterference(interference_, now);
     openTargets(targets_);
     SchedulingPass pass;
     std::uint32_t priority = 0;
@@ -120,6 +121,7 @@
     }
     Placement placement{stepSpec, queue.service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
     placement.contained_ = contained;
+    avoidInterference(placement, kindOf(queue.name_, step, stepSpec), pass, now);
     placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
     for (std::uint32_t i = 0; i < stepSpec.count_; ++i) {
         const TaskId task{job.id_, step, i};
@@ -159,9 +161,9 @@
     task.agent_ = target.agent_;
     task.placedAt_ = now;
     job.activeAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[id.step_].need_;
-    target.allocated_ = target.allocated_ + need;
-    target.runs_[id] = need;
+    PlacedRun run = describeRun(job, id.step_, now);
+    run.measured_ = target.unknownRuns_.empty();
+    addRun(target, interference_, id, std::move(run));
     if (--job.waiting_ == 0) {
         ready_.erase(keyOf(job));
     }
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -97,10 +97,8 @@
     task.agent_ = agent;
     task.run_ = run.number_;
     task.placedAt_ = now;
-    const Resources &need = job.record_.spec_.steps_[run.task_.step_].need_;
     Target &target = targets_[agent];
-    target.allocated_ = target.allocated_ + need;
-    target.runs_[run.task_] = need;
+    addRun(target, interference_, run.task_, describeRun(job, run.task_.step_, now));
     target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
 }
@@ -122,8 +120,7 @@
         } else if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent) {
             applyResult(agent, {0, {id, task->run_}, RunOutcome::Lost, {}}, now);
         } else {
-            target.allocated_ = target.allocated_ - target.runs_[id];
-            target.runs_.erase(id);
+            removeRun(target, interference_, id);
         }
     }
 }
@@ -163,6 +160,7 @@
         target.highestResult_ = 0;
         target.acknowledged_ = 0;
         target.slowness_ = 1;
+        target.pace_ = {};
         target.failureRate_ = 0;
     }
     ++targetsVersion_;
@@ -198,16 +196,14 @@
     target.present_ = false;
     target.unlistedResults_ = false;
     target.missingRuns_.clear();
-    const std::map<TaskId, Resources> runs = target.runs_;
-    for (const auto &[id, need] : runs) {
+    for (const auto &[id, run] : target.runs_) {
         markRunLost(agent, id, now);
         if (const auto finalJob = finalJobs_.find(id.job_); finalJob != finalJobs_.end()) {
             finalJob->second.mayRun_ = true;
         }
     }
     orphans_.markLost(agent, now);
-    target.runs_.clear();
-    target.allocated_ = {};
+    clearRuns(target, interference_);
 }
 
 void Dispatcher::markRunLost(const std::string &agent, const TaskId &id, Millis now)
@@ -254,9 +250,9 @@
     }
     const bool current = task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent && task->run_ == result.run_.number_;
     if (task == nullptr || current) {
-        if (const auto run = target.runs_.find(result.run_.task_); run != target.runs_.end()) {
-            target.allocated_ = target.allocated_ - run->second;
-            target.runs_.erase(run);
+        const std::optional<PlacedRun> run = removeRun(target, interference_, result.run_.task_);
+        if (run && current && result.kind_ == RunOutcome::Done) {
+            learnFromRun(target, *run, *job, result.run_.task_, now - task->placedAt_, now);
         }
     }
     const bool counts = result.kind_ == RunOutcome::Done || result.kind_ == RunOutcome::Failed;
--- a/src/ibiswall/cell/stepcodec.hpp
+++ b/src/ibiswall/cell/stepcodec.hpp
@@ -10,7 +10,7 @@
 inline nlohmann::json formatStep(const Step &step)
 {
     return nlohmann::json::array({step.count_, step.need_.cpu_, step.need_.memory_, step.need_.gpus_, step.estimate_.count_, step.after_,
-                                  step.requiredLabel_, step.dataRack_, step.maxPerTarget_, step.checkpoints_});
+                                  step.requiredLabel_, step.dataRack_, step.maxPerTarget_, step.checkpoints_, step.image_});
 }
 
 /// Throws when the array is not a step.
@@ -28,6 +28,10 @@
     step.dataRack_ = json.at(at++).get<std::string>();
     step.maxPerTarget_ = json.at(at++).get<std::uint32_t>();
     step.checkpoints_ = json.at(at++).get<bool>();
+    // Earlier versions do not store it.
+    if (json.size() > at) {
+        step.image_ = json.at(at++).get<std::string>();
+    }
     return step;
 }
 
--- a/src/ibiswall/cell/targets.cpp
+++ b/src/ibiswall/cell/targets.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/cell/targets.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace ibiswall::cell {
 
@@ -18,6 +19,12 @@
 constexpr double failureWeight = 2.0;
 // Penalty for running away from the data, as a share of the target's capacity.
 constexpr double remoteDataWeight = 0.4;
+// Penalty for additional run time by interference of as much as one run of the task, as a share of the target's capacity. Free
+// capacity is worth little while it is not short, so that a quiet target is preferred unless it is much fuller.
+constexpr double interferenceWeight = 1.0;
+constexpr double maxInterferencePenalty = 2.0;
+// Only targets with a lower failure rate are preferred for being quiet: one failed run counts for 12 runs.
+constexpr double maxFailureRateToPrefer = 0.03;
 
 // Preference for a target that already runs the same job, more than the sum of all penalties.
 constexpr double sameJobWeight = 100;
@@ -87,13 +94,18 @@
     return found == placement.runsOfStep_->end() || found->second < placement.step_.maxPerTarget_;
 }
 
+bool isAwayFromData(const Target &target, const Placement &placement)
+{
+    return !placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_);
+}
+
 double score(const Target &target, const Placement &placement)
 {
     const auto cpuCapacity = static_cast<double>(std::max<std::int64_t>(target.info_.capacity_.cpu_, 1));
     double score = static_cast<double>(target.info_.capacity_.cpu_ - target.allocated_.cpu_) / cpuCapacity;
     score -= slownessWeight * std::max(0.0, target.slowness_ - 1);
     score -= failureWeight * target.failureRate_;
-    if (!placement.step_.dataRack_.empty() && !hasLabel(target.info_, placement.step_.dataRack_)) {
+    if (isAwayFromData(target, placement)) {
         score -= remoteDataWeight;
     }
     if (placement.contained_ && hasRunsOf(target.runs_, placement.job_)) {
@@ -103,23 +115,116 @@
     return score;
 }
 
+struct Candidate
+{
+    Target *target_ = nullptr;
+    double score_ = 0;
+
+    void replaceIfBetter(Target &target, double score)
+    {
+        if (target_ == nullptr || score > score_) {
+            *this = {&target, score};
+        }
+    }
+};
+
+bool separates(const Placement &placement)
+{
+    return placement.interference_ != nullptr && placement.separation_ > 0 && !placement.contained_;
+}
+
+// Penalty for interference, as a share of the target's capacity.
+double interferencePenalty(const Target &target, const Placement &placement)
+{
+    const double extra = interferenceCost(*placement.interference_, placement.kind_, target.kinds_);
+    return placement.separation_ * std::min(interferenceWeight * extra, maxInterferencePenalty);
+}
+
 } // namespace
 
 Target *chooseTarget(Targets &targets, const Placement &placement, Millis now)
 {
-    Target *best = nullptr;
-    double bestScore = 0;
+    Candidate best;
+    // Those with the least interference, with and without the data.
+    std::array<Candidate, 2> quiet;
+    const bool avoids = separates(placement);
     for (auto &[agent, target] : targets) {
         if (!fits(placement.step_.need_, target.info_.capacity_ - target.allocated_) || !isCandidate(target, placement, now)) {
             continue;
         }
         const double candidate = score(target, placement);
-        if (best == nullptr || candidate > bestScore) {
-            best = &target;
-            bestScore = candidate;
+        best.replaceIfBetter(target, candidate);
+        if (avoids && target.failureRate_ < maxFailureRateToPrefer) {
+            quiet[isAwayFromData(target, placement) ? 1 : 0].replaceIfBetter(target, candidate - interferencePenalty(target, placement));
+        }
+    }
+    if (!avoids || best.target_ == nullptr) {
+        return best.target_;
+    }
+    const Candidate &other = quiet[isAwayFromData(*best.target_, placement) ? 1 : 0];
+    const bool isQuieter = other.target_ != nullptr && other.score_ > best.score_ - interferencePenalty(*best.target_, placement);
+    return isQuieter ? other.target_ : best.target_;
+}
+
+double utilizationOf(const Targets &targets, std::string_view service)
+{
+    std::int64_t used = 0;
+    std::int64_t capacity = 0;
+    for (const auto &[agent, target] : targets) {
+        const TargetInfo &info = target.info_;
+        if (target.present_ && info.responsive_ && !info.draining_ && !target.contained_ && info.service_ == service) {
+            used += target.allocated_.cpu_;
+            capacity += info.capacity_.cpu_;
         }
     }
-    return best;
+    return capacity <= 0 ? 1 : static_cast<double>(used) / static_cast<double>(capacity);
+}
+
+void addRun(Target &target, Interference &model, const TaskId &id, PlacedRun run)
+{
+    removeRun(target, model, id);
+    run.beside_.clear();
+    for (const KindCount &each : target.kinds_) {
+        run.beside_.push_back(each.kind_);
+    }
+    const auto count
+        = std::find_if(target.kinds_.begin(), target.kinds_.end(), [&run](const KindCount &each) { return each.kind_ == run.kind_; });
+    if (count == target.kinds_.end()) {
+        target.kinds_.push_back({run.kind_, 1});
+    } else {
+        ++count->count_;
+    }
+    ++model.kinds_[run.kind_].running_;
+    target.allocated_ = target.allocated_ + run.need_;
+    target.runs_.emplace(id, std::move(run));
+}
+
+std::optional<PlacedRun> removeRun(Target &target, Interference &model, const TaskId &id)
+{
+    const auto found = target.runs_.find(id);
+    if (found == target.runs_.end()) {
+        return std::nullopt;
+    }
+    PlacedRun run = std::move(found->second);
+    target.runs_.erase(found);
+    target.allocated_ = target.allocated_ - run.need_;
+    --model.kinds_[run.kind_].running_;
+    const auto count
+        = std::find_if(target.kinds_.begin(), target.kinds_.end(), [&run](const KindCount &each) { return each.kind_ == run.kind_; });
+    if (--count->count_ == 0) {
+        target.kinds_.erase(count);
+    }
+    return run;
+}
+
+void clearRuns(Target &target, Interference &model)
+{
+    for (const KindCount &each : target.kinds_) {
+        model.kinds_[each.kind_].running_ -= each.count_;
+    }
+    target.kinds_.clear();
+    target.runs_.clear();
+    target.allocated_ = {};
 }
 
 void openTargets(Targets &targets)
