--- a/include/ibiswall/cell/targets.hpp
+++ b/include/ibiswall/cell/targets.hpp
@@ -120,7 +120,8 @@
 };
 
 /// Chooses the target with the largest share of free CPU, less penalties for slow or failing targets and for targets
-/// away from the data. Among targets that are as close to the data and do not fail, one with less interference is preferred. Meant for a cell that is loaded to about half of its capacity or more.
+/// away from the data. Among targets that are as close to the data and do not fail, one with less interference is preferred. Meant for a
+/// cell that is loaded to about half of its capacity or more.
 /// @return null when no target can take the task now
 Target *chooseTarget(Targets &targets, const Placement &placement, Millis now);
 
--- a/src/ibiswall/cell/dispatcherinterference.cpp
+++ b/src/ibiswall/cell/dispatcherinterference.cpp
@@ -9,7 +9,8 @@
     const JobSpec &spec = job.record_.spec_;
     PlacedRun run;
     run.need_ = spec.steps_[step].need_;
-    run.kind_ = scheduling_.separateInterfering_ ? findKind(interference_, kindOf(spec.queue_, step, spec.steps_[step]), now) : untrackedKind;
+    run.kind_
+        = scheduling_.separateInterfering_ ? findKind(interference_, kindOf(spec.queue_, step, spec.steps_[step]), now) : untrackedKind;
     return run;
 }
 
@@ -53,7 +54,7 @@
 
 std::size_t Dispatcher::interferingPairCount() const
 {
-    return interference_.believed_.size();
+    return scheduling_.separateInterfering_ ? interference_.believed_.size() : 0;
 }
 
 std::vector<InterferenceChange> Dispatcher::takeInterferenceChanges()
--- a/src/ibiswall/cell/interference.cpp
+++ b/src/ibiswall/cell/interference.cpp
@@ -12,14 +12,15 @@
 // Bound of a residual, as a logarithm. Run times and estimates have a spread of 0.4 each, together 0.57, and 3 % of the tasks
 // take 7 times as long (1.95): the bound keeps those from dominating, and a factor of 1.5 (0.41) loses little to it.
 constexpr double maxResidual = 1;
-// Runs that the moving mean of a kind, and of a target, covers. That of a target has a standard error of about 0.07.
+// Runs that the moving mean of a kind, and of a target, covers. They cover several seconds, which is longer than a neighbour stays:
+// a mean over 64 runs followed the neighbours and hid a factor of 1.8 completely.
 constexpr double runsOfKindMean = 1024;
-constexpr double runsOfPace = 64;
+constexpr double runsOfPace = 512;
 // Runs of a kind, and on a target, before their means say anything.
 constexpr std::uint32_t minRunsOfKind = 16;
 constexpr std::uint32_t minRunsOfPace = 8;
-// Evidence fades over so many runs of the victim, so that a change is seen within a few seconds in a busy queue.
-constexpr double runsOfEvidence = 4096;
+// Evidence fades over so many independent runs of the victim, so that a change is seen within seconds in a busy queue.
+constexpr double samplesOfEvidence = 4096;
 // Independent runs with and without the neighbour that are needed to believe or forget a pair.
 constexpr double minSamples = 30;
 // Share of the variance that tasks of one step have in common: the error of their estimate.
@@ -76,13 +77,6 @@
     evidence.squares_ += weight * residual * residual;
 }
 
-// Subtracts a constant from residuals, those of a pair, in sums that contain them.
-void shift(Evidence &evidence, const Evidence &part, double by)
-{
-    evidence.squares_ += by * (by * part.weight_ - 2 * part.sum_);
-    evidence.sum_ -= by * part.weight_;
-}
-
 // Difference between the runs with and without a neighbour.
 struct Comparison
 {
@@ -128,15 +122,19 @@
     }
 }
 
+// Changes the effect that is subtracted from residuals. Residuals less the former effect are not comparable with later ones, so the
+// evidence of the victim is collected again.
 void setEffect(Interference &model, std::uint32_t key, double effect)
 {
-    PairStatistics &pair = model.pairs_.at(key);
-    Evidence &total = model.kinds_[victimOf(key)].total_;
-    const double by = std::clamp(effect, 0.0, maxEffect) - pair.effect_;
-    fade(pair.with_, total.clock_);
-    shift(total, pair.with_, by);
-    shift(pair.with_, Evidence(pair.with_), by);
-    pair.effect_ += by;
+    model.pairs_.at(key).effect_ = std::clamp(effect, 0.0, maxEffect);
+    model.kinds_[victimOf(key)].total_ = {};
+    for (std::size_t neighbour = 1; neighbour < model.kinds_.size(); ++neighbour) {
+        const auto pair = model.pairs_.find(pairKey(victimOf(key), static_cast<KindId>(neighbour)));
+        if (pair != model.pairs_.end()) {
+            pair->second.with_ = {};
+        }
+    }
+    rebuildPartners(model);
 }
 
 void recordChange(Interference &model, std::uint32_t key, const Comparison &evidence)
@@ -159,7 +157,6 @@
     model.believed_.push_back(key);
     setEffect(model, key, evidence.effect_);
     recordChange(model, key, evidence);
-    rebuildPartners(model);
 }
 
 void forget(Interference &model, std::uint32_t key, const Comparison &evidence)
@@ -169,33 +166,54 @@
     model.believed_.erase(std::remove(model.believed_.begin(), model.believed_.end(), key), model.believed_.end());
     recordChange(model, key, evidence);
     setEffect(model, key, 0);
-    rebuildPartners(model);
 }
 
-void judge(Interference &model, std::uint32_t key, Millis now)
+// Judges a believed pair by the evidence since then.
+void review(Interference &model, std::uint32_t key, const Comparison &evidence, Millis now)
 {
     PairStatistics &pair = model.pairs_.at(key);
-    const Comparison evidence = compare(model.kinds_[victimOf(key)].total_, pair);
-    if (!evidence.enough_) {
-        return;
-    }
-    if (!pair.believed_) {
-        if (evidence.effect_ > minEffect && evidence.effect_ > errorsToBelieve * evidence.error_) {
-            believe(model, key, evidence, now);
-        }
-        return;
-    }
     if (evidence.effect_ + errorsToForget * evidence.error_ < forgottenEffect) {
         forget(model, key, evidence);
     } else if (evidence.effect_ > errorsToSupport * evidence.error_) {
         pair.supportedAt_ = now;
-        if (std::abs(evidence.effect_ - pair.effect_) > errorsToSupport * evidence.error_ && evidence.effect_ < maxEffect) {
+        const double change = std::abs(std::clamp(evidence.effect_, 0.0, maxEffect) - pair.effect_);
+        if (change > errorsToSupport * evidence.error_ && change > minEffect) {
             setEffect(model, key, evidence.effect_);
-            rebuildPartners(model);
         }
     }
 }
 
+// Judges the pairs of a victim with the kinds beside it. Of several that may be believed, only the one with the clearest evidence is:
+// the others may just be found on the same targets.
+void judge(Interference &model, KindId victim, Span<const KindId> beside, Millis now)
+{
+    std::uint32_t clearest = 0;
+    Comparison clearestEvidence;
+    for (const KindId neighbour : beside) {
+        const std::uint32_t key = pairKey(victim, neighbour);
+        const auto found = model.pairs_.find(key);
+        if (found == model.pairs_.end()) {
+            continue;
+        }
+        const Comparison evidence = compare(model.kinds_[victim].total_, found->second);
+        if (!evidence.enough_) {
+            continue;
+        }
+        if (found->second.believed_) {
+            review(model, key, evidence, now);
+            continue;
+        }
+        const bool isBelievable = evidence.effect_ > minEffect && evidence.effect_ > errorsToBelieve * evidence.error_;
+        if (isBelievable && evidence.effect_ * clearestEvidence.error_ >= clearestEvidence.effect_ * evidence.error_) {
+            clearest = key;
+            clearestEvidence = evidence;
+        }
+    }
+    if (clearest != 0) {
+        believe(model, clearest, clearestEvidence, now);
+    }
+}
+
 // Removes kinds that have not been seen for long, and pairs without recent evidence.
 void sweep(Interference &model, Millis now)
 {
@@ -205,7 +223,8 @@
     };
     for (auto each = model.pairs_.begin(); each != model.pairs_.end();) {
         const PairStatistics &pair = each->second;
-        const bool unused = now - pair.updatedAt_ > evidenceRetention || isStale(victimOf(each->first)) || isStale(neighbourOf(each->first));
+        const bool unused
+            = now - pair.updatedAt_ > evidenceRetention || isStale(victimOf(each->first)) || isStale(neighbourOf(each->first));
         each = unused && !pair.believed_ ? model.pairs_.erase(each) : std::next(each);
     }
     for (std::size_t kind = 1; kind < model.kinds_.size(); ++kind) {
@@ -274,12 +293,13 @@
     const bool isPaceKnown = pace.runs_ >= minRunsOfPace;
     const double residual = takeResidual(model, pace, run);
     KindStatistics &kind = model.kinds_[run.kind_];
-    kind.clock_ += 1 / runsOfEvidence + static_cast<double>((now - kind.lastSeen_).count_) / static_cast<double>(evidenceRetention.count_);
+    const double weight = 1 / (1 + (run.tasksOfStep_ - 1) * commonVariance);
+    kind.clock_
+        += weight / samplesOfEvidence + static_cast<double>((now - kind.lastSeen_).count_) / static_cast<double>(evidenceRetention.count_);
     kind.lastSeen_ = now;
     if (!isPaceKnown || kind.runs_ < minRunsOfKind) {
         return;
     }
-    const double weight = 1 / (1 + (run.tasksOfStep_ - 1) * commonVariance);
     fade(kind.total_, kind.clock_);
     add(kind.total_, residual, weight);
     for (const KindId neighbour : run.beside_) {
@@ -292,11 +312,7 @@
         add(pair.with_, residual, weight);
         pair.updatedAt_ = now;
     }
-    for (const KindId neighbour : run.beside_) {
-        if (model.pairs_.count(pairKey(run.kind_, neighbour)) != 0) {
-            judge(model, pairKey(run.kind_, neighbour), now);
-        }
-    }
+    judge(model, run.kind_, run.beside_, now);
 }
 
 void expireInterference(Interference &model, Millis now)
@@ -351,7 +367,9 @@
         if (found == running.end()) {
             continue;
         }
-        const double runTimes = model.kinds_[partner.kind_].runTime_ / std::max(own.runTime_, 1.0);
+        const double partnerTime = model.kinds_[partner.kind_].runTime_;
+        // Not known yet after a handover.
+        const double runTimes = own.runTime_ > 0 && partnerTime > 0 ? partnerTime / own.runTime_ : 1;
         cost += partner.ownExtra_ + found->count_ * remainingShare * partner.partnerExtra_ * runTimes;
     }
     return cost;
--- a/src/ibiswall/cell/record_test.cpp
+++ b/src/ibiswall/cell/record_test.cpp
@@ -3,6 +3,7 @@
 #include "testparts.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace ibiswall::cell {
 
@@ -14,6 +15,7 @@
     record.nonce_ = "n";
     record.spec_.steps_[0].after_ = {};
     record.spec_.steps_[0].requiredLabel_ = "b";
+    record.spec_.steps_[0].image_ = "i";
     record.progress_.state_ = JobState::Running;
     record.progress_.done_ = {true, false, false, false, false, false, false, false, true};
     record.progress_.failedRuns_ = {{3, 77}};
@@ -22,6 +24,7 @@
     BOOST_REQUIRE(back.has_value());
     BOOST_TEST(back.value().spec_.queue_ == "urgent");
     BOOST_TEST(back.value().spec_.steps_[0].requiredLabel_ == "b");
+    BOOST_TEST(back.value().spec_.steps_[0].image_ == "i");
     BOOST_TEST((back.value().progress_.done_ == record.progress_.done_));
     BOOST_TEST((back.value().progress_.failedRuns_ == record.progress_.failedRuns_));
     BOOST_REQUIRE(back.value().progress_.crashes_.size() == 1U);
@@ -31,6 +34,19 @@
     BOOST_TEST(back.value().progress_.crashes_[0].started_);
 }
 
+BOOST_AUTO_TEST_CASE(reads_steps_of_earlier_versions_without_an_image)
+{
+    const std::string bytes = formatRecord(testJob("j1", {testStep(9)}, false).record_);
+    nlohmann::json json = nlohmann::json::from_cbor(bytes);
+    nlohmann::json &step = json.at(4).at(2).at(0);
+    step.erase(step.size() - 1);
+    const std::vector<std::uint8_t> earlier = nlohmann::json::to_cbor(json);
+    const auto back = parseRecord({reinterpret_cast<const char *>(earlier.data()), earlier.size()});
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(back.value().spec_.steps_[0].count_ == 9U);
+    BOOST_TEST(back.value().spec_.steps_[0].image_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(final_record_is_short)
 {
     JobRecord record = testJob("j1", {testStep(9)}, false).record_;
--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -161,6 +161,7 @@
     leaderSession_->setConfig(config_, evacuatedDomains_);
     leaderSession_->setScheduling(settings_.scheduling_);
     leaderSession_->containQueues(contained_);
+    leaderSession_->adoptInterference(interfering_);
     leaderSession_->start();
     onLeaderChanged();
     sendHeartbeats();
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -44,6 +44,7 @@
             succession_.onLeaderHeard(heartbeat->epoch_);
             waiting_ = heartbeat->waiting_;
             contained_ = heartbeat->contained_;
+            interfering_ = heartbeat->interfering_;
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -235,6 +236,8 @@
         waiting_ = frame.waiting_;
         frame.contained_ = leaderSession_->containedQueues();
         contained_ = frame.contained_;
+        frame.interfering_ = leaderSession_->interferingPairs();
+        interfering_ = frame.interfering_;
     }
     return frame;
 }
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -117,6 +117,7 @@
     expireCallers(now);
     reportReadiness();
     gauge("ibiswall_leading", leaderSession_ && leadership_.isLeader() ? 1 : 0);
+    gauge("ibiswall_interfering_pairs", leaderSession_ ? static_cast<double>(leaderSession_->interferingPairCount()) : 0);
     if (stop_.hasBegun()) {
         continueStop();
     }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -151,6 +151,8 @@
     std::map<std::string, std::size_t> waiting_;
     /// Queues that the leader contains.
     std::set<std::string> contained_;
+    /// Interfering pairs by the latest heartbeat of the leader.
+    std::vector<cell::InterferingPair> interfering_;
     /// Addresses of the other entries; empty before the first read.
     std::map<std::string, Address> entries_;
     /// When each registered entry was last reachable.
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -138,9 +138,13 @@
 
 Json body(const HeartbeatFrame &frame)
 {
+    Json interfering = Json::array();
+    for (const cell::InterferingPair &pair : frame.interfering_) {
+        interfering.push_back(Json::array({pair.victim_, pair.neighbour_, pair.factor_}));
+    }
     return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.steppedDown_,
                         frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_,
-                        frame.nextIn_.count_, Json(frame.contained_)});
+                        frame.nextIn_.count_, Json(frame.contained_), std::move(interfering)});
 }
 
 Json body(const OffersFrame &frame)
@@ -251,6 +255,14 @@
     if (json.size() > at) {
         frame.contained_ = json.at(at++).get<std::set<std::string>>();
     }
+    if (json.size() > at) {
+        for (const Json &pair : json.at(at++)) {
+            if (frame.interfering_.size() == maxHandedOverPairs) {
+                break;
+            }
+            frame.interfering_.push_back({pair.at(0).get<std::string>(), pair.at(1).get<std::string>(), pair.at(2).get<double>()});
+        }
+    }
     return frame;
 }
 
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -53,6 +53,9 @@
     std::int64_t acknowledgedIncarnation_ = 0;
 };
 
+/// Most interfering pairs in a heartbeat: at most 4.2 KB with the longest names, every 100 ms and to each entry.
+constexpr std::size_t maxHandedOverPairs = 16;
+
 /// State of an entry, of the leader and of the store as the entry sees them.
 struct HeartbeatFrame
 {
@@ -81,6 +84,8 @@
     std::map<std::string, std::size_t> waiting_;
     /// From the leader: contained queues, which a successor has to contain from its start.
     std::set<std::string> contained_;
+    /// From the leader: the pairs of kinds that interfere most, which a successor believes from its start. At most maxHandedOverPairs.
+    std::vector<cell::InterferingPair> interfering_;
 };
 
 /// Jobs that an entry registers with the leader.
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -38,6 +38,7 @@
     heartbeat.holdOffFrom_ = {77};
     heartbeat.waiting_ = {{"q", 2}};
     heartbeat.contained_ = {"q"};
+    heartbeat.interfering_ = {{"q/0", "image", 1.5}};
     return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}}, report,
             orders,       heartbeat,         CancelFrame{"j", true}, UnknownJobFrame{"j"}};
 }
@@ -62,8 +63,8 @@
         HeartbeatFrame heartbeat;
         heartbeat.leaving_ = leaving;
         nlohmann::json json = nlohmann::json::from_cbor(formatFrame(heartbeat));
-        // Neither the contained queues nor the interval of the heartbeats nor whether it accepts jobs.
-        constexpr std::size_t laterFields = 3;
+        // Neither the interfering pairs nor the contained queues nor the interval of the heartbeats nor whether it accepts jobs.
+        constexpr std::size_t laterFields = 4;
         for (std::size_t i = 0; i < laterFields; ++i) {
             json.at(1).erase(json.at(1).size() - 1);
         }
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -162,6 +162,34 @@
     loggedContained_ = contained;
 }
 
+void LeaderSession::adoptInterference(Span<const cell::InterferingPair> pairs)
+{
+    dispatcher_.adoptInterference(pairs, bootClock());
+}
+
+std::vector<cell::InterferingPair> LeaderSession::interferingPairs() const
+{
+    return dispatcher_.interferingPairs(maxHandedOverPairs);
+}
+
+void LeaderSession::logInterference()
+{
+    constexpr double percent = 100;
+    for (const cell::InterferenceChange &change : dispatcher_.takeInterferenceChanges()) {
+        logEvent(change.believed_ ? "interference.believed" : "interference.forgotten",
+                 {{"kind", std::string_view(change.pair_.victim_)},
+                  {"beside", std::string_view(change.pair_.neighbour_)},
+                  {"factor_percent", static_cast<std::int64_t>(change.pair_.factor_ * percent)},
+                  {"samples_with", static_cast<std::int64_t>(change.samplesWith_)},
+                  {"samples_without", static_cast<std::int64_t>(change.samplesWithout_)}});
+    }
+}
+
+std::size_t LeaderSession::interferingPairCount() const
+{
+    return dispatcher_.interferingPairCount();
+}
+
 void LeaderSession::onFrame(const std::string &from, Frame &&frame)
 {
     if (stopped_) {
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -79,6 +79,11 @@
     void containQueues(const std::set<std::string> &queues);
     const std::set<std::string> &containedQueues() const;
 
+    /// Takes over the pairs of kinds that interfere by the previous leader.
+    void adoptInterference(Span<const cell::InterferingPair> pairs);
+    std::vector<cell::InterferingPair> interferingPairs() const;
+    std::size_t interferingPairCount() const;
+
     /// Stops placing tasks on an agent's target until the agent has sent a full report, and asks for it. To be called when the
     /// agent has connected and whenever frames of it may have been lost.
     void requestFullReport(const std::string &agent);
@@ -135,6 +140,7 @@
     void sweep();
     void dispatch();
     void logContainment();
+    void logInterference();
     void scheduleDispatch();
     void send(cell::DispatcherActions &&actions);
     void store();
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -61,6 +61,7 @@
         dispatcher_.schedule(now);
     }
     logContainment();
+    logInterference();
     send(dispatcher_.takeActions());
     store();
 }
