Merge the separation of interfering kinds

Runs on targets carry their kind, and service, queue and domain for the sums of cores in use; both are changed in addRun and removeRun of the dispatcher only.

--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -26,6 +26,9 @@
 /// Returns whether the free resources meet the need.
 bool fits(const Resources &need, const Resources &free);
 
+/// Longest Step::image_ in bytes. The heartbeats of the leader carry the images of interfering pairs.
+constexpr std::size_t maxImage = 128;
+
 /// A group of identical tasks of a job.
 struct Step
 {
@@ -67,7 +70,7 @@
 constexpr std::uint32_t maxTasksOfJob = 100000;
 
 /// Memory that a leader uses for a task, in bytes, without what a run adds.
-constexpr std::size_t taskBytes = 112;
+constexpr std::size_t taskBytes = 160;
 
 /// Number of tasks of a job, over all steps.
 std::uint32_t taskCount(const JobSpec &spec);
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -41,6 +41,7 @@
     addReturnedJobs(now);
     updateContainment(now);
     updateStalls(now);
+    expireInterference(interference_, now);
     placeReady(now);
     checkArrivals(now);
 }
@@ -130,6 +131,7 @@
     }
     Placement placement{stepSpec, queue.service_, domainsOut_, stepSpec.maxPerTarget_ > 0 ? &onAgent : nullptr, nullptr, job.id_};
     placement.contained_ = contained;
+    avoidInterference(placement, kindOf(queue.name_, step, stepSpec), pass, now);
     placement.admissionControl_ = control != config_.admissionControl_.end() && control->second;
     const ExpectedRatio kind
         = scheduling_.placeByEnd_ ? expectedRatio(runTimes_, kindOf(queue.name_, step, stepSpec), {}) : ExpectedRatio{};
@@ -177,7 +179,7 @@
     task.adopted_ = false;
     task.stallStopped_ = false;
     job.activeAt_ = now;
-    addRun(target, job, id, now);
+    addRun(target, job, id, target.unknownRuns_.empty(), now);
     if (--job.waiting_ == 0) {
         ready_.erase(keyOf(job));
     }
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -105,7 +105,7 @@
     countWaiting(job);
     const Step &step = job.record_.spec_.steps_[run.task_.step_];
     Target &target = targets_[agent];
-    addRun(target, job, run.task_, now);
+    addRun(target, job, run.task_, false, now);
     target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
     watchRun(job, run, target, expectedRatio(runTimes_, kindOf(job.record_.spec_.queue_, run.task_.step_, step), {}), now);
@@ -171,6 +171,7 @@
         target.logFactor_ = 0;
         forgetTarget(runTimes_, agent);
         target.stall_ = {};
+        target.pace_ = {};
         target.failureRate_ = 0;
     }
     ++targetsVersion_;
@@ -268,7 +269,10 @@
         recordEndOfRun(*job, *task, target, result, now);
     }
     if (task == nullptr || current) {
-        removeRun(target, result.run_.task_);
+        const std::optional<PlacedRun> run = removeRun(target, result.run_.task_);
+        if (run && current && result.kind_ == RunOutcome::Done) {
+            learnFromRun(target, *run, *job, result.run_.task_, now - task->placedAt_, now);
+        }
     }
     const bool counts = result.kind_ == RunOutcome::Done || result.kind_ == RunOutcome::Failed;
     if (task != nullptr && counts && task->phase_ != Phase::Done && !isFinal(job->state_)) {
--- a/src/ibiswall/cell/dispatcherusage.cpp
+++ b/src/ibiswall/cell/dispatcherusage.cpp
@@ -4,27 +4,30 @@
 
 namespace ibiswall::cell {
 
-void Dispatcher::addRun(Target &target, const Job &job, const TaskId &id, Millis now)
+// @param measured whether the start of the run and everything beside it are known
+void Dispatcher::addRun(Target &target, const Job &job, const TaskId &id, bool measured, Millis now)
 {
     const Step &step = job.record_.spec_.steps_[id.step_];
     const Queue *queue = queueOf(job);
-    PlacedRun run{step.need_, queue == nullptr ? std::string() : queue->service_, job.record_.spec_.queue_, job.domain_, now + step.estimate_};
-    if (const auto former = target.runs_.find(id); former != target.runs_.end()) {
-        removeUsage(usage_, former->second);
-    }
+    PlacedRun run = describeRun(job, id.step_, now);
+    run.service_ = queue == nullptr ? std::string() : queue->service_;
+    run.queue_ = job.record_.spec_.queue_;
+    run.domain_ = job.domain_;
+    run.end_ = now + step.estimate_;
+    run.measured_ = measured;
+    removeRun(target, id);
     addUsage(usage_, run);
-    target.allocated_ = target.allocated_ + step.need_;
-    target.runs_[id] = std::move(run);
+    cell::addRun(target, interference_, id, std::move(run));
 }
 
-void Dispatcher::removeRun(Target &target, const TaskId &id)
+// Returns the run; nothing if it was not there.
+std::optional<PlacedRun> Dispatcher::removeRun(Target &target, const TaskId &id)
 {
-    const auto run = target.runs_.find(id);
-    if (run != target.runs_.end()) {
-        removeUsage(usage_, run->second);
-        target.allocated_ = target.allocated_ - run->second;
-        target.runs_.erase(run);
+    std::optional<PlacedRun> run = cell::removeRun(target, interference_, id);
+    if (run) {
+        removeUsage(usage_, *run);
     }
+    return run;
 }
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/usage.cpp
+++ b/src/ibiswall/cell/usage.cpp
@@ -31,12 +31,12 @@
 
 void addUsage(Usage &usage, const PlacedRun &run)
 {
-    change(usage, run, run.cpu_);
+    change(usage, run, run.need_.cpu_);
 }
 
 void removeUsage(Usage &usage, const PlacedRun &run)
 {
-    change(usage, run, -run.cpu_);
+    change(usage, run, -run.need_.cpu_);
 }
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -248,6 +248,7 @@
     leaderSession_->setTaskBudget(limits_.tasks_);
     leaderSession_->setScheduling(settings_.scheduling_);
     leaderSession_->containQueues(contained_);
+    leaderSession_->adoptInterference(interfering_);
     leaderSession_->start(takeover_.agentsAfter(static_cast<std::uint64_t>(replaced), bootClock()));
     onLeaderChanged();
     sendHeartbeats();
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -44,6 +44,7 @@
             succession_.onLeaderHeard(heartbeat->epoch_);
             waiting_ = heartbeat->waiting_;
             contained_ = heartbeat->contained_;
+            interfering_ = heartbeat->interfering_;
             takeover_.onLeaderHeartbeat(heartbeat->epoch_, heartbeat->successor_ == self_.name_, heartbeat->sentAt_);
             requestHandover(bootClock());
         }
@@ -243,6 +244,8 @@
         frame.contained_ = leaderSession_->containedQueues();
         contained_ = frame.contained_;
         frame.successor_ = leaderSession_->successor();
+        frame.interfering_ = leaderSession_->interferingPairs();
+        interfering_ = frame.interfering_;
     }
     return frame;
 }
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -53,6 +53,9 @@
     std::int64_t acknowledgedIncarnation_ = 0;
 };
 
+/// Most interfering pairs in a heartbeat: at most 4.2 KB with the longest names, every 100 ms and to each entry.
+constexpr std::size_t maxHandedOverPairs = 16;
+
 /// State of an entry, of the leader and of the store as the entry sees them.
 struct HeartbeatFrame
 {
@@ -84,6 +87,8 @@
     /// From the leader: the entry that it hands the leadership over to; empty if there is none. It goes on placing tasks meanwhile,
     /// but relies on no hold-off.
     std::string successor_;
+    /// From the leader: the pairs of kinds that interfere most, which a successor believes from its start. At most maxHandedOverPairs.
+    std::vector<cell::InterferingPair> interfering_;
 };
 
 /// Revision in the store of the registration of each agent, by name.
