--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -814,6 +814,9 @@
         leader->startedAt_ = now_;
         leader->confirmedAt_ = now_;
         leader->dispatcher_.setConfig(testConfig(), {});
+        SchedulingSettings scheduling;
+        scheduling.placeByEnd_ = settings_.seed_ % 2 == 0;
+        leader->dispatcher_.setScheduling(scheduling);
         leaders_.push_back(leader);
         if (epoch_ == 1) {
             leader->reconciled_ = true;
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -162,6 +162,17 @@
     loggedContained_ = contained;
 }
 
+void LeaderSession::logStalls(Span<const cell::StallChange> changes)
+{
+    for (const cell::StallChange &change : changes) {
+        const char *name = change.kind_ == cell::StallChange::Kind::Stalled ? "stalled"
+            : change.kind_ == cell::StallChange::Kind::Probed               ? "probed"
+                                                                            : "recovered";
+        count("ibiswall_target_stalls_total", name);
+        logEvent(std::string("target.") + name, {{"agent", std::string_view(change.agent_)}, {"overdue", logNumber(change.overdue_)}});
+    }
+}
+
 void LeaderSession::onFrame(const std::string &from, Frame &&frame)
 {
     if (stopped_) {
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -135,6 +135,7 @@
     void sweep();
     void dispatch();
     void logContainment();
+    static void logStalls(Span<const cell::StallChange> changes);
     void scheduleDispatch();
     void send(cell::DispatcherActions &&actions);
     void store();
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -78,6 +78,7 @@
         std::string agent = start.agent_;
         orders[std::move(agent)].starts_.push_back(std::move(start));
     }
+    logStalls(actions.stalls_);
     for (cell::StopOrder &stop : actions.stops_) {
         std::string agent = stop.agent_;
         orders[std::move(agent)].stops_.push_back(std::move(stop));
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -41,6 +41,7 @@
         {"ibiswall_run_crashes_total", {"Runs during which their target crashed, as reported to this leader", "cause"}},
         {"ibiswall_jobs_given_up_total", {"Jobs failed because their tasks crashed targets", ""}},
         {"ibiswall_containments_total", {"Times that a queue was contained, since its jobs crashed targets", ""}},
+        {"ibiswall_target_stalls_total", {"Times that this leader found a target stalled, tried it, or used it again", "change"}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
         {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
         {"ibiswall_open_jobs", {"Jobs of this leader that have not ended", ""}},
