--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -175,6 +175,8 @@
         std::uint64_t run_ = 0;
         std::string agent_;
         Millis placedAt_;
+        /// Time from then on after which the latest run is longer than the spread of its kind explains; 0 if that is not watched.
+        Millis overdueAfter_;
         /// Whether the latest run was taken over from an earlier dispatcher, so that it started before placedAt_.
         bool adopted_ = false;
         /// Whether the latest run was ordered to stop since its target stalled, and how often that happened to the task.
@@ -298,7 +300,7 @@
     void place(Job &job, const TaskId &id, Target &target, Millis now);
     void acknowledge(Target &target);
     static Millis slackOf(const Job &job, std::uint32_t step, Millis now);
-    void watchRun(const Job &job, const Run &run, Target &target, const ExpectedRatio &kind, Millis now);
+    void watchRun(const Job &job, Task &task, const Run &run, Target &target, const ExpectedRatio &kind, Millis now);
     void recordEndOfRun(const Job &job, const Task &task, Target &target, const RunResult &result, Millis now);
     void updateStalls(Millis now);
     void refreshFactors(Millis now);
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -150,7 +150,7 @@
         }
         ++onAgent[target->agent_];
         place(job, task, *target, now);
-        watchRun(job, {task, job.tasks_[job.offsets_[step] + i].run_}, *target, kind, now);
+        watchRun(job, job.tasks_[job.offsets_[step] + i], {task, job.tasks_[job.offsets_[step] + i].run_}, *target, kind, now);
         if (job.waiting_ == 0) {
             return std::nullopt;
         }
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -108,7 +108,7 @@
     target.runs_[run.task_] = need;
     target.unknownRuns_.erase(run.task_);
     job.state_ = JobState::Running;
-    watchRun(job, run, target, expectedRatio(runTimes_, kindOf(job.record_.spec_.queue_, run.task_.step_, step), {}), now);
+    watchRun(job, task, run, target, expectedRatio(runTimes_, kindOf(job.record_.spec_.queue_, run.task_.step_, step), {}), now);
 }
 
 void Dispatcher::markMissingRunsLost(const std::string &agent, const std::set<TaskId> &reported, Millis now)
--- a/src/ibiswall/cell/dispatcherstalls.cpp
+++ b/src/ibiswall/cell/dispatcherstalls.cpp
@@ -45,8 +45,9 @@
 }
 
 // Remembers when a run that was placed or adopted will be overdue.
-void Dispatcher::watchRun(const Job &job, const Run &run, Target &target, const ExpectedRatio &kind, Millis now)
+void Dispatcher::watchRun(const Job &job, Task &task, const Run &run, Target &target, const ExpectedRatio &kind, Millis now)
 {
+    task.overdueAfter_ = {};
     if (!scheduling_.placeByEnd_) {
         return;
     }
@@ -57,8 +58,8 @@
     }
     ExpectedRatio expected = kind;
     expected.ratio_ *= std::exp(target.logFactor_);
-    const Millis limit = overdueLimit(job.record_.spec_.steps_[run.task_.step_].estimate_, expected);
-    overdueAt_.emplace(std::max((now + limit).count_, job.due_.count_), OverdueRun{run, {}, limit});
+    task.overdueAfter_ = overdueLimit(job.record_.spec_.steps_[run.task_.step_].estimate_, expected);
+    overdueAt_.emplace(std::max((now + task.overdueAfter_).count_, job.due_.count_), OverdueRun{run, {}, task.overdueAfter_});
 }
 
 // The latest run of a task has ended.
@@ -67,14 +68,12 @@
     const Step &step = job.record_.spec_.steps_[result.run_.task_.step_];
     const bool done = result.kind_ == RunOutcome::Done;
     const Millis taken = now - task.placedAt_;
-    const std::string kind = kindOf(job.record_.spec_.queue_, result.run_.task_.step_, step);
-    if (scheduling_.placeByEnd_) {
-        const bool timely = taken < overdueLimit(step.estimate_, expectedRatio(runTimes_, kind, target.agent_));
-        if (recordEnd(target.stall_, result.run_.number_, done, timely, now)) {
-            actions_.stalls_.push_back({target.agent_, StallChange::Kind::Recovered, 0});
-        }
+    const bool timely = taken < task.overdueAfter_;
+    if (scheduling_.placeByEnd_ && recordEnd(target.stall_, result.run_.number_, done, timely, now)) {
+        actions_.stalls_.push_back({target.agent_, StallChange::Kind::Recovered, 0});
     }
     if (done && !task.adopted_) {
+        const std::string kind = kindOf(job.record_.spec_.queue_, result.run_.task_.step_, step);
         const auto estimate = static_cast<double>(std::max<std::int64_t>(step.estimate_.count_, 1));
         recordRunTime(runTimes_, kind, target.agent_, static_cast<double>(taken.count_) / estimate, now);
         target.logFactor_ = logTargetFactor(runTimes_, target.agent_);
--- a/src/ibiswall/cell/endload_test.cpp
+++ b/src/ibiswall/cell/endload_test.cpp
@@ -203,9 +203,9 @@
         }
     }
 
-    void submit(std::size_t at_)
+    void submit(std::size_t number)
     {
-        const LoadQueue &queue = deployment_.queues_[at_];
+        const LoadQueue &queue = deployment_.queues_[number];
         const std::string id = queue.name_ + "-" + std::to_string(++jobs_);
         const double real = static_cast<double>(queue.duration_) * spread();
         Step step = testStep(queue.tasks_, deployment_.cpuOfTask_);
@@ -219,9 +219,9 @@
         JobOffer offer = testJob(id, {step}, true, queue.name_);
         const std::int64_t timeout = std::max<std::int64_t>(1500, static_cast<std::int64_t>(5 * longest));
         offer.callerTimeout_ = {timeout};
-        open_[id] = {at_, now_.count_, static_cast<std::int64_t>(longest)};
+        open_[id] = {number, now_.count_, static_cast<std::int64_t>(longest)};
         offers_[id] = offer;
-        submitted_.at(at_) += 1;
+        submitted_.at(number) += 1;
         dispatcher_->addJob(std::move(offer), now_);
         at(timeout, [this, id] {
             dispatcher_->abandon(id, "entry-1", now_);
