Configure the kind of the ordinary job of an own entry in the test of hostile clients

The job was refused as of an unknown kind, with and without the change. Crowds and bounds are as they were.

--- a/tests/system/hostileclients_test.cpp
+++ b/tests/system/hostileclients_test.cpp
@@ -4,6 +4,7 @@
 #include "cell.hpp"
 #include "cluster.hpp"
 #include "crowd.hpp"
+#include "outcomecheck.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -220,6 +221,7 @@
     config.domains_ = 1;
     Cluster cluster(config);
     cluster.awaitAgents(1);
+    setNoteKind(cluster, {20000});
     const EntryNode &entry = cluster.entries_.front();
     const pid_t pid = entry.process_->pid();
     const std::string start = std::string("POST /v1/ids HTTP/1.1\r\n") + chunked + "0\r\n";
