--- a/src/ibiswall/node/processlimits.cpp
+++ b/src/ibiswall/node/processlimits.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t reservedDescriptors = 712;
 // Of a small number of descriptors half are reserved.
 constexpr std::size_t reservedDivisor = 2;
-// As before there were limits by descriptors: callers of one entry in the largest known deployment.
+// Callers of one entry in the largest known deployment.
 constexpr std::size_t maxCallers = 3500;
 
 std::size_t systemDescriptors()
