Let a job that has not ended be looked up among the targets' runs

The check of the task budget asked it for a new job, which threw, so the offer was dropped and the caller waited until its deadline. Found by dispatcher_budget; the dispatcher tests of cell_test pass.

--- a/src/ibiswall/cell/dispatcherabandoned.cpp
+++ b/src/ibiswall/cell/dispatcherabandoned.cpp
@@ -28,7 +28,8 @@
 
 bool Dispatcher::mayRunSomewhere(const std::string &job) const
 {
-    return finalJobs_.at(job).mayRun_ || std::any_of(targets_.begin(), targets_.end(), [&job](const auto &each) {
+    const auto ended = finalJobs_.find(job);
+    return (ended != finalJobs_.end() && ended->second.mayRun_) || std::any_of(targets_.begin(), targets_.end(), [&job](const auto &each) {
                return hasRunsOf(each.second.runs_, job) || hasRunsOf(each.second.unknownRuns_, job);
            });
 }
