--- a/tests/system/hostileclients_test.cpp
+++ b/tests/system/hostileclients_test.cpp
@@ -4,6 +4,7 @@
 #include "cell.hpp"
 #include "cluster.hpp"
 #include "crowd.hpp"
+#include "outcomecheck.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -220,13 +221,19 @@
     config.domains_ = 1;
     Cluster cluster(config);
     cluster.awaitAgents(1);
+    setNoteKind(cluster, {20000});
     const EntryNode &entry = cluster.entries_.front();
     const pid_t pid = entry.process_->pid();
     const std::string start = std::string("POST /v1/ids HTTP/1.1\r\n") + chunked + "0\r\n";
     const Attack attack{8, [start](std::size_t) { return start; }, always(repeat("X-T: aaaaaaaaaaaaaaaa\r\n", partBytes)), endlessBytes};
     const Use use = runAttack(entry.callersPort_, pid, attack);
     checkUse(*entry.process_, pid, use);
-    await("an ordinary job is answered", [&] { return cluster.submit(0, "note", 1).value("state", "") == "complete"; });
+    Json answer;
+    BOOST_CHECK_NO_THROW(await("an ordinary job is answered", [&] {
+        answer = cluster.submit(0, "note", 1);
+        return answer.value("state", "") == "complete";
+    }));
+    BOOST_TEST(answer.value("state", "") == "complete", answer.dump());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
