--- a/tests/system/badinput_test.cpp
+++ b/tests/system/badinput_test.cpp
@@ -292,6 +292,8 @@
     config.entrySettings_["hello_ms"] = 60000;
     Cluster cluster(config);
     cluster.awaitAgents(1);
+    cluster.targetNodes_[0].agent_.reset();
+    cluster.awaitAgents(0);
     boost::asio::io_context io;
     std::vector<tcp::socket> connections;
     for (std::size_t i = 0; i < 3 * maxLinks; ++i) {
@@ -300,8 +302,6 @@
     await("connections over the limit are closed",
           [&] { return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), isOpen)) <= maxLinks; });
     checkHealthy(cluster, "links over the limit");
-    cluster.awaitAgents(1);
-    cluster.targetNodes_[0].agent_.reset();
     cluster.startAgent(0);
     cluster.awaitAgents(1);
 }
