Carry an accepted job to its end after its queue was removed

A leader looked up the queue of a job in the present configuration and skipped jobs whose queue it lacked, so the second step of an accepted job was never started. The queue is kept with the job now, in offers and records; states are readable by id under paths without a queue. review/10: its driver passes (1 run) with the settings templates from before limits were added, which it cannot read.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -223,6 +223,8 @@
         /// Whether an earlier dispatcher may have started any of its tasks, in which case the job must not be refused
         /// as not run.
         bool mayHaveStarted_ = false;
+        /// Its queue was not configured any more when it was accepted.
+        bool submittedAfterRemoval_ = false;
 
         bool isEphemeral() const
         {
@@ -292,6 +294,7 @@
     void place(Job &job, const TaskId &id, Target &target, Millis now);
     void acknowledge(Target &target);
     const Queue *queueOf(const Job &job) const;
+    bool isSubmittedAfterRemoval(const JobOffer &offer) const;
 
     std::uint64_t epoch_;
     std::uint64_t runsAssigned_ = 0;
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -4,6 +4,7 @@
 
 #include <ibiswall/base.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -51,6 +52,24 @@
 /// @param number index of the step in its job
 std::string kindOf(std::string_view queue, std::size_t number, const Step &step);
 
+/// A queue of the configuration.
+struct Queue
+{
+    std::string name_;
+    /// Host and path prefix of requests that go to the queue.
+    std::string host_;
+    std::string prefix_;
+    /// Service whose targets run the queue's tasks.
+    std::string service_;
+    /// Queues with lower values are placed first.
+    std::uint32_t priority_ = 0;
+    /// Maximum number of runs of a task that may end as failed.
+    std::uint32_t maxAttempts_ = 1;
+    /// Objective of a job: this factor times its longest chain of steps, plus allowance_.
+    double stretch_ = 1;
+    Millis allowance_;
+};
+
 /// A job as its caller submitted it, with the queue that it was assigned to.
 struct JobSpec
 {
@@ -61,6 +80,8 @@
     /// The caller waits for the end of the job and submits it again after losing its connection, so the job need not be
     /// stored.
     bool ephemeral_ = false;
+    /// The queue as it was configured at the submission. A queue that is removed later is used for the job as it was then.
+    std::optional<Queue> acceptedBy_ = std::nullopt;
 };
 
 /// Most tasks of a job.
@@ -181,28 +202,12 @@
         && a.responsive_ == b.responsive_ && a.leaving_ == b.leaving_;
 }
 
-/// A queue of the configuration.
-struct Queue
-{
-    std::string name_;
-    /// Host and path prefix of requests that go to the queue.
-    std::string host_;
-    std::string prefix_;
-    /// Service whose targets run the queue's tasks.
-    std::string service_;
-    /// Queues with lower values are placed first.
-    std::uint32_t priority_ = 0;
-    /// Maximum number of runs of a task that may end as failed.
-    std::uint32_t maxAttempts_ = 1;
-    /// Objective of a job: this factor times its longest chain of steps, plus allowance_.
-    double stretch_ = 1;
-    Millis allowance_;
-};
-
 /// The active configuration of the cell.
 struct CellConfig
 {
     std::uint64_t version_ = 0;
+    /// Revision in the store.
+    std::int64_t revision_ = 0;
     std::map<std::string, Queue> queues_;
     std::size_t maxBody_ = 262144;
     /// By service: whether its targets reject tasks that do not fit.
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -27,7 +27,26 @@
 const Queue *Dispatcher::queueOf(const Job &job) const
 {
     const auto found = config_.queues_.find(job.record_.spec_.queue_);
-    return found == config_.queues_.end() ? nullptr : &found->second;
+    if (found != config_.queues_.end()) {
+        return &found->second;
+    }
+    const std::optional<Queue> &accepted = job.record_.spec_.acceptedBy_;
+    return accepted && !job.submittedAfterRemoval_ ? &*accepted : nullptr;
+}
+
+// Whether the queue of an offered job had been removed before the job was accepted. Of a job that was in no leader's hands and is not
+// stored that is not known; it counts as accepted later and is refused.
+bool Dispatcher::isSubmittedAfterRemoval(const JobOffer &offer) const
+{
+    const JobSpec &spec = offer.record_.spec_;
+    if (config_.queues_.count(spec.queue_) != 0) {
+        return false;
+    }
+    if (spec.ephemeral_) {
+        return offer.fresh_;
+    }
+    // The record of a pending job has the revision of its creation.
+    return offer.record_.progress_.state_ == JobState::Pending && offer.revision_ > config_.revision_;
 }
 
 Dispatcher::ReadyKey Dispatcher::keyOf(const Job &job)
@@ -72,6 +91,7 @@
         return std::nullopt;
     }
     const std::string id = offer.id_;
+    job.submittedAfterRemoval_ = isSubmittedAfterRemoval(offer);
     job.id_ = std::move(offer.id_);
     job.record_ = std::move(offer.record_);
     job.revision_ = offer.revision_;
--- a/src/ibiswall/cell/record.cpp
+++ b/src/ibiswall/cell/record.cpp
@@ -14,13 +14,37 @@
 
 constexpr int recordFormat = 1;
 
+Json formatQueue(const std::optional<Queue> &queue)
+{
+    if (!queue) {
+        return Json::array();
+    }
+    return Json::array({queue->service_, queue->priority_, queue->maxAttempts_, queue->stretch_, queue->allowance_.count_});
+}
+
+std::optional<Queue> parseQueue(const Json &json, const std::string &name)
+{
+    if (json.empty()) {
+        return std::nullopt;
+    }
+    Queue queue;
+    queue.name_ = name;
+    std::size_t at = 0;
+    queue.service_ = json.at(at++).get<std::string>();
+    queue.priority_ = json.at(at++).get<std::uint32_t>();
+    queue.maxAttempts_ = json.at(at++).get<std::uint32_t>();
+    queue.stretch_ = json.at(at++).get<double>();
+    queue.allowance_ = {json.at(at++).get<std::int64_t>()};
+    return queue;
+}
+
 Json formatSpec(const JobSpec &spec)
 {
     Json steps = Json::array();
     for (const Step &step : spec.steps_) {
         steps.push_back(formatStep(step));
     }
-    return Json::array({spec.queue_, spec.payload_, std::move(steps), spec.ephemeral_});
+    return Json::array({spec.queue_, spec.payload_, std::move(steps), spec.ephemeral_, formatQueue(spec.acceptedBy_)});
 }
 
 JobSpec parseSpec(const Json &json)
@@ -41,6 +65,11 @@
         spec.steps_.push_back(std::move(step));
     }
     spec.ephemeral_ = json.at(3).get<bool>();
+    // Earlier versions do not store it.
+    constexpr std::size_t queueAt = 4;
+    if (json.size() > queueAt) {
+        spec.acceptedBy_ = parseQueue(json.at(queueAt), spec.queue_);
+    }
     return spec;
 }
 
@@ -144,6 +173,7 @@
     if (ended) {
         spec.payload_.clear();
         spec.steps_.clear();
+        spec.acceptedBy_.reset();
     }
     const Json json = Json::array({recordFormat, record.nonce_, static_cast<int>(record.progress_.state_), record.progress_.endedAt_,
                                    formatSpec(spec), binary(ended ? std::string() : packFlags(record.progress_.done_)),
--- a/src/ibiswall/cell/record_test.cpp
+++ b/src/ibiswall/cell/record_test.cpp
@@ -14,6 +14,7 @@
     record.nonce_ = "n";
     record.spec_.steps_[0].after_ = {};
     record.spec_.steps_[0].requiredLabel_ = "b";
+    record.spec_.acceptedBy_ = testConfig().queues_.at("urgent");
     record.progress_.state_ = JobState::Running;
     record.progress_.done_ = {true, false, false, false, false, false, false, false, true};
     record.progress_.failedRuns_ = {{3, 77}};
@@ -22,6 +23,10 @@
     BOOST_REQUIRE(back.has_value());
     BOOST_TEST(back.value().spec_.queue_ == "urgent");
     BOOST_TEST(back.value().spec_.steps_[0].requiredLabel_ == "b");
+    BOOST_REQUIRE(back.value().spec_.acceptedBy_.has_value());
+    BOOST_TEST(back.value().spec_.acceptedBy_->service_ == "desk");
+    BOOST_TEST(back.value().spec_.acceptedBy_->maxAttempts_ == 2U);
+    BOOST_TEST(back.value().spec_.acceptedBy_->stretch_ == 1.6);
     BOOST_TEST((back.value().progress_.done_ == record.progress_.done_));
     BOOST_TEST((back.value().progress_.failedRuns_ == record.progress_.failedRuns_));
     BOOST_REQUIRE(back.value().progress_.crashes_.size() == 1U);
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -72,7 +72,13 @@
     }
     const cell::Queue *queue = findQueue(config_, request.host_, request.path_);
     if (queue == nullptr) {
-        respond(errorReply(NotFound, Code::UnknownPath, {}));
+        // The state of a job whose queue was removed can still be read.
+        const std::string_view id = std::string_view(request.path_).substr(request.path_.rfind('/') + 1);
+        if (request.method_ == "GET" && platform::isJobId(id)) {
+            answerState(std::string(id), NotFound, respond);
+        } else {
+            respond(errorReply(NotFound, Code::UnknownPath, {}));
+        }
         return;
     }
     const std::string id = request.path_.substr(queue->prefix_.size());
@@ -85,7 +91,7 @@
     } else if (request.method_ == "POST") {
         submit(*queue, id, request, std::move(respond));
     } else if (request.method_ == "GET") {
-        answerState(id, respond);
+        answerState(id, Gone, respond);
     } else if (request.method_ == "DELETE") {
         cancel(id, deadlineOf(request), std::move(respond));
     } else {
@@ -119,6 +125,7 @@
         return;
     }
     spec.value().queue_ = queue.name_;
+    spec.value().acceptedBy_ = queue;
     if (spec.value().ephemeral_) {
         submitEphemeral(id, std::move(spec.value()), request, std::move(respond));
         return;
@@ -219,16 +226,16 @@
     answerAll(submitters_, id, jsonReply(Success, {}));
 }
 
-void EntryNode::answerState(const std::string &id, const Respond &respond)
+void EntryNode::answerState(const std::string &id, int unknownStatus, const Respond &respond)
 {
     if (const auto known = jobs_.find(id); known != jobs_.end()) {
         respond(jsonReply(Success, platform::formatState(known->second.state_)));
         return;
     }
-    store_.get(keys::job(id), [this, id, respond](const platform::StoreResult &answer) {
+    store_.get(keys::job(id), [this, id, unknownStatus, respond](const platform::StoreResult &answer) {
         if (answer.outcome_ == platform::StoreOutcome::NotFound) {
             logEvent("job.unknown", {{"job", std::string_view(id)}});
-            respond(errorReply(Gone, Code::UnknownJob, {}));
+            respond(errorReply(unknownStatus, unknownStatus == Gone ? Code::UnknownJob : Code::UnknownPath, {}));
             return;
         }
         const auto record = answer.items_.empty() ? Result<cell::JobRecord>(Error{Code::PlatformDown, {}})
--- a/src/ibiswall/node/entryconfig.cpp
+++ b/src/ibiswall/node/entryconfig.cpp
@@ -71,6 +71,7 @@
             }
             configRevision_ = item.revision_;
             config_ = std::move(config.value());
+            config_.revision_ = item.revision_;
             configured_ = true;
             reachStage(RecoveryStage::Configuration);
             changed = true;
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -64,7 +64,8 @@
     void submitEphemeral(const std::string &id, cell::JobSpec spec, const HttpRequest &request, Respond respond);
     void onCallerDisconnected(const std::string &id, std::uint64_t number);
     void answerAll(Callers &waiting, const std::string &id, const HttpReply &reply);
-    void answerState(const std::string &id, const Respond &respond);
+    /// @param unknownStatus status if there is no such job
+    void answerState(const std::string &id, int unknownStatus, const Respond &respond);
     void cancel(const std::string &id, Millis deadline, Respond respond);
     void answerQueueLength(const cell::Queue &queue, const Respond &respond) const;
     void onAccepted(const std::string &id, const AcceptedJob &job);
