--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -266,6 +266,8 @@
         bool mayHaveStarted_ = false;
         /// Bytes of the tasks.
         BudgetShare share_;
+        /// Its queue was not configured any more when it was accepted.
+        bool submittedAfterRemoval_ = false;
 
         bool isEphemeral() const
         {
@@ -369,6 +371,7 @@
     bool checkStall(Target &target, Millis now);
     void stopOverdueRuns(Target &target, Millis now);
     const Queue *queueOf(const Job &job) const;
+    bool isSubmittedAfterRemoval(const JobOffer &offer) const;
 
     std::uint64_t epoch_;
     std::uint64_t runsAssigned_ = 0;
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -76,7 +76,8 @@
     std::optional<JobShares> acquireShares(const cell::JobSpec &spec) const;
     void refuse(const std::string &id, const char *reason, const Respond &respond);
     void answerAll(Callers &waiting, const std::string &id, const HttpReply &reply);
-    void answerState(const std::string &id, const Respond &respond);
+    /// @param unknownStatus status if there is no such job
+    void answerState(const std::string &id, int unknownStatus, const Respond &respond);
     void cancel(const std::string &id, Millis deadline, Respond respond);
     void answerQueueLength(const cell::Queue &queue, const Respond &respond) const;
     void onAccepted(const std::string &id, const AcceptedJob &job);
