Give each queue a minimum share under shortage, and name the time after which refused callers should return

While a service has no room for all waiting tasks, a queue below queue_floor of the cores in use goes first, callers of different failure domains take turns within a queue, and late ephemeral jobs keep no targets closed. Refusals carry a retry time, heartbeats of the leader the predicted wait of each queue, offers the failure domain of the entry; all are optional fields.

--- a/include/ibiswall/cell/admission.hpp
+++ b/include/ibiswall/cell/admission.hpp
@@ -36,17 +36,23 @@
 {
     /// Thousandths of a core times milliseconds, decayed to updatedAt_.
     double work_ = 0;
+    /// The same, each job multiplied by its objective in milliseconds.
+    double byObjective_ = 0;
     Millis updatedAt_;
 };
 
 /// Time that the average covers: the objectives of the longest ordinary jobs are about as long, and bursts last several times that.
 constexpr Millis arrivalWindow{1000};
 
-void recordArrival(ArrivalRate &rate, const Work &work, Millis now);
+/// @param objective time from its submission until the job is due
+void recordArrival(ArrivalRate &rate, const Work &work, Millis objective, Millis now);
 
 /// Thousandths of a core that the arriving work keeps busy.
 double coresOf(const ArrivalRate &rate, Millis now);
 
+/// Work that arrives later and is due before the given time.
+Work overtaking(const ArrivalRate &rate, const Work &task, Millis due, Millis now);
+
 /// Expected ends of running tasks: thousandths of a core that become free, by time rounded up to backlogBucket.
 using ExpectedEnds = std::map<std::int64_t, std::int64_t>;
 
@@ -60,7 +66,7 @@
     double capacity_ = 0;
     /// The part of it that runs nothing.
     double free_ = 0;
-    /// Ends of what runs; in all of the service, of which the pool is assumed to get its share.
+    /// Ends of what runs in all of the service. Targets with other labels become free too, so the wait of a pool may be underestimated.
     const ExpectedEnds *ends_ = nullptr;
 };
 
--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -27,6 +27,9 @@
 /// A job that takes longer than this many times its objective is useless to its caller; users count it as not served.
 constexpr std::int64_t usefulObjectiveFactor = 3;
 
+/// Whether a job that arrives now and starts after a predicted wait probably ends while it is useful to its caller.
+bool isUsefulAfter(Millis wait, const JobSpec &spec, const Queue &queue);
+
 /// Manages the jobs of a cell during one epoch. Not thread-safe; performs no I/O.
 class Dispatcher
 {
@@ -269,6 +272,8 @@
         std::map<std::tuple<std::string_view, std::string_view, bool>, ExhaustedNeeds> exhausted_;
         /// Whether a task has found all its targets closed since this was checked.
         bool closed_ = false;
+        /// Needs for which no target has room, although targets may be open.
+        std::map<std::tuple<std::string_view, std::string_view, bool>, ExhaustedNeeds> full_;
     };
 
     /// Predictions in one pass, and the supply of each pool of targets.
@@ -280,7 +285,7 @@
 
     static ReadyKey keyOf(const Job &job);
     // Admission (dispatcheradmission.cpp)
-    void initAdmission(Job &job, bool fresh, Millis now);
+    void initAdmission(Job &job, Millis objective, bool fresh, Millis now);
     void countWaiting(Job &job);
     void checkArrivals(Millis now);
     std::vector<Job *> jobsToRecheck(Millis now);
@@ -289,6 +294,12 @@
     bool isAdmissible(Forecast &forecast, const Job &job, Millis &wait) const;
     void refuse(Job &job, const char *reason, Millis wait, Millis now);
     void placeReady(Millis now);
+    bool becomesLate(const Job &job, Millis now) const;
+    bool keepsCapacity(const Job &job, Millis now) const;
+    // Shares under shortage (dispatchershares.cpp)
+    void placeInTurn(const std::set<std::string> &services, Millis now);
+    std::vector<Job *> jobsInTurn(const std::set<std::string> &services) const;
+    bool isBelowFloor(const Job &job, const std::set<std::string> &services) const;
     // Runs on targets (dispatcherusage.cpp)
     void addRun(Target &target, const Job &job, const TaskId &id, Millis now);
     void removeRun(Target &target, const TaskId &id);
@@ -367,6 +378,8 @@
     /// Predicted waits by queue at which its waiting jobs were checked last.
     std::map<std::string, Millis> checkedWaits_;
     Usage usage_;
+    /// Services of which a task found no room in the latest call of schedule().
+    std::set<std::string> shortServices_;
     /// When the first target reported; 0 if none has.
     Millis firstReportAt_;
     bool reconciled_ = false;
--- a/src/ibiswall/cell/admission.cpp
+++ b/src/ibiswall/cell/admission.cpp
@@ -125,12 +125,26 @@
     return sum;
 }
 
-void recordArrival(ArrivalRate &rate, const Work &work, Millis now)
+void recordArrival(ArrivalRate &rate, const Work &work, Millis objective, Millis now)
 {
-    rate.work_ = coresOf(rate, now) * static_cast<double>(arrivalWindow.count_) + static_cast<double>(work.work_);
+    const double decay = std::exp(-static_cast<double>((now - rate.updatedAt_).count_) / static_cast<double>(arrivalWindow.count_));
+    const auto added = static_cast<double>(work.work_);
+    rate.work_ = rate.work_ * decay + added;
+    rate.byObjective_ = rate.byObjective_ * decay + added * static_cast<double>(objective.count_);
     rate.updatedAt_ = now;
 }
 
+Work overtaking(const ArrivalRate &rate, const Work &task, Millis due, Millis now)
+{
+    if (rate.work_ <= 0 || task.work_ <= 0) {
+        return {};
+    }
+    const double time = static_cast<double>((due - now).count_) - rate.byObjective_ / rate.work_;
+    const double work = std::max(time, 0.0) * coresOf(rate, now);
+    const double duration = static_cast<double>(task.work_) / static_cast<double>(std::max<std::int64_t>(task.cores_, 1));
+    return {static_cast<std::int64_t>(work / duration), static_cast<std::int64_t>(work)};
+}
+
 double coresOf(const ArrivalRate &rate, Millis now)
 {
     const auto window = static_cast<double>(arrivalWindow.count_);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -37,6 +37,13 @@
 
 } // namespace
 
+bool isUsefulAfter(Millis wait, const JobSpec &spec, const Queue &queue)
+{
+    const Millis chain = longestChain(spec);
+    const auto least = static_cast<std::int64_t>(static_cast<double>(wait.count_) * (1 - predictionMargin));
+    return least + chain.count_ <= usefulObjectiveFactor * objective(chain, &queue).count_;
+}
+
 Dispatcher::Dispatcher(std::uint64_t epoch)
     : epoch_(epoch)
 {
@@ -120,7 +127,7 @@
     job.due_ = submittedAt + jobObjective;
     job.latestStart_ = job.due_ - chain;
     job.lastUsefulStart_ = submittedAt + Millis{usefulObjectiveFactor * jobObjective.count_} - chain;
-    initAdmission(job, fresh, now);
+    initAdmission(job, jobObjective, fresh, now);
     const JobProgress &progress = job.record_.progress_;
     for (const Step &step : job.record_.spec_.steps_) {
         job.offsets_.push_back(static_cast<std::uint32_t>(job.tasks_.size()));
--- a/src/ibiswall/cell/dispatcheradmission.cpp
+++ b/src/ibiswall/cell/dispatcheradmission.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-void Dispatcher::initAdmission(Job &job, bool fresh, Millis now)
+void Dispatcher::initAdmission(Job &job, Millis objective, bool fresh, Millis now)
 {
     const JobSpec &spec = job.record_.spec_;
     const Work whole = workOf(spec);
@@ -51,7 +51,8 @@
     }
     // Jobs that were offered to an earlier leader do not arrive now.
     if (fresh) {
-        recordArrival(arrivalRates_[{poolOf(queue->service_, labelOf(spec)), queue->name_}], whole, now);
+        recordArrival(arrivalRates_[{poolOf(queue->service_, labelOf(spec)), queue->name_}], whole,
+                      objective, now);
         arrivals_.push_back(job.id_);
     }
 }
@@ -100,6 +101,8 @@
     const double certainty = late ? 1 - predictionMargin : 1;
     double taken = 0;
     double ownRate = 0;
+    Work overtakes;
+    Work ownOvertakes;
     for (auto each = arrivalRates_.lower_bound({pool, {}}); each != arrivalRates_.end() && each->first.first == pool; ++each) {
         const auto other = config_.queues_.find(each->first.second);
         if (other == config_.queues_.end()) {
@@ -107,18 +110,24 @@
         }
         const double rate = coresOf(each->second, forecast.now_);
         const bool before = other->second.priority_ < queue.priority_ || (late && other->second.priority_ == queue.priority_);
+        if (!late && other->second.priority_ == queue.priority_) {
+            // Jobs with shorter objectives that arrive later may be due before.
+            const Work earlier = overtaking(each->second, job.taskWork_, job.due_, forecast.now_);
+            overtakes = overtakes + earlier;
+            ownOvertakes = other->first == queue.name_ ? earlier : ownOvertakes;
+        }
         taken += before ? certainty * rate : 0;
         taken += other->second.priority_ > queue.priority_ ? std::min(rate, scheduling_.queueFloor_ * supply.capacity_) : 0;
         ownRate = other->first == queue.name_ && late ? certainty * rate : ownRate;
     }
     const double capacity = std::max(supply.capacity_, 1.0);
-    const Work all = workThrough(poolBacklog_, backlogKey(pool, job.priority_, late, job.due_));
+    const Work all = workThrough(poolBacklog_, backlogKey(pool, job.priority_, late, job.due_)) + overtakes;
     const Millis byOrder = predictWait(supply, all, job.taskWork_, 1 - taken / capacity, runTimeFactor, forecast.now_);
     const double ownShare = scheduling_.queueFloor_ - ownRate / capacity;
     if (ownShare <= 0) {
         return byOrder;
     }
-    const Work own = workThrough(queueBacklog_, backlogKey(queue.name_, job.priority_, late, job.due_));
+    const Work own = workThrough(queueBacklog_, backlogKey(queue.name_, job.priority_, late, job.due_)) + ownOvertakes;
     return std::min(byOrder, predictWait(supply, own, job.taskWork_, ownShare, runTimeFactor, forecast.now_));
 }
 
@@ -174,6 +183,13 @@
 // Waiting jobs of queues whose predicted wait has grown.
 std::vector<Dispatcher::Job *> Dispatcher::jobsToRecheck(Millis now)
 {
+    if (!scheduling_.admission_) {
+        return {};
+    }
+    for (auto each = arrivalRates_.begin(); each != arrivalRates_.end();) {
+        // Labels are chosen by callers, so their number is not bounded otherwise.
+        each = coresOf(each->second, now) < 1 ? arrivalRates_.erase(each) : std::next(each);
+    }
     std::map<std::string, std::size_t> left;
     std::map<std::string, Millis> waits = predictedWaits(now);
     for (const auto &[queue, wait] : waits) {
--- a/src/ibiswall/cell/dispatcherplacing.cpp
+++ b/src/ibiswall/cell/dispatcherplacing.cpp
@@ -36,6 +36,19 @@
     return job.state_ == JobState::Pending && now > job.latestStart_;
 }
 
+// Whether a job is to be placed last among those of its priority from now on.
+bool Dispatcher::becomesLate(const Job &job, Millis now) const
+{
+    return !job.late_ && (isLate(job, now) || (job.suspect_ && isContained(job, now)));
+}
+
+// Whether targets keep capacity for tasks of the job that do not fit. With minimum shares, an ephemeral job whose slack is used up keeps
+// no other waiting: it ends late anyway.
+bool Dispatcher::keepsCapacity(const Job &job, Millis now) const
+{
+    return scheduling_.queueFloor_ <= 0 || !job.isEphemeral() || now <= job.latestStart_;
+}
+
 void Dispatcher::schedule(Millis now)
 {
     addReturnedJobs(now);
@@ -47,6 +60,11 @@
 void Dispatcher::placeReady(Millis now)
 {
     openTargets(targets_);
+    const std::set<std::string> services = std::exchange(shortServices_, {});
+    if (scheduling_.queueFloor_ > 0 && !services.empty()) {
+        placeInTurn(services, now);
+        return;
+    }
     SchedulingPass pass;
     std::uint32_t priority = 0;
     for (auto next = ready_.begin(); next != ready_.end();) {
@@ -55,7 +73,7 @@
             priority = job.priority_;
             forgetFewMisses(targets_);
         }
-        if (!job.late_ && (isLate(job, now) || (job.suspect_ && isContained(job, now)))) {
+        if (becomesLate(job, now)) {
             // Visited again later in this loop, after the jobs of its priority that can still meet their objective.
             ready_.erase(keyOf(job));
             job.late_ = true;
@@ -120,6 +138,11 @@
     if (const auto shortage = isOrdinary ? findShortage(exhausted, stepSpec.need_) : std::nullopt) {
         return shortage;
     }
+    const bool keeps = keepsCapacity(job, now);
+    ExhaustedNeeds &full = pass.full_[{queue.service_, stepSpec.requiredLabel_, contained}];
+    if (!keeps && isOrdinary && findShortage(full, stepSpec.need_)) {
+        return Shortage::Busy;
+    }
     std::map<std::string, std::uint32_t> onAgent;
     for (std::uint32_t i = 0; i < stepSpec.count_ && stepSpec.maxPerTarget_ > 0; ++i) {
         const Task &task = job.tasks_[job.offsets_[step] + i];
@@ -144,7 +167,13 @@
             continue;
         }
         if (target == nullptr) {
-            const Shortage shortage = recordMiss(targets_, placement, job.sequence_, now);
+            const Shortage shortage = keeps ? recordMiss(targets_, placement, job.sequence_, now) : Shortage::Busy;
+            if (shortage != Shortage::NoMatch) {
+                shortServices_.insert(queue.service_);
+            }
+            if (isOrdinary && !keeps) {
+                full.emplace_back(stepSpec.need_, shortage);
+            }
             pass.closed_ = pass.closed_ || shortage != Shortage::Busy;
             if (isOrdinary && shortage != Shortage::Busy) {
                 exhausted.emplace_back(stepSpec.need_, shortage);
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -19,6 +19,8 @@
 // Retry-After while the store cannot be reached: outages last seconds.
 constexpr Millis storeRetryAfter{2000};
 constexpr Millis startRetryAfter{1000};
+// Age at which the leader's predicted waits say nothing any more: a burst or a loss of targets can end meanwhile.
+constexpr Millis maxWaitAge{1000};
 constexpr Millis prunePeriod{1000};
 
 enum Status {
@@ -129,6 +131,12 @@
         respond(errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
         return;
     }
+    if (const Millis wait = unservableWait(queue, spec.value()); !acceptor_.isPending(id) && wait > Millis{0}) {
+        count("ibiswall_refusals_total", "no_room_in_time");
+        logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", "no room in time"}, {"wait_ms", wait.count_}});
+        respond(errorReply(Unavailable, Code::Overloaded, {}, cell::retryAfter(wait, id)));
+        return;
+    }
     submitters_[id].push_back({std::move(respond), deadlineOf(request), nextCaller_++, bootClock()});
     cell::JobRecord record;
     record.spec_ = std::move(spec.value());
@@ -136,6 +144,17 @@
     acceptor_.submit(id, std::move(record));
 }
 
+// The leader's predicted wait if a new job of the queue could only end when it is useless, otherwise 0. Nothing is known from waits that
+// are older than maxWaitAge.
+Millis EntryNode::unservableWait(const cell::Queue &queue, const cell::JobSpec &spec) const
+{
+    const auto found = waits_.find(queue.name_);
+    if (!settings_.scheduling_.admission_ || found == waits_.end() || bootClock() - waitsAt_ > maxWaitAge) {
+        return {0};
+    }
+    return cell::isUsefulAfter(found->second, spec, queue) ? Millis{0} : found->second;
+}
+
 // The caller waits until the job has ended. Nothing is stored; a caller that loses its connection has to retry.
 void EntryNode::submitEphemeral(const std::string &id, cell::JobSpec spec, const HttpRequest &request, Respond respond)
 {
@@ -270,7 +289,8 @@
     const bool ephemeral = job.isEphemeral();
     job.record_.reset();
     job.endedAt_ = bootClock();
-    const HttpReply reply = notice.state_ == cell::JobState::Refused ? errorReply(Unavailable, Code::Overloaded, {}, startRetryAfter)
+    const Millis retryAfter = notice.retryAfter_ > Millis{0} ? notice.retryAfter_ : startRetryAfter;
+    const HttpReply reply = notice.state_ == cell::JobState::Refused ? errorReply(Unavailable, Code::Overloaded, {}, retryAfter)
                                                                      : jsonReply(Success, platform::formatState(notice.state_));
     answerAll(cancellers_, notice.job_, reply);
     if (ephemeral) {
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t maxOffers = 64;
 // Time between the refusal of a job by the leader and the caller's deadline.
 constexpr Millis refusalReserve{60};
+constexpr double millisPerSecond = 1000;
 
 } // namespace
 
@@ -44,6 +45,8 @@
             succession_.onLeaderHeard(heartbeat->epoch_);
             waiting_ = heartbeat->waiting_;
             contained_ = heartbeat->contained_;
+            waits_ = heartbeat->waits_;
+            waitsAt_ = bootClock();
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -156,7 +159,8 @@
             continue;
         }
         KnownJob &job = found->second;
-        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id)});
+        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id),
+                                 settings_.domain_});
         job.offeredEpoch_ = epoch;
         if (frame.offers_.size() == maxOffers) {
             send();
@@ -235,6 +239,12 @@
         waiting_ = frame.waiting_;
         frame.contained_ = leaderSession_->containedQueues();
         contained_ = frame.contained_;
+        frame.waits_ = leaderSession_->predictedWaits();
+        waits_ = frame.waits_;
+        waitsAt_ = now;
+        for (const auto &[queue, wait] : waits_) {
+            gauge("ibiswall_predicted_wait_seconds", static_cast<double>(wait.count_) / millisPerSecond, queue);
+        }
     }
     return frame;
 }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -70,6 +70,7 @@
     void onUnknownJob(const std::string &id);
     void expireCallers(Millis now);
     bool isStoreLost() const;
+    Millis unservableWait(const cell::Queue &queue, const cell::JobSpec &spec) const;
 
     // Other processes of the cell (entrycell.cpp)
     void receive(const std::string &from, std::string_view bytes);
@@ -151,6 +152,9 @@
     std::map<std::string, std::size_t> waiting_;
     /// Queues that the leader contains.
     std::set<std::string> contained_;
+    /// The leader's predicted waits by queue, and when they were received.
+    std::map<std::string, Millis> waits_;
+    Millis waitsAt_;
     /// Addresses of the other entries; empty before the first read.
     std::map<std::string, Address> entries_;
     /// When each registered entry was last reachable.
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -138,9 +138,17 @@
 
 Json body(const HeartbeatFrame &frame)
 {
-    return Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_, frame.steppedDown_,
-                        frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_), frame.accepting_,
-                        frame.nextIn_.count_, Json(frame.contained_)});
+    Json json = Json::array({frame.epoch_, frame.leader_, frame.leaderAge_.count_, frame.storeAge_.count_, frame.leaving_,
+                             frame.steppedDown_, frame.millicores_, frame.sentAt_.count_, frame.holdOffFrom_.count_, Json(frame.waiting_),
+                             frame.accepting_, frame.nextIn_.count_, Json(frame.contained_)});
+    if (!frame.waits_.empty()) {
+        Json waits = Json::object();
+        for (const auto &[queue, wait] : frame.waits_) {
+            waits[queue] = wait.count_;
+        }
+        json.push_back(std::move(waits));
+    }
+    return json;
 }
 
 Json body(const OffersFrame &frame)
@@ -148,7 +156,7 @@
     Json offers = Json::array();
     for (const cell::JobOffer &offer : frame.offers_) {
         offers.push_back(Json::array({offer.id_, binary(formatRecord(offer.record_)), offer.revision_, offer.fresh_,
-                                      offer.callerTimeout_.count_, offer.age_.count_}));
+                                      offer.callerTimeout_.count_, offer.age_.count_, offer.domain_}));
     }
     return offers;
 }
@@ -157,7 +165,11 @@
 {
     Json notices = Json::array();
     for (const cell::Notice &notice : frame.notices_) {
-        notices.push_back(Json::array({notice.job_, static_cast<int>(notice.state_)}));
+        Json each = Json::array({notice.job_, static_cast<int>(notice.state_)});
+        if (notice.retryAfter_ > Millis{0}) {
+            each.push_back(notice.retryAfter_.count_);
+        }
+        notices.push_back(std::move(each));
     }
     return Json::array({frame.epoch_, frame.ephemeral_, std::move(notices)});
 }
@@ -251,6 +263,12 @@
     if (json.size() > at) {
         frame.contained_ = json.at(at++).get<std::set<std::string>>();
     }
+    // Sent only with admission control.
+    if (json.size() > at) {
+        for (const auto &[queue, wait] : json.at(at++).get<std::map<std::string, std::int64_t>>()) {
+            frame.waits_[queue] = {wait};
+        }
+    }
     return frame;
 }
 
@@ -268,7 +286,9 @@
                                  each.at(3).get<bool>(),
                                  {},
                                  {each.at(4).get<std::int64_t>()},
-                                 {each.at(5).get<std::int64_t>()}});
+                                 {each.at(5).get<std::int64_t>()},
+                                 // Earlier versions do not send it.
+                                 each.size() > 6 ? each.at(6).get<std::string>() : std::string()});
     }
     return frame;
 }
@@ -283,7 +303,9 @@
         if (state < 0 || state > static_cast<int>(cell::JobState::Refused)) {
             throw std::out_of_range("unknown job state");
         }
-        frame.notices_.push_back({each.at(0).get<std::string>(), static_cast<cell::JobState>(state), {}});
+        // Sent only with refusals.
+        const Millis retryAfter{each.size() > 2 ? each.at(2).get<std::int64_t>() : 0};
+        frame.notices_.push_back({each.at(0).get<std::string>(), static_cast<cell::JobState>(state), {}, retryAfter});
     }
     return frame;
 }
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -81,6 +81,8 @@
     std::map<std::string, std::size_t> waiting_;
     /// From the leader: contained queues, which a successor has to contain from its start.
     std::set<std::string> contained_;
+    /// From the leader with admission control: predicted time until a job that arrives now has started, by queue.
+    std::map<std::string, Millis> waits_;
 };
 
 /// Jobs that an entry registers with the leader.
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -38,8 +38,15 @@
     heartbeat.holdOffFrom_ = {77};
     heartbeat.waiting_ = {{"q", 2}};
     heartbeat.contained_ = {"q"};
+    heartbeat.waits_ = {{"q", {250}}};
+    OffersFrame offers;
+    offers.offers_.emplace_back();
+    offers.offers_.back().id_ = "j";
+    offers.offers_.back().domain_ = "fd-1";
+    const NoticesFrame notices{3, true, {{"j", cell::JobState::Refused, {}, {1500}}, {"k", cell::JobState::Completed, {}}}};
     return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}}, report,
-            orders,       heartbeat,         CancelFrame{"j", true}, UnknownJobFrame{"j"}};
+            orders,       heartbeat,         CancelFrame{"j", true}, UnknownJobFrame{"j"},
+            offers,       notices};
 }
 
 } // namespace
@@ -56,6 +63,33 @@
     }
 }
 
+// An entry of an earlier version neither names its failure domain, nor is a leader of one able to say when a caller should return.
+BOOST_AUTO_TEST_CASE(fields_of_admission_control_are_optional)
+{
+    for (Frame &frame : samples()) {
+        nlohmann::json json = nlohmann::json::from_cbor(formatFrame(frame));
+        if (std::holds_alternative<OffersFrame>(frame)) {
+            json.at(1).at(0).erase(6);
+        } else if (std::holds_alternative<NoticesFrame>(frame)) {
+            json.at(1).at(2).at(0).erase(2);
+        } else if (std::holds_alternative<HeartbeatFrame>(frame)) {
+            json.at(1).erase(13);
+        } else {
+            continue;
+        }
+        const auto bytes = nlohmann::json::to_cbor(json);
+        const auto decoded = parseFrame(std::string(bytes.begin(), bytes.end()));
+        BOOST_REQUIRE(decoded.has_value());
+        if (const auto *offers = std::get_if<OffersFrame>(&decoded.value())) {
+            BOOST_TEST(offers->offers_.front().domain_.empty());
+        } else if (const auto *notices = std::get_if<NoticesFrame>(&decoded.value())) {
+            BOOST_TEST((notices->notices_.front().retryAfter_ == Millis{0}));
+        } else if (const auto *heartbeat = std::get_if<HeartbeatFrame>(&decoded.value())) {
+            BOOST_TEST(heartbeat->waits_.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(entry_of_an_earlier_version_accepts_jobs_unless_it_is_leaving)
 {
     for (const bool leaving : {false, true}) {
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -327,4 +327,22 @@
     return dispatcher_.waitingJobs();
 }
 
+std::map<std::string, Millis> LeaderSession::predictedWaits() const
+{
+    return dispatcher_.predictedWaits(bootClock());
+}
+
+void LeaderSession::logRefusals(Span<const cell::Refusal> refusals)
+{
+    for (const cell::Refusal &refusal : refusals) {
+        count("ibiswall_unservable_total", refusal.reason_);
+        logEvent("job.unservable",
+                 {{"job", std::string_view(refusal.job_)},
+                  {"queue", std::string_view(refusal.queue_)},
+                  {"reason", refusal.reason_},
+                  {"held_ms", refusal.held_.count_},
+                  {"wait_ms", refusal.wait_.count_}});
+    }
+}
+
 } // namespace ibiswall::node
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -93,6 +93,9 @@
 
     std::map<std::string, std::size_t> waitingJobs() const;
 
+    /// Predicted time until a job that arrives now has started, by queue. Empty without admission control.
+    std::map<std::string, Millis> predictedWaits() const;
+
 private:
     struct AgentState
     {
@@ -135,6 +138,7 @@
     void sweep();
     void dispatch();
     void logContainment();
+    void logRefusals(Span<const cell::Refusal> refusals);
     void scheduleDispatch();
     void send(cell::DispatcherActions &&actions);
     void store();
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -67,6 +67,7 @@
 
 void LeaderSession::send(cell::DispatcherActions &&actions)
 {
+    logRefusals(actions.refusals_);
     std::map<std::string, OrdersFrame> orders;
     for (cell::StartOrder &start : actions.starts_) {
         count("ibiswall_placements_total");
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -43,6 +43,8 @@
         {"ibiswall_containments_total", {"Times that a queue was contained, since its jobs crashed targets", ""}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
         {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
+        {"ibiswall_unservable_total", {"Jobs that this leader refused since they cannot be served in time, by when it knew", "reason"}},
+        {"ibiswall_predicted_wait_seconds", {"Predicted time until a job that arrives now has started, by queue", "queue"}},
         {"ibiswall_open_jobs", {"Jobs of this leader that have not ended", ""}},
         {"ibiswall_store_calls_total", {"Calls to the store by outcome", "outcome"}},
         {"ibiswall_store_seconds", {"Time of calls to the store, by kind", "kind"}},
@@ -112,9 +114,9 @@
         .Observe(static_cast<double>(duration.count_) / millisPerSecond);
 }
 
-void gauge(const std::string &name, double value)
+void gauge(const std::string &name, double value, const std::string &label)
 {
-    find(metrics().gauges_, name, {}, [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Gauge & {
+    find(metrics().gauges_, name, label, [&](const Description &description, const prometheus::Labels &labels) -> prometheus::Gauge & {
         return prometheus::BuildGauge().Name(name).Help(description.help_).Register(metrics().registry_).Add(labels);
     }).Set(value);
 }
--- a/src/ibiswall/node/metrics.hpp
+++ b/src/ibiswall/node/metrics.hpp
@@ -17,7 +17,8 @@
 void observe(const std::string &name, Millis duration, const std::string &label = {});
 
 /// Sets a gauge.
-void gauge(const std::string &name, double value);
+/// @param label value of the gauge's label; empty if it has none
+void gauge(const std::string &name, double value, const std::string &label = {});
 
 /// All metrics in the Prometheus text format.
 std::string metricsText();
