--- a/src/ibiswall/cell/admission.cpp
+++ b/src/ibiswall/cell/admission.cpp
@@ -220,7 +220,9 @@
 
 bool isServable(const AdmissionQuery &query, Millis now)
 {
-    const auto scaled = [](Millis wait, double factor) { return Millis{static_cast<std::int64_t>(static_cast<double>(wait.count_) * factor)}; };
+    const auto scaled = [](Millis wait, double factor) {
+        return Millis{static_cast<std::int64_t>(static_cast<double>(wait.count_) * factor)};
+    };
     if (!query.late_ && now + scaled(query.wait_, 1 + predictionMargin) <= query.latestStart_) {
         return true;
     }
--- a/src/ibiswall/cell/admissionload_test.cpp
+++ b/src/ibiswall/cell/admissionload_test.cpp
@@ -226,16 +226,15 @@
         return std::any_of(agents_.begin(), agents_.end(), [this](const auto &each) {
             const auto found = running_.find(each.first);
             const std::size_t runs = found == running_.end() ? 0 : found->second.size();
-            return lost_.count(each.first) == 0
-                && static_cast<std::int64_t>(runs + 1) * cpuOfTask <= each.second.capacity_.cpu_;
+            return lost_.count(each.first) == 0 && static_cast<std::int64_t>(runs + 1) * cpuOfTask <= each.second.capacity_.cpu_;
         });
     }
 
     void endRun(const StartOrder &start)
     {
         auto &running = running_[start.agent_];
-        const auto found = std::find_if(running.begin(), running.end(),
-                                        [&start](const auto &each) { return each.first.number_ == start.run_.number_; });
+        const auto found
+            = std::find_if(running.begin(), running.end(), [&start](const auto &each) { return each.first.number_ == start.run_.number_; });
         if (found != running.end()) {
             running.erase(found);
             dispatcher_->applyResult(start.agent_, {++results_[start.agent_], start.run_, RunOutcome::Done, {}}, now_);
@@ -299,9 +298,10 @@
         shares.refusedLate_ += refused && job.held_.count_ * 4 > objectiveOf(queue) ? 1 : 0;
         shares.refusedAfterObjective_ += refused && job.held_.count_ > objectiveOf(queue) ? 1 : 0;
     }
-    BOOST_TEST_MESSAGE(queue << ' ' << domain << " from " << from << ": " << shares.jobs_ << " jobs, " << shares.completed_ << " completed, "
-                             << shares.inTime_ << " in time, " << shares.useless_ << " useless, " << shares.refused_ << " refused, "
-                             << shares.refusedLate_ << " of them late, " << shares.refusedAfterObjective_ << " after the objective");
+    BOOST_TEST_MESSAGE(queue << ' ' << domain << " from " << from << ": " << shares.jobs_ << " jobs, " << shares.completed_
+                             << " completed, " << shares.inTime_ << " in time, " << shares.useless_ << " useless, " << shares.refused_
+                             << " refused, " << shares.refusedLate_ << " of them late, " << shares.refusedAfterObjective_
+                             << " after the objective");
     return shares;
 }
 
@@ -432,7 +432,8 @@
                 served.push_back(sharesOf(load, kind.queue_, 0, calmUntil, domain).served());
             }
             // Each domain gets its minimum of the queue's share.
-            BOOST_TEST(*std::min_element(served.begin(), served.end()) >= (1 - predictionMargin) * *std::max_element(served.begin(), served.end()));
+            BOOST_TEST(*std::min_element(served.begin(), served.end())
+                       >= (1 - predictionMargin) * *std::max_element(served.begin(), served.end()));
         }
     }
 }
--- a/src/ibiswall/cell/dispatcheradmission.cpp
+++ b/src/ibiswall/cell/dispatcheradmission.cpp
@@ -51,8 +51,7 @@
     }
     // Jobs that were offered to an earlier leader do not arrive now.
     if (fresh) {
-        recordArrival(arrivalRates_[{poolOf(queue->service_, labelOf(spec)), queue->name_}], whole,
-                      objective, now);
+        recordArrival(arrivalRates_[{poolOf(queue->service_, labelOf(spec)), queue->name_}], whole, objective, now);
         arrivals_.push_back(job.id_);
     }
 }
@@ -155,8 +154,7 @@
     }
     const JobSpec &spec = job.record_.spec_;
     return std::any_of(spec.steps_.begin(), spec.steps_.end(), [this, queue, &job, &forecast](const Step &step) {
-        return step.after_.empty()
-            && isRoomFor(targets_, {step, queue->service_, domainsOut_, nullptr, nullptr, job.id_}, forecast.now_);
+        return step.after_.empty() && isRoomFor(targets_, {step, queue->service_, domainsOut_, nullptr, nullptr, job.id_}, forecast.now_);
     });
 }
 
--- a/src/ibiswall/cell/dispatcherusage.cpp
+++ b/src/ibiswall/cell/dispatcherusage.cpp
@@ -8,7 +8,8 @@
 {
     const Step &step = job.record_.spec_.steps_[id.step_];
     const Queue *queue = queueOf(job);
-    PlacedRun run{step.need_, queue == nullptr ? std::string() : queue->service_, job.record_.spec_.queue_, job.domain_, now + step.estimate_};
+    PlacedRun run{step.need_, queue == nullptr ? std::string() : queue->service_, job.record_.spec_.queue_, job.domain_,
+                  now + step.estimate_};
     if (const auto former = target.runs_.find(id); former != target.runs_.end()) {
         removeUsage(usage_, former->second);
     }
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -159,8 +159,8 @@
             continue;
         }
         KnownJob &job = found->second;
-        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id),
-                                 settings_.domain_});
+        frame.offers_.push_back(
+            {id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id), settings_.domain_});
         job.offeredEpoch_ = epoch;
         if (frame.offers_.size() == maxOffers) {
             send();
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -44,9 +44,8 @@
     offers.offers_.back().id_ = "j";
     offers.offers_.back().domain_ = "fd-1";
     const NoticesFrame notices{3, true, {{"j", cell::JobState::Refused, {}, {1500}}, {"k", cell::JobState::Completed, {}}}};
-    return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}}, report,
-            orders,       heartbeat,         CancelFrame{"j", true}, UnknownJobFrame{"j"},
-            offers,       notices};
+    return {LeadFrame{4}, PingFrame{4, {5}},      PongFrame{4, {5}, {6}}, report, orders,
+            heartbeat,    CancelFrame{"j", true}, UnknownJobFrame{"j"},   offers, notices};
 }
 
 } // namespace
