--- a/src/ibiswall/cell/dispatcheradmission.cpp
+++ b/src/ibiswall/cell/dispatcheradmission.cpp
@@ -178,7 +178,7 @@
     }
 }
 
-// Waiting jobs of queues whose predicted wait has grown.
+// Waiting jobs of queues whose predicted wait has grown, and late jobs.
 std::vector<Dispatcher::Job *> Dispatcher::jobsToRecheck(Millis now)
 {
     if (!scheduling_.admission_) {
@@ -199,11 +199,20 @@
         }
     }
     std::vector<Job *> jobs;
-    for (auto each = ready_.rbegin(); !left.empty() && each != ready_.rend(); ++each) {
-        const auto found = left.find(each->second->record_.spec_.queue_);
-        if (found != left.end() && found->second > 0 && isRefusable(*each->second)) {
-            jobs.push_back(each->second);
+    // The time that late jobs have left shrinks although their wait may not grow.
+    std::size_t late = maxRechecks;
+    for (auto each = ready_.rbegin(); each != ready_.rend(); ++each) {
+        Job *job = each->second;
+        const auto found = left.find(job->record_.spec_.queue_);
+        if (!isRefusable(*job)) {
+            continue;
+        }
+        if (found != left.end() && found->second > 0) {
+            jobs.push_back(job);
             --found->second;
+        } else if (job->late_ && late > 0) {
+            jobs.push_back(job);
+            --late;
         }
     }
     for (const auto &[queue, rest] : left) {
