--- a/src/ibiswall/cell/admission_test.cpp
+++ b/src/ibiswall/cell/admission_test.cpp
@@ -205,6 +205,22 @@
     BOOST_TEST(fixture.schedule().starts_.size() == 1U);
 }
 
+// The sums decide which queue goes first; a run that was left in one would take the queue's share for ever.
+BOOST_AUTO_TEST_CASE(usage_is_empty_once_all_runs_are_removed)
+{
+    Usage usage;
+    const PlacedRun first{{1000, 0, 0}, "desk", "urgent", "fd-1", {100}};
+    const PlacedRun second{{2000, 0, 0}, "desk", "later", "fd-1", {130}};
+    addUsage(usage, first);
+    addUsage(usage, second);
+    BOOST_TEST(coresAt(usage.services_, "desk") == 3000);
+    BOOST_TEST(coresAt(usage.queues_, "later") == 2000);
+    BOOST_TEST(coresAt(usage.domains_, {"urgent", "fd-1"}) == 1000);
+    removeUsage(usage, first);
+    removeUsage(usage, second);
+    BOOST_TEST((usage.services_.empty() && usage.queues_.empty() && usage.domains_.empty() && usage.ends_.at("desk").empty()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
