--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -29,6 +29,9 @@
 /// A job that takes longer than this many times its objective is useless to its caller; users count it as not served.
 constexpr std::int64_t usefulObjectiveFactor = 3;
 
+/// Whether a job that arrives now and starts after a predicted wait probably ends while it is useful to its caller.
+bool isUsefulAfter(Millis wait, const JobSpec &spec, const Queue &queue);
+
 /// Manages the jobs of a cell during one epoch. Not thread-safe; performs no I/O.
 class Dispatcher
 {
@@ -300,6 +303,8 @@
         bool closed_ = false;
         /// Share of the CPU in use by service, for those with tasks that interfere, at their first placement in the pass.
         std::map<std::string_view, double> utilization_;
+        /// Needs for which no target has room, although targets may be open.
+        std::map<std::tuple<std::string_view, std::string_view, bool>, ExhaustedNeeds> full_;
     };
 
     /// Predictions in one pass, and the supply of each pool of targets.
@@ -311,7 +316,7 @@
 
     static ReadyKey keyOf(const Job &job);
     // Admission (dispatcheradmission.cpp)
-    void initAdmission(Job &job, bool fresh, Millis now);
+    void initAdmission(Job &job, Millis objective, bool fresh, Millis now);
     void countWaiting(Job &job);
     void checkArrivals(Millis now);
     std::vector<Job *> jobsToRecheck(Millis now);
@@ -320,6 +325,12 @@
     bool isAdmissible(Forecast &forecast, const Job &job, Millis &wait) const;
     void refuse(Job &job, const char *reason, Millis wait, Millis now);
     void placeReady(Millis now);
+    bool becomesLate(const Job &job, Millis now) const;
+    bool keepsCapacity(const Job &job, Millis now) const;
+    // Shares under shortage (dispatchershares.cpp)
+    void placeInTurn(const std::set<std::string> &services, Millis now);
+    std::vector<Job *> jobsInTurn(const std::set<std::string> &services) const;
+    bool isBelowFloor(const Job &job, const std::set<std::string> &services) const;
     // Runs on targets (dispatcherusage.cpp)
     void addRun(Target &target, const Job &job, const TaskId &id, bool measured, Millis now);
     std::optional<PlacedRun> removeRun(Target &target, const TaskId &id);
@@ -422,6 +433,8 @@
     /// Predicted waits by queue at which its waiting jobs were checked last.
     std::map<std::string, Millis> checkedWaits_;
     Usage usage_;
+    /// Services of which a task found no room in the latest call of schedule().
+    std::set<std::string> shortServices_;
     /// When the first target reported; 0 if none has.
     Millis firstReportAt_;
     bool reconciled_ = false;
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -7,6 +7,12 @@
 
 namespace ibiswall::cell {
 
+bool isUsefulAfter(Millis wait, const JobSpec &spec, const Queue &queue)
+{
+    const auto least = static_cast<std::int64_t>(static_cast<double>(wait.count_) * (1 - predictionMargin));
+    return Millis{least} <= usefulTime(spec, &queue).lastStart_;
+}
+
 Dispatcher::Dispatcher(std::uint64_t epoch)
     : epoch_(epoch)
 {
@@ -130,7 +136,7 @@
     job.due_ = submittedAt + useful.objective_;
     job.latestStart_ = job.due_ - useful.chain_;
     job.lastUsefulStart_ = submittedAt + useful.lastStart_;
-    initAdmission(job, fresh, now);
+    initAdmission(job, useful.objective_, fresh, now);
     const JobProgress &progress = job.record_.progress_;
     for (const Step &step : job.record_.spec_.steps_) {
         job.offsets_.push_back(static_cast<std::uint32_t>(job.tasks_.size()));
--- a/src/ibiswall/cell/dispatcheradmission.cpp
+++ b/src/ibiswall/cell/dispatcheradmission.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-void Dispatcher::initAdmission(Job &job, bool fresh, Millis now)
+void Dispatcher::initAdmission(Job &job, Millis objective, bool fresh, Millis now)
 {
     const JobSpec &spec = job.record_.spec_;
     const Work whole = workOf(spec);
@@ -51,7 +51,7 @@
     }
     // Jobs that were offered to an earlier leader do not arrive now.
     if (fresh) {
-        recordArrival(arrivalRates_[{poolOf(queue->service_, labelOf(spec)), queue->name_}], whole, now);
+        recordArrival(arrivalRates_[{poolOf(queue->service_, labelOf(spec)), queue->name_}], whole, objective, now);
         arrivals_.push_back(job.id_);
     }
 }
@@ -100,6 +100,8 @@
     const double certainty = late ? 1 - predictionMargin : 1;
     double taken = 0;
     double ownRate = 0;
+    Work overtakes;
+    Work ownOvertakes;
     for (auto each = arrivalRates_.lower_bound({pool, {}}); each != arrivalRates_.end() && each->first.first == pool; ++each) {
         const auto other = config_.queues_.find(each->first.second);
         if (other == config_.queues_.end()) {
@@ -107,18 +109,24 @@
         }
         const double rate = coresOf(each->second, forecast.now_);
         const bool before = other->second.priority_ < queue.priority_ || (late && other->second.priority_ == queue.priority_);
+        if (!late && other->second.priority_ == queue.priority_) {
+            // Jobs with shorter objectives that arrive later may be due before.
+            const Work earlier = overtaking(each->second, job.taskWork_, job.due_, forecast.now_);
+            overtakes = overtakes + earlier;
+            ownOvertakes = other->first == queue.name_ ? earlier : ownOvertakes;
+        }
         taken += before ? certainty * rate : 0;
         taken += other->second.priority_ > queue.priority_ ? std::min(rate, scheduling_.queueFloor_ * supply.capacity_) : 0;
         ownRate = other->first == queue.name_ && late ? certainty * rate : ownRate;
     }
     const double capacity = std::max(supply.capacity_, 1.0);
-    const Work all = workThrough(poolBacklog_, backlogKey(pool, job.priority_, late, job.due_));
+    const Work all = workThrough(poolBacklog_, backlogKey(pool, job.priority_, late, job.due_)) + overtakes;
     const Millis byOrder = predictWait(supply, all, job.taskWork_, 1 - taken / capacity, runTimeFactor, forecast.now_);
     const double ownShare = scheduling_.queueFloor_ - ownRate / capacity;
     if (ownShare <= 0) {
         return byOrder;
     }
-    const Work own = workThrough(queueBacklog_, backlogKey(queue.name_, job.priority_, late, job.due_));
+    const Work own = workThrough(queueBacklog_, backlogKey(queue.name_, job.priority_, late, job.due_)) + ownOvertakes;
     return std::min(byOrder, predictWait(supply, own, job.taskWork_, ownShare, runTimeFactor, forecast.now_));
 }
 
@@ -146,8 +154,7 @@
     }
     const JobSpec &spec = job.record_.spec_;
     return std::any_of(spec.steps_.begin(), spec.steps_.end(), [this, queue, &job, &forecast](const Step &step) {
-        return step.after_.empty()
-            && isRoomFor(targets_, {step, queue->service_, domainsOut_, nullptr, nullptr, job.id_}, forecast.now_);
+        return step.after_.empty() && isRoomFor(targets_, {step, queue->service_, domainsOut_, nullptr, nullptr, job.id_}, forecast.now_);
     });
 }
 
@@ -171,9 +178,16 @@
     }
 }
 
-// Waiting jobs of queues whose predicted wait has grown.
+// Waiting jobs of queues whose predicted wait has grown, and late jobs.
 std::vector<Dispatcher::Job *> Dispatcher::jobsToRecheck(Millis now)
 {
+    if (!scheduling_.admission_) {
+        return {};
+    }
+    for (auto each = arrivalRates_.begin(); each != arrivalRates_.end();) {
+        // Labels are chosen by callers, so their number is not bounded otherwise.
+        each = coresOf(each->second, now) < 1 ? arrivalRates_.erase(each) : std::next(each);
+    }
     std::map<std::string, std::size_t> left;
     std::map<std::string, Millis> waits = predictedWaits(now);
     for (const auto &[queue, wait] : waits) {
@@ -185,11 +199,20 @@
         }
     }
     std::vector<Job *> jobs;
-    for (auto each = ready_.rbegin(); !left.empty() && each != ready_.rend(); ++each) {
-        const auto found = left.find(each->second->record_.spec_.queue_);
-        if (found != left.end() && found->second > 0 && isRefusable(*each->second)) {
-            jobs.push_back(each->second);
+    // The time that late jobs have left shrinks although their wait may not grow.
+    std::size_t late = maxRechecks;
+    for (auto each = ready_.rbegin(); each != ready_.rend(); ++each) {
+        Job *job = each->second;
+        const auto found = left.find(job->record_.spec_.queue_);
+        if (!isRefusable(*job)) {
+            continue;
+        }
+        if (found != left.end() && found->second > 0) {
+            jobs.push_back(job);
             --found->second;
+        } else if (job->late_ && late > 0) {
+            jobs.push_back(job);
+            --late;
         }
     }
     for (const auto &[queue, rest] : left) {
--- a/src/ibiswall/cli/processes.cpp
+++ b/src/ibiswall/cli/processes.cpp
@@ -3,11 +3,13 @@
 #include "commands.hpp"
 #include "options.hpp"
 
+#include <cstdlib>
 #include <ibiswall/agent.hpp>
 #include <ibiswall/entry.hpp>
 #include <ibiswall/log.hpp>
 #include <ibiswall/node.hpp>
 #include <iostream>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -84,6 +86,22 @@
     return settings;
 }
 
+// Value of an environment variable that names a limit of the machine; 0 if it is not set. A fraction is dropped.
+std::size_t limitFromEnvironment(const char *name)
+{
+    const char *text = std::getenv(name);
+    if (text == nullptr) {
+        return 0;
+    }
+    char *end = nullptr;
+    const double value = std::strtod(text, &end);
+    if (end == text || *end != '\0' || !(value >= 0 && value <= std::numeric_limits<std::uint32_t>::max())) {
+        std::cerr << name << ": not a number of 0 or more: " << text << '\n';
+        return 0;
+    }
+    return static_cast<std::size_t>(value);
+}
+
 Exit reportWrongRole(const CommandLine &line)
 {
     std::cerr << "ibiswall " << line.command_ << ": the settings are for the other role\n";
@@ -133,8 +151,14 @@
     if (settings.has_error()) {
         return exit;
     }
-    const auto *entry = std::get_if<CellEntrySettings>(&settings.value());
-    return entry == nullptr ? reportWrongRole(line) : node::runCellEntry(*entry, file);
+    const auto *found = std::get_if<CellEntrySettings>(&settings.value());
+    if (found == nullptr) {
+        return reportWrongRole(line);
+    }
+    CellEntrySettings entry = *found;
+    entry.memory_ = entry.memory_ > 0 ? entry.memory_ : limitFromEnvironment("IBISWALL_MEMORY_MB");
+    entry.maxDescriptors_ = entry.maxDescriptors_ > 0 ? entry.maxDescriptors_ : limitFromEnvironment("IBISWALL_MAX_DESCRIPTORS");
+    return node::runCellEntry(entry, file);
 }
 
 Exit runCellAgentCommand(const CommandLine &line)
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t maxOffers = 64;
 // Time between the refusal of a job by the leader and the caller's deadline.
 constexpr Millis refusalReserve{60};
+constexpr double millisPerSecond = 1000;
 
 } // namespace
 
@@ -47,6 +48,8 @@
             interfering_ = heartbeat->interfering_;
             takeover_.onLeaderHeartbeat(heartbeat->epoch_, heartbeat->successor_ == self_.name_, heartbeat->sentAt_);
             requestHandover(bootClock());
+            waits_ = heartbeat->waits_;
+            waitsAt_ = bootClock();
         }
     } else if (const auto *notices = std::get_if<NoticesFrame>(&frame)) {
         for (const cell::Notice &notice : notices->notices_) {
@@ -164,7 +167,8 @@
             continue;
         }
         const KnownJob &job = found->second;
-        frame.offers_.push_back({id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id)});
+        frame.offers_.push_back(
+            {id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id), settings_.domain_});
         if (frame.offers_.size() == maxOffers) {
             send();
         }
@@ -246,6 +250,12 @@
         frame.successor_ = leaderSession_->successor();
         frame.interfering_ = leaderSession_->interferingPairs();
         interfering_ = frame.interfering_;
+        frame.waits_ = leaderSession_->predictedWaits();
+        waits_ = frame.waits_;
+        waitsAt_ = now;
+        for (const auto &[queue, wait] : waits_) {
+            gauge("ibiswall_predicted_wait_seconds", static_cast<double>(wait.count_) / millisPerSecond, queue);
+        }
     }
     return frame;
 }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -9,8 +9,8 @@
 #include "leadership.hpp"
 #include "mesh.hpp"
 #include "metrics.hpp"
-#include "recoverystages.hpp"
 #include "processlimits.hpp"
+#include "recoverystages.hpp"
 #include "stopsignals.hpp"
 #include "succession.hpp"
 #include <ibiswall/settings.hpp>
@@ -86,6 +86,7 @@
     void expireCallers(Millis now);
     void refuseUnoffered(Millis now);
     bool isStoreLost() const;
+    Millis unservableWait(const cell::Queue &queue, const cell::JobSpec &spec) const;
 
     // Other processes of the cell (entrycell.cpp)
     void receive(const std::string &from, std::string_view bytes);
@@ -185,6 +186,9 @@
     std::set<std::string> contained_;
     /// Interfering pairs by the latest heartbeat of the leader.
     std::vector<cell::InterferingPair> interfering_;
+    /// The leader's predicted waits by queue, and when they were received.
+    std::map<std::string, Millis> waits_;
+    Millis waitsAt_;
     /// Addresses of the other entries; empty before the first read.
     std::map<std::string, Address> entries_;
     /// When each registered entry was last reachable.
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -89,6 +89,8 @@
     std::string successor_;
     /// From the leader: the pairs of kinds that interfere most, which a successor believes from its start. At most maxHandedOverPairs.
     std::vector<cell::InterferingPair> interfering_;
+    /// From the leader with admission control: predicted time until a job that arrives now has started, by queue.
+    std::map<std::string, Millis> waits_;
 };
 
 /// Revision in the store of the registration of each agent, by name.
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -40,16 +40,15 @@
     heartbeat.contained_ = {"q"};
     heartbeat.successor_ = "e2";
     heartbeat.interfering_ = {{"q/0", "image", 1.5}};
-    return {LeadFrame{4},
-            PingFrame{4, {5}},
-            PongFrame{4, {5}, {6}},
-            report,
-            orders,
-            heartbeat,
-            CancelFrame{"j", true},
-            UnknownJobFrame{"j"},
-            HandoverRequestFrame{3, {9}},
-            HandoverFrame{3, {9}, {{"a1", 4}}}};
+    heartbeat.waits_ = {{"q", {250}}};
+    OffersFrame offers;
+    offers.offers_.emplace_back();
+    offers.offers_.back().id_ = "j";
+    offers.offers_.back().domain_ = "fd-1";
+    const NoticesFrame notices{3, true, {{"j", cell::JobState::Refused, {}, {1500}}, {"k", cell::JobState::Completed, {}}}};
+    return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}},       report,
+            orders,       heartbeat,         CancelFrame{"j", true},       UnknownJobFrame{"j"},
+            offers,       notices,           HandoverRequestFrame{3, {9}}, HandoverFrame{3, {9}, {{"a1", 4}}}};
 }
 
 } // namespace
@@ -66,15 +65,42 @@
     }
 }
 
+// An entry of an earlier version neither names its failure domain, nor is a leader of one able to say when a caller should return.
+BOOST_AUTO_TEST_CASE(fields_of_admission_control_are_optional)
+{
+    for (Frame &frame : samples()) {
+        nlohmann::json json = nlohmann::json::from_cbor(formatFrame(frame));
+        if (std::holds_alternative<OffersFrame>(frame)) {
+            json.at(1).at(0).erase(6);
+        } else if (std::holds_alternative<NoticesFrame>(frame)) {
+            json.at(1).at(2).at(0).erase(2);
+        } else if (std::holds_alternative<HeartbeatFrame>(frame)) {
+            json.at(1).erase(15);
+        } else {
+            continue;
+        }
+        const auto bytes = nlohmann::json::to_cbor(json);
+        const auto decoded = parseFrame(std::string(bytes.begin(), bytes.end()));
+        BOOST_REQUIRE(decoded.has_value());
+        if (const auto *offers = std::get_if<OffersFrame>(&decoded.value())) {
+            BOOST_TEST(offers->offers_.front().domain_.empty());
+        } else if (const auto *notices = std::get_if<NoticesFrame>(&decoded.value())) {
+            BOOST_TEST((notices->notices_.front().retryAfter_ == Millis{0}));
+        } else if (const auto *heartbeat = std::get_if<HeartbeatFrame>(&decoded.value())) {
+            BOOST_TEST(heartbeat->waits_.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(entry_of_an_earlier_version_accepts_jobs_unless_it_is_leaving)
 {
     for (const bool leaving : {false, true}) {
         HeartbeatFrame heartbeat;
         heartbeat.leaving_ = leaving;
         nlohmann::json json = nlohmann::json::from_cbor(formatFrame(heartbeat));
-        // Neither the successor nor the interfering pairs nor the contained queues nor the interval of the heartbeats nor whether it accepts
-        // jobs.
-        constexpr std::size_t laterFields = 5;
+        // Neither the predicted waits nor the successor nor the interfering pairs nor the contained queues nor the interval of the
+        // heartbeats nor whether it accepts jobs.
+        constexpr std::size_t laterFields = 6;
         for (std::size_t i = 0; i < laterFields; ++i) {
             json.at(1).erase(json.at(1).size() - 1);
         }
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -116,6 +116,9 @@
 
     std::map<std::string, std::size_t> waitingJobs() const;
 
+    /// Predicted time until a job that arrives now has started, by queue. Empty without admission control.
+    std::map<std::string, Millis> predictedWaits() const;
+
 private:
     struct AgentState
     {
@@ -162,6 +165,7 @@
     void logContainment();
     void logInterference();
     static void logStalls(Span<const cell::StallChange> changes);
+    void logRefusals(Span<const cell::Refusal> refusals);
     void scheduleDispatch();
     void send(cell::DispatcherActions &&actions);
     void store();
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -77,6 +77,7 @@
     if (!actions.starts_.empty()) {
         hooks_.reached_(RecoveryStage::FirstStart);
     }
+    logRefusals(actions.refusals_);
     std::map<std::string, OrdersFrame> orders;
     for (cell::StartOrder &start : actions.starts_) {
         count("ibiswall_placements_total");
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -54,6 +54,8 @@
         {"ibiswall_target_stalls_total", {"Times that this leader found a target stalled, tried it, or used it again", "change"}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
         {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
+        {"ibiswall_unservable_total", {"Jobs that this leader refused since they cannot be served in time, by when it knew", "reason"}},
+        {"ibiswall_predicted_wait_seconds", {"Predicted time until a job that arrives now has started, by queue", "queue"}},
         {"ibiswall_open_jobs", {"Jobs of this leader that have not ended", ""}},
         {"ibiswall_store_calls_total", {"Calls to the store by outcome", "outcome"}},
         {"ibiswall_store_seconds", {"Time of calls to the store, by kind", "kind"}},
