--- a/src/ibiswall/cell/admissionload_test.cpp
+++ b/src/ibiswall/cell/admissionload_test.cpp
@@ -121,7 +121,7 @@
     }
 
     static constexpr std::int64_t cpuOfTask = 2900;
-    static constexpr double floor_ = 0.25;
+    static constexpr double minShare = 0.25;
 
 private:
     static constexpr int targets = 15;
@@ -146,7 +146,7 @@
         dispatcher_->setConfig(config, {});
         SchedulingSettings scheduling;
         scheduling.admission_ = true;
-        scheduling.queueFloor_ = floor_;
+        scheduling.queueFloor_ = minShare;
         dispatcher_->setScheduling(scheduling);
         if (epoch_ == 1) {
             dispatcher_->markReconciled(now_);
@@ -349,7 +349,7 @@
     const auto kind = std::find_if(kinds.begin(), kinds.end(), [&queue](const Kind &each) { return each.queue_ == queue; });
     const Shares shares = sharesOf(load, queue, burstFrom, burstUntil);
     const double demand = static_cast<double>(shares.jobs_) * kind->tasks_ * static_cast<double>(kind->estimate_ * Load::cpuOfTask);
-    const double floor = Load::floor_ * static_cast<double>(targetCores * (burstUntil - burstFrom));
+    const double floor = Load::minShare * static_cast<double>(targetCores * (burstUntil - burstFrom));
     // Sums of few jobs with estimates that are wrong by 0.4, and capacity that is less than a task on each target.
     BOOST_TEST(shares.served() >= (1 - predictionMargin) * std::min(1.0, floor / demand), queue << ' ' << shares.served());
 }
--- a/src/ibiswall/cell/dispatcherbudget_test.cpp
+++ b/src/ibiswall/cell/dispatcherbudget_test.cpp
@@ -53,7 +53,7 @@
     BOOST_TEST(!fixture.offer("j2", false, false));
     BOOST_TEST(!fixture.offer("j3", true, false));
     BOOST_TEST(fixture.dispatcher_.openJobs() == 3U);
-    BOOST_TEST(fixture.budget_->used() == 3 * width * taskBytes);
+    BOOST_TEST(fixture.budget_->used() == std::size_t{3} * width * taskBytes);
     BOOST_TEST((fixture.offer("j4", true, true) == JobState::Refused));
 }
 
