--- a/src/ibiswall/cell/interference.cpp
+++ b/src/ibiswall/cell/interference.cpp
@@ -12,8 +12,8 @@
 // Bound of a residual, as a logarithm. Run times and estimates have a spread of 0.4 each, together 0.57, and 3 % of the tasks
 // take 7 times as long (1.95): the bound keeps those from dominating, and a factor of 1.5 (0.41) loses little to it.
 constexpr double maxResidual = 1;
-// Runs that the moving mean of a kind, and of a target, covers. They cover several seconds, which is longer than a neighbour stays:
-// a mean over 64 runs followed the neighbours and hid a factor of 1.8 completely.
+// Runs that the moving mean of a kind, and of a target, covers. They cover several seconds, longer than a neighbour stays, so that
+// the mean of a target does not follow its neighbours.
 constexpr double runsOfKindMean = 1024;
 constexpr double runsOfPace = 512;
 // Runs of a kind, and on a target, before their means say anything.
@@ -242,7 +242,6 @@
 {
     const auto found = model.ids_.find(name);
     if (found != model.ids_.end()) {
-        model.kinds_[found->second].lastSeen_ = now;
         return found->second;
     }
     if (name.empty() || model.ids_.size() >= maxKinds) {
