--- a/src/ibiswall/cell/interferenceload.hpp
+++ b/src/ibiswall/cell/interferenceload.hpp
@@ -168,7 +168,8 @@
     {
         const double work = 206 * 8 * 60 + 601 * 2 * 200 + 37.6 * 4 * 900;
         const double meanFactor = std::exp(spread * spread / 2) * (1 + longShare * (longFactor - 1));
-        const double slots = static_cast<double>(cpuOfTarget / cpuOfTask) * scenario_.targets_;
+        constexpr int slotsOfTarget = cpuOfTarget / cpuOfTask;
+        const double slots = slotsOfTarget * scenario_.targets_;
         if (!chance(jobs[kind] * slots * scenario_.load_ / (work * meanFactor))) {
             return;
         }
