--- a/bench/placement/main.cpp
+++ b/bench/placement/main.cpp
@@ -41,6 +41,7 @@
     dispatcher.setScheduling(settings);
     dispatcher.markReconciled({0});
     std::vector<cell::InterferingPair> known;
+    known.reserve(static_cast<std::size_t>(pairs));
     for (int i = 0; i < pairs; ++i) {
         known.push_back({"image-" + std::to_string(i % kinds), "image-" + std::to_string((i * 7 + 1) % kinds), 1.5});
     }
@@ -50,6 +51,7 @@
     for (int target = 0; target < targets; ++target) {
         cell::TargetInfo info{"t" + std::to_string(target), 1, "service", "domain", {}, {32000, 64000, 0}};
         std::vector<cell::Run> running;
+        running.reserve(runsPerTarget);
         for (int i = 0; i < runsPerTarget; ++i) {
             cell::JobOffer job = makeJob(number++);
             job.fresh_ = false;
