--- a/src/ibiswall/net/httprequest.hpp
+++ b/src/ibiswall/net/httprequest.hpp
@@ -14,7 +14,8 @@
 {
     using value_type = std::string;
 
-    class reader
+    // Named by the library's concept of a body.
+    class reader // NOLINT(readability-identifier-naming)
     {
     public:
         template<bool isRequest, typename Fields>
--- a/tests/fuzz/fuzz_test.cpp
+++ b/tests/fuzz/fuzz_test.cpp
@@ -117,6 +117,7 @@
                                           node::CancelFrame{"j", true},
                                           node::UnknownJobFrame{"j"}};
     std::vector<std::string> out;
+    out.reserve(frames.size());
     for (const node::Frame &frame : frames) {
         out.push_back(node::formatFrame(frame));
     }
--- a/tests/system/hostileclients_test.cpp
+++ b/tests/system/hostileclients_test.cpp
@@ -224,8 +224,9 @@
     setNoteKind(cluster, {20000});
     const EntryNode &entry = cluster.entries_.front();
     const pid_t pid = entry.process_->pid();
-    const std::string start = std::string("POST /v1/ids HTTP/1.1\r\n") + chunked + "0\r\n";
-    const Attack attack{8, [start](std::size_t) { return start; }, always(repeat("X-T: aaaaaaaaaaaaaaaa\r\n", partBytes)), endlessBytes};
+    std::string start = std::string("POST /v1/ids HTTP/1.1\r\n") + chunked + "0\r\n";
+    const Attack attack{8, [start = std::move(start)](std::size_t) { return start; },
+                        always(repeat("X-T: aaaaaaaaaaaaaaaa\r\n", partBytes)), endlessBytes};
     const Use use = runAttack(entry.callersPort_, pid, attack);
     checkUse(*entry.process_, pid, use);
     Json answer;
--- a/tests/system/hostilelinks_test.cpp
+++ b/tests/system/hostilelinks_test.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t manyPeers = 300;
 constexpr std::size_t fewPeers = 12;
 // The smallest entry has 120 MB.
-constexpr std::size_t maxMemoryKb = 110U * 1024U;
+constexpr std::size_t maxMemoryKb = std::size_t{110} * 1024;
 constexpr std::size_t chunkBytes = 64U << 10U;
 // Keeps the memory of a process that does not bound its own within what a test machine has.
 constexpr std::size_t maxBytesPerPeer = 24U << 20U;
