Read the leader key again before an unplanned takeover

Cause: an entry that knew the epoch acquired the key at once. One that received nothing because of a one-way cut, and was stopping, replaced a sound leader while the store was slow.

--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -43,13 +43,9 @@
     if (isHeldBack() && succession_.isLeaderRead(epoch)) {
         return;
     }
-    // The epoch is the revision of the leader key, so a write on condition of it fails if it is outdated. Only an earlier attempt with an
-    // unknown outcome, or a leader that may not know of this entry, requires a read.
-    if (epoch != 0 && leaderNonce_.empty() && !isHeldBack()) {
-        acquireLead(static_cast<std::int64_t>(epoch));
-    } else {
-        readLeader();
-    }
+    // The read leaves time to hear of the leader after all. Without it, an entry that received nothing because of a one-way cut replaced a
+    // sound leader (a day with a slow store: 0.59 of its worth served instead of 0.71).
+    readLeader();
 }
 
 // Whether a leader that does not know of this entry may still be acting. An earlier incarnation of this process is not.
