--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -36,7 +36,7 @@
     /// Maximum number of identified links of a server.
     std::size_t maxLinks_ = 4096;
     /// Maximum number of connections of a server that are not identified links. The oldest one is closed in favour of a new one: a peer
-    /// identifies itself within two round trips, so it is not displaced unless so many strangers connect within that time.
+    /// identifies itself within two round trips, so it is not displaced unless as many other peers connect within that time.
     std::size_t maxUnidentified_ = 64;
     /// A server closes a connection whose handshake takes longer, and a link that is not identified within this time after it.
     Millis identificationTimeout_{5000};
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t maxFrame = 16U << 20U;
 // Unsent bytes of one link. Links of small VMs drain slowly, and their memory holds a few dozen links.
 constexpr std::size_t maxBuffered = 4U << 20U;
-// Strangers may connect and send malformed frames without end: at most one of each event is logged in this time.
+// Untrusted peers may connect and send malformed frames without end: at most one of each event is logged in this time.
 constexpr Millis minLogInterval{10000};
 
 LinkLimits meshLimits()
@@ -31,7 +31,7 @@
     return limits;
 }
 
-// Half of the descriptors is left for callers, the store, metrics and files. Those of strangers are an eighth of that half, apart
+// Half of the descriptors is left for callers, the store, metrics and files. Those of unidentified peers are an eighth of that half, apart
 // from the links of peers.
 LinkLimits serverLimits(const MeshSettings &settings)
 {
--- a/src/ibiswall/node/mesh_test.cpp
+++ b/src/ibiswall/node/mesh_test.cpp
@@ -316,9 +316,9 @@
 }
 
 // Counts the closes of a link that sends frames as soon as it opens.
-struct Stranger
+struct UntrustedPeer
 {
-    Stranger(boost::asio::io_context &io, const Address &address, std::vector<std::string> frames)
+    UntrustedPeer(boost::asio::io_context &io, const Address &address, std::vector<std::string> frames)
         : frames_(std::move(frames))
         , client_(io, address, {}, {[this](LinkId) { sendAll(); }, [this](LinkId) { ++closed_; }, [](LinkId, std::string_view) {}, {}})
     {
@@ -354,13 +354,13 @@
                [](const std::string &, std::string_view) {
                }});
     const Address address{"127.0.0.1", mesh.listen().value()};
-    Stranger silent(io, address, {"b", "b"});
-    Stranger large(io, address, {std::string(5000, 'i')});
-    Stranger longName(io, address, {identificationOf(std::string(65, 'n'), false)});
+    UntrustedPeer silent(io, address, {"b", "b"});
+    UntrustedPeer large(io, address, {std::string(5000, 'i')});
+    UntrustedPeer longName(io, address, {identificationOf(std::string(65, 'n'), false)});
     BOOST_TEST(runUntil(io, [&] { return silent.closed_ > 0 && large.closed_ > 0 && longName.closed_ > 0; }));
 }
 
-// Connections of strangers took the place of the cell's own agents.
+// Connections of untrusted peers took the place of the cell's own agents.
 BOOST_AUTO_TEST_CASE(idle_connections_do_not_displace_peers)
 {
     boost::asio::io_context io;
@@ -404,7 +404,7 @@
         agents.back()->mesh_.setEntries({{"e1", address}});
         BOOST_REQUIRE(runUntil(io, [&] { return mesh.isReachable(name); }));
     }
-    Stranger further(io, address, {identificationOf("a4", false)});
+    UntrustedPeer further(io, address, {identificationOf("a4", false)});
     BOOST_TEST(runUntil(io, [&] { return further.closed_ > 0; }));
     BOOST_TEST(!mesh.isReachable("a4"));
     BOOST_TEST(mesh.reachable().size() == agents.size());
@@ -441,8 +441,8 @@
     for (int i = 0; i < 4; ++i) {
         names.push_back(wire::formatPeer({"n" + std::to_string(i), 1, false, 1}));
     }
-    Stranger announcer(io, address, {identificationOf("s1", true), wire::pack(wire::Neighbours, names)});
-    Stranger sender(
+    UntrustedPeer announcer(io, address, {identificationOf("s1", true), wire::pack(wire::Neighbours, names)});
+    UntrustedPeer sender(
         io, address,
         {identificationOf("s2", false), wire::pack(wire::Relayed, nlohmann::json::array({"a1", "another", wire::binary("x")}))});
     BOOST_TEST(runUntil(io, [&] { return announcer.closed_ > 0 && sender.closed_ > 0; }));
