Limit waiting cancels and reads of unknown jobs by the descriptors of the process

The limit is a 24th of the descriptors now, at most 128 as before, which it is from 3,072 descriptors on.

--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -254,7 +254,7 @@
         respond(jsonReply(Success, platform::formatState(known->second.state_)));
         return;
     }
-    if (lookups_ >= maxLookups) {
+    if (lookups_ >= limits_.maxLookups_) {
         refuse(id, "lookups", respond);
         return;
     }
@@ -286,7 +286,7 @@
         respond(jsonReply(Success, platform::formatState(known->second.state_)));
         return;
     }
-    if (cancellers_.size() >= maxLookups && cancellers_.count(id) == 0) {
+    if (cancellers_.size() >= limits_.maxLookups_ && cancellers_.count(id) == 0) {
         refuse(id, "cancels", respond);
         return;
     }
--- a/src/ibiswall/node/processlimits.cpp
+++ b/src/ibiswall/node/processlimits.cpp
@@ -23,6 +23,10 @@
 constexpr std::size_t reservedDescriptors = 712;
 // Of a small number of descriptors half are reserved.
 constexpr std::size_t reservedDivisor = 2;
+// Connections to the store for reads, and for cancels of this and other entries at the leader, fit into the reserved descriptors. A call to
+// the store takes 4 ms, so that 128 at a time are more than its 6,000 reads/s.
+constexpr std::size_t lookupsDivisor = 24;
+constexpr std::size_t maxLookups = 128;
 // Callers of one entry in the largest known deployment.
 constexpr std::size_t maxCallers = 3500;
 
@@ -49,6 +53,7 @@
     limits.durableTasks_ = std::make_shared<Budget>(bytes / durableTasksDivisor);
     limits.tasks_ = std::make_shared<Budget>(bytes / tasksDivisor);
     limits.maxConnections_ = std::min(maxCallers, descriptors - std::min(reservedDescriptors, descriptors / reservedDivisor));
+    limits.maxLookups_ = std::min(maxLookups, std::max<std::size_t>(descriptors / lookupsDivisor, 1));
     return limits;
 }
 
--- a/src/ibiswall/node/processlimits.hpp
+++ b/src/ibiswall/node/processlimits.hpp
@@ -19,6 +19,8 @@
     std::shared_ptr<Budget> tasks_;
     /// Connections of callers.
     std::size_t maxConnections_ = 0;
+    /// State reads of jobs that the entry does not know, and cancels that wait, each. Each may hold a connection to the store.
+    std::size_t maxLookups_ = 0;
 };
 
 /// @param memory megabytes; 0 for a default
@@ -28,10 +30,6 @@
 /// Bytes that an entry holds for a job until it has ended.
 std::size_t recordBytes(const cell::JobSpec &spec);
 
-/// Most ids whose cancellation, or whose state in the store, is awaited at a time. A call to the store takes 4 ms, so that 128 are
-/// more than its 6,000 reads/s; twelve entries together stay below the requests that it answers in its time limit when it is slow.
-constexpr std::size_t maxLookups = 128;
-
 /// The method itself if callers may use it, otherwise `other`, so that clients cannot create metrics.
 std::string methodLabel(const std::string &method);
 
