Test clients and peers that fill what all entries and links hold together

The entries of hostilelinks_test.cpp now have memory_mb 120, the figure that its bound was derived from.

The stand-in store rejects values over 1 MB with 400, as the users' store does; a mode lowers the limit.

--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -1,6 +1,7 @@
 // Stand-in for the users' store: items with revisions, conditional transactions, ranges, and watches over a history
 // that can be dropped; with fault modes for outages, delays, lost answers and a limited rate of writes.
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 #include <ibiswall/base/base64.hpp>
@@ -57,6 +58,8 @@
     std::int64_t delayMillis_ = 0;
     /// Writes per second beyond which writes get status 429; 0 for no limit.
     std::int64_t writesPerSecond_ = 0;
+    /// Largest value of a key.
+    std::size_t valueBytes_ = 1U << 20U;
 };
 
 std::string percentDecode(std::string_view text)
@@ -137,6 +140,7 @@
         mode_.dropWriteAnswers_ = json.value("lose_writes", mode_.dropWriteAnswers_);
         mode_.delayMillis_ = json.value("slow_ms", mode_.delayMillis_);
         mode_.writesPerSecond_ = json.value("writes_per_s", mode_.writesPerSecond_);
+        mode_.valueBytes_ = json.value("value_bytes", mode_.valueBytes_);
         if (json.value("drop_history", false)) {
             events_.clear();
             oldestWatchRevision_ = revision_;
@@ -254,10 +258,18 @@
         return mode_.writesPerSecond_ > 0 && ++writesInWindow_ > mode_.writesPerSecond_;
     }
 
+    bool hasTooLargeValue(const Json &writes) const
+    {
+        return std::any_of(writes.begin(), writes.end(), [this](const Json &write) {
+            return fromBase64(write.at("value").get<std::string>()).value().size() > mode_.valueBytes_;
+        });
+    }
+
     void commit(const std::string &body, const Respond &respond)
     {
         const Json json = Json::parse(body, nullptr, false);
-        if (!json.is_object() || json["expected"].size() + json["writes"].size() + json["deletes"].size() > maxTransactionItems) {
+        if (!json.is_object() || json["expected"].size() + json["writes"].size() + json["deletes"].size() > maxTransactionItems
+            || hasTooLargeValue(json["writes"])) {
             respond(jsonReply(MalformedRequest, "{}"));
             return;
         }
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -73,6 +73,9 @@
                          {"grace_ms", 6000},
                          {"keep_states_ms", config_.stateRetention_.count_}};
         settings.update(config_.entrySettings_);
+        if (const auto own = static_cast<std::size_t>(i - 1); own < config_.ownEntrySettings_.size()) {
+            settings.update(config_.ownEntrySettings_[own]);
+        }
         std::ofstream(entry.settingsFile_) << settings.dump(2);
     }
     for (int i = 1; i <= config.workers_; ++i) {
@@ -197,6 +200,28 @@
     postToStore("/kv-txn", body);
 }
 
+std::string Cell::bytesOf(const std::string &key) const
+{
+    const auto answer = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
+    if (!answer || answer.value().status_ != 200) {
+        return {};
+    }
+    return fromBase64(Json::parse(answer.value().body_).at("value").get<std::string>()).value_or(std::string());
+}
+
+void Cell::createKeys(const std::vector<std::string> &keys, const std::string &value)
+{
+    // Entries of one transaction.
+    constexpr std::size_t maxBatch = 32;
+    for (std::size_t first = 0; first < keys.size(); first += maxBatch) {
+        Json writes = Json::array();
+        for (std::size_t i = first; i < std::min(first + maxBatch, keys.size()); ++i) {
+            writes.push_back({{"key", keys[i]}, {"value", toBase64(value)}, {"lease", 0}});
+        }
+        postToStore("/kv-txn", {{"expected", Json::array()}, {"writes", std::move(writes)}, {"deletes", Json::array()}});
+    }
+}
+
 bool Cell::hasKey(const std::string &key) const
 {
     const auto answer = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -32,6 +32,8 @@
     /// Merged into the settings of each entry and agent.
     nlohmann::json entrySettings_ = nlohmann::json::object();
     nlohmann::json agentSettings_ = nlohmann::json::object();
+    /// Merged into the settings of the entry of the same index, after entrySettings_.
+    std::vector<nlohmann::json> ownEntrySettings_ = {};
 };
 
 /// A worker process and its agent.
@@ -92,6 +94,13 @@
     void putKey(const std::string &key, const nlohmann::json &value);
     void putBytes(const std::string &key, const std::string &value);
     void deleteKey(const std::string &key);
+
+    /// Value of a key; empty if there is none.
+    std::string bytesOf(const std::string &key) const;
+
+    /// Creates keys of one value.
+    void createKeys(const std::vector<std::string> &keys, const std::string &value);
+
     bool hasKey(const std::string &key) const;
 
     /// Changes the fault mode of the stand-in store.
--- a/tests/system/crowd.cpp
+++ b/tests/system/crowd.cpp
@@ -11,7 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
-#include <vector>
+#include <string_view>
 
 namespace ibiswall::system {
 
@@ -61,25 +61,57 @@
         pending_ = std::move(bytes);
         asio::async_write(socket_, asio::buffer(pending_), [self = shared_from_this()](error_code error, std::size_t bytesSent) {
             self->totalBytes_ += bytesSent;
-            if (error || !self->attack_.part_ || self->partBytes_ >= self->attack_.maxBytes_) {
+            if (error || !self->attack_.part_) {
                 self->finished_ = true;
                 return;
             }
-            std::string part = self->attack_.part_(self->number_, self->parts_++);
-            self->partBytes_ += part.size();
-            self->write(std::move(part));
+            self->written_ = true;
+            self->writeNextPart();
         });
     }
 
+    // Replies to the head are not counted.
+    void writeNextPart()
+    {
+        if (!written_ || replies_ < parts_ * attack_.repliesPerPart_) {
+            return;
+        }
+        if (partBytes_ >= attack_.maxBytes_) {
+            finished_ = true;
+            return;
+        }
+        written_ = false;
+        std::string part = attack_.part_(number_, parts_++);
+        partBytes_ += part.size();
+        write(std::move(part));
+    }
+
     void read()
     {
-        socket_.async_read_some(asio::buffer(received_), [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        socket_.async_read_some(asio::buffer(received_), [self = shared_from_this()](error_code error, std::size_t bytes) {
             if (!error) {
+                self->countReplies({self->received_.data(), bytes});
                 self->read();
             }
         });
     }
 
+    void countReplies(std::string_view bytes)
+    {
+        if (attack_.repliesPerPart_ == 0) {
+            return;
+        }
+        constexpr std::string_view status = "HTTP/1.1 ";
+        unread_ += bytes;
+        std::size_t at = 0;
+        for (std::size_t found = 0; (found = unread_.find(status, at)) != std::string::npos; at = found + status.size()) {
+            ++replies_;
+        }
+        // The rest may be the begin of a status line.
+        unread_.erase(0, std::max(at, unread_.size() - std::min(unread_.size(), status.size() - 1)));
+        writeNextPart();
+    }
+
     tcp::socket socket_;
     const Attack &attack_;
     std::size_t number_;
@@ -88,6 +120,11 @@
     std::size_t parts_ = 0;
     std::string pending_;
     std::array<char, 4096> received_{};
+    /// Whether everything that was to be sent so far has been sent.
+    bool written_ = false;
+    std::size_t replies_ = 0;
+    /// Received bytes in which replies have not been counted.
+    std::string unread_;
     bool finished_ = false;
 };
 
@@ -112,15 +149,52 @@
     }
 }
 
+Use peakUse(pid_t process)
+{
+    Use use;
+    sampleUse(process, use);
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:") {
+            status >> use.rssKilobytes_;
+            break;
+        }
+    }
+    return use;
+}
+
+std::string requestHead(const std::string &line, const std::string &fields)
+{
+    return line + " HTTP/1.1\r\nHost: desk.example\r\n" + fields;
+}
+
+std::string withBody(const std::string &head, const std::string &body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 Use runAttack(std::uint16_t port, pid_t process, const Attack &attack, const std::function<void()> &whileOpen)
+{
+    return runAttack(std::vector<std::uint16_t>{port}, std::vector<pid_t>{process}, attack, whileOpen).front();
+}
+
+std::vector<Use> runAttack(const std::vector<std::uint16_t> &ports,
+                           const std::vector<pid_t> &processes,
+                           const Attack &attack,
+                           const std::function<void()> &whileOpen)
 {
     asio::io_context io;
-    Use use;
+    std::vector<Use> uses(processes.size());
+    const auto sample = [&] {
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            sampleUse(processes[i], uses[i]);
+        }
+    };
     std::size_t totalBytes = 0;
     std::vector<std::shared_ptr<Client>> clients;
     for (std::size_t number = 0; number < attack.clients_; ++number) {
         clients.push_back(std::make_shared<Client>(io, attack, number, totalBytes));
-        clients.back()->start(port);
+        clients.back()->start(ports[number % ports.size()]);
     }
     std::size_t lastBytes = 0;
     auto lastProgress = std::chrono::steady_clock::now();
@@ -135,20 +209,20 @@
     while (!isDone()) {
         io.run_for(samplePeriod);
         io.restart();
-        sampleUse(process, use);
+        sample();
     }
     // What was sent last may still be on its way.
     const auto settled = std::chrono::steady_clock::now() + maxStall;
     while (std::chrono::steady_clock::now() < settled) {
         io.run_for(samplePeriod);
         io.restart();
-        sampleUse(process, use);
+        sample();
     }
     if (whileOpen) {
         whileOpen();
     }
-    sampleUse(process, use);
-    return use;
+    sample();
+    return uses;
 }
 
 } // namespace ibiswall::system
--- a/tests/system/hostileclients_test.cpp
+++ b/tests/system/hostileclients_test.cpp
@@ -32,14 +32,9 @@
     return config;
 }
 
-std::string head(const std::string &line, const std::string &fields)
-{
-    return line + " HTTP/1.1\r\nHost: desk.example\r\n" + fields;
-}
-
 std::string post(std::size_t number, const std::string &fields)
 {
-    return head("POST /jobs/" + jobId(static_cast<int>(0x20000 + number)), fields);
+    return requestHead("POST /jobs/" + jobId(static_cast<int>(0x20000 + number)), fields);
 }
 
 std::string repeat(const std::string &text, std::size_t bytes)
@@ -65,11 +60,6 @@
         + R"(,"cpu":1000000000}]})";
 }
 
-std::string withBody(const std::string &start, const std::string &body)
-{
-    return start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 constexpr const char *chunked = "Transfer-Encoding: chunked\r\n\r\n";
 
 Attack endless(const std::string &start, const std::string &part)
@@ -197,7 +187,7 @@
 BOOST_AUTO_TEST_CASE(cancels_and_states_of_unknown_jobs)
 {
     const auto request = [](std::size_t number) {
-        return head((number % 2 == 0 ? "DELETE /jobs/" : "GET /jobs/") + jobId(static_cast<int>(0x30000 + number)), "\r\n");
+        return requestHead((number % 2 == 0 ? "DELETE /jobs/" : "GET /jobs/") + jobId(static_cast<int>(0x30000 + number)), "\r\n");
     };
     attackEntry({manyClients, request, {}, 0});
 }
--- a/tests/system/hostilelinks_test.cpp
+++ b/tests/system/hostilelinks_test.cpp
@@ -25,7 +25,9 @@
 // More than the entry may open in total.
 constexpr std::size_t manyPeers = 300;
 constexpr std::size_t fewPeers = 12;
+constexpr std::size_t manyIdentified = 60;
 // The smallest entry has 120 MB.
+constexpr std::size_t memoryMb = 120;
 constexpr std::size_t maxMemoryKb = std::size_t{110} * 1024;
 constexpr std::size_t chunkBytes = 64U << 10U;
 // Keeps the memory of a process that does not bound its own within what a test machine has.
@@ -70,6 +72,17 @@
     return frame('i', Json::array({name, 1, isEntry, 1}));
 }
 
+std::string stranger(std::size_t peer)
+{
+    return "stranger-" + std::to_string(peer);
+}
+
+// Opens a link and identifies the peer as an entry.
+std::string identifiedUpgrade(std::size_t peer)
+{
+    return upgrade + "\r\n" + identification(stranger(peer), true);
+}
+
 std::string repeat(const std::string &text)
 {
     std::string out;
@@ -90,6 +103,10 @@
     /// Sent at intervals, unless empty.
     std::string heartbeat_;
     bool reads_ = false;
+    /// Each peer stops sending chunks after this many bytes.
+    std::size_t maxBytes_ = maxBytesPerPeer;
+    /// Time between two connections. More peers can identify themselves if they do not connect at the same time.
+    std::chrono::milliseconds connectInterval_{0};
 };
 
 // A connection that sends what an attack prescribes, until the other side closes it.
@@ -129,7 +146,7 @@
 
     void continueSending()
     {
-        if (attack_.chunk_ && sent_ < maxBytesPerPeer) {
+        if (attack_.chunk_ && sent_ < attack_.maxBytes_) {
             send(attack_.chunk_(number_, chunk_++));
         } else if (!attack_.heartbeat_.empty()) {
             timer_.expires_after(pause);
@@ -191,13 +208,14 @@
 {
     CellConfig config;
     config.workers_ = 2;
-    config.entrySettings_ = {{"max_descriptors", maxDescriptors}};
+    config.entrySettings_ = {{"max_descriptors", maxDescriptors}, {"memory_mb", memoryMb}};
     Cell cell(config);
     cell.awaitReady();
     boost::asio::io_context io;
     std::vector<std::unique_ptr<HostilePeer>> crowd;
     for (std::size_t i = 0; i < attack.peers_; ++i) {
         crowd.push_back(std::make_unique<HostilePeer>(io, cell.entries()[cell.leader()].linksPort_, attack, i));
+        io.run_for(attack.connectInterval_);
     }
     io.run_for(sendingTime);
     for (const CellEntry &entry : cell.entries()) {
@@ -322,6 +340,64 @@
          true});
 }
 
+BOOST_AUTO_TEST_CASE(unfinished_frames_of_identified_peers)
+{
+    constexpr std::size_t frameBytes = (16U << 20U) - 1;
+    run({"unfinished frames",
+         fewPeers,
+         [](std::size_t peer) { return identifiedUpgrade(peer) + frameHeader(Binary, frameBytes) + "p"; },
+         endlessly("x"),
+         {},
+         true,
+         frameBytes - chunkBytes * 2});
+}
+
+BOOST_AUTO_TEST_CASE(unfinished_fragments_of_identified_peers)
+{
+    const std::string fragment = frameHeader(Continuation, 4000, false) + std::string(4000, 'x');
+    run({"unfinished fragments",
+         fewPeers,
+         [](std::size_t peer) { return identifiedUpgrade(peer) + frameHeader(Binary, 1, false) + "p"; },
+         endlessly(fragment),
+         {},
+         true,
+         15U << 20U});
+}
+
+// An empty array takes one byte of a frame and many in memory.
+BOOST_AUTO_TEST_CASE(frames_of_empty_arrays)
+{
+    constexpr std::uint32_t arrays = 8U << 20U;
+    const std::string list = std::string("\x9a") + std::string{static_cast<char>(arrays >> 24U), static_cast<char>(arrays >> 16U), 0, 0}
+        + std::string(arrays, '\x80');
+    // Payload, neighbours, changes of neighbours, relayed frame.
+    for (const char kind : {'p', 'n', 'c', 'r'}) {
+        run({std::string("arrays in frame ") + kind,
+             fewPeers,
+             [&](std::size_t peer) { return identifiedUpgrade(peer) + frame(kind + list); },
+             {},
+             {},
+             true});
+    }
+}
+
+BOOST_AUTO_TEST_CASE(relayed_frames_to_peers_that_do_not_read)
+{
+    const auto relayed = [](std::size_t peer, std::size_t /*chunk*/) {
+        return frame(
+            'r',
+            Json::array({stranger((peer + 1) % manyIdentified), stranger(peer), Json::binary(std::vector<std::uint8_t>(chunkBytes, 0))}));
+    };
+    run({"relayed to peers that do not read",
+         manyIdentified,
+         identifiedUpgrade,
+         relayed,
+         {},
+         false,
+         maxBytesPerPeer,
+         std::chrono::milliseconds(20)});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::system
