Tell a record that the store rejects from a write with an unknown outcome

What callers saw: after one job whose record is larger than a value of the store, an entry accepts no stored job any more. Each gets 504 at its deadline, until the process is restarted.

Cause: StoreClient took 400 and 413 for an unknown outcome. Acceptor retries a transaction whose outcome is unknown until it is known, and this one gets the same answer each time; all later jobs wait behind it.

The jobs of a rejected transaction are stored one by one; the one that is rejected alone gets 413, the others are accepted. A transaction has at most 256 KB of records unless it has one job: 16 records of 1 MB might not pass a link of 19 Mbit/s within the time limit of a call, which would have the same effect (not shown by a test).

--- a/src/ibiswall/node/acceptor.cpp
+++ b/src/ibiswall/node/acceptor.cpp
@@ -68,7 +68,16 @@
 
 void Acceptor::commit()
 {
-    while (batch_.size() < maxBatch && !queue_.empty() && !uncertain_) {
+    std::size_t bytes = 0;
+    for (const std::string &id : batch_) {
+        bytes += pending_.at(id).bytes_.size();
+    }
+    const std::size_t most = separate_ > 0 ? 1 : maxBatch;
+    while (batch_.size() < most && !queue_.empty() && !uncertain_) {
+        bytes += pending_.at(queue_.front()).bytes_.size();
+        if (!batch_.empty() && bytes > platform::maxBatchBytes) {
+            break;
+        }
         batch_.push_back(std::move(queue_.front()));
         queue_.pop_front();
     }
@@ -92,6 +101,8 @@
         }
     } else if (answer.outcome_ == StoreOutcome::Conflict) {
         resolveConflict(answer);
+    } else if (answer.outcome_ == StoreOutcome::Rejected) {
+        resolveRejection();
     } else if (answer.outcome_ == StoreOutcome::Unknown) {
         uncertain_ = true;
     } else if (!uncertain_) {
@@ -128,8 +139,22 @@
     batch_ = std::move(remaining);
 }
 
+// Finds the records that the store does not take by storing each job of the transaction alone. Earlier attempts at it were rejected too.
+void Acceptor::resolveRejection()
+{
+    uncertain_ = false;
+    std::vector<std::string> rejected = std::exchange(batch_, {});
+    if (rejected.size() == 1) {
+        finish(rejected.front(), {Acceptance::Rejected, {}, 0});
+        return;
+    }
+    separate_ = rejected.size();
+    queue_.insert(queue_.begin(), std::make_move_iterator(rejected.begin()), std::make_move_iterator(rejected.end()));
+}
+
 void Acceptor::finish(const std::string &id, AcceptedJob job)
 {
+    separate_ -= separate_ > 0 ? 1 : 0;
     const auto found = pending_.find(id);
     if (job.acceptance_ != Acceptance::Existing) {
         job.record_ = std::move(found->second.record_);
--- a/src/ibiswall/node/acceptor.hpp
+++ b/src/ibiswall/node/acceptor.hpp
@@ -18,6 +18,8 @@
     Existing,
     /// Not stored, and this attempt can no longer take effect.
     NotStored,
+    /// Not stored, since the store does not take such a record.
+    Rejected,
 };
 
 /// Result of a submission, with the stored job if there is one.
@@ -55,6 +57,7 @@
     void commit();
     void onAnswer(const platform::StoreResult &answer);
     void resolveConflict(const platform::StoreResult &conflict);
+    void resolveRejection();
     void finish(const std::string &id, AcceptedJob job);
 
     platform::StoreClient &store_;
@@ -65,6 +68,8 @@
     std::deque<std::string> queue_;
     /// Ids of the transaction in progress or to be retried; all are in pending_.
     std::vector<std::string> batch_;
+    /// Number of jobs, from the first one on, that are stored in a transaction each, since the store has rejected one with all of them.
+    std::size_t separate_ = 0;
     bool busy_ = false;
     /// Whether an earlier attempt at the batch may have taken effect or may still do so.
     bool uncertain_ = false;
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -230,6 +230,12 @@
         answerAll(submitters_, id, errorReply(Unavailable, Code::PlatformDown, {}, storeRetryAfter));
         return;
     }
+    if (job.acceptance_ == Acceptance::Rejected) {
+        count("ibiswall_refusals_total", "store_rejected");
+        logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", "store rejected"}});
+        answerAll(submitters_, id, errorReply(TooLarge, Code::TooLarge, {}));
+        return;
+    }
     logEvent("job.accepted",
              {{"job", std::string_view(id)},
               {"queue", std::string_view(job.record_.spec_.queue_)},
