End a job whose progress the store rejects

What callers saw: accepted jobs stay running for good, in all queues, after one job whose record fits into a value of the store when it is accepted, but no longer with its progress.

Cause: the leader stores up to 15 records in a transaction. One that the store rejects makes it reject the others, and the leader wrote them again at once, without end. The results of the targets were never acknowledged meanwhile.

Fix: the records of a rejected transaction are stored one by one. A job whose record is rejected alone is failed: the record of an ended job has neither payload nor steps, so it fits, and its targets can discard their results. Keeping the job without storing its progress was weighed: its results stay unacknowledged, so its targets list no others after 500 and take no more starts. A transaction has at most 256 KB of records unless it has one, as at the entries.

Dispatcher: rejected_write_ends_the_job_with_a_small_record.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -168,6 +168,10 @@
     /// The record was not stored: schedules another write, for the given revision.
     void onWriteFailed(const std::string &job, std::int64_t revision);
 
+    /// The store does not take the record, of the given revision: ends the job as failed, since the record of an ended job has neither
+    /// payload nor steps.
+    void onWriteRejected(const std::string &job, std::int64_t revision, Millis now);
+
     /// Returns whether the job is known, in any state.
     bool hasJob(const std::string &job) const;
 
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -209,6 +209,25 @@
     BOOST_TEST(writes[0].expectedRevision_ == 9);
 }
 
+BOOST_AUTO_TEST_CASE(rejected_write_ends_the_job_with_a_small_record)
+{
+    DispatcherFixture fixture;
+    fixture.add("a");
+    fixture.dispatcher_.addJob(testJob("j1", {testStep(2)}, false), fixture.now_);
+    fixture.finishRun(fixture.schedule().starts_.at(0));
+    fixture.now_ = fixture.now_ + Millis{5000};
+    const auto progress = fixture.dispatcher_.takeWrites(10, fixture.now_);
+    BOOST_REQUIRE(progress.size() == 1U);
+    fixture.dispatcher_.onWriteRejected("j1", progress[0].expectedRevision_, fixture.now_);
+    BOOST_TEST(fixture.dispatcher_.takeActions().acks_.empty());
+    const auto writes = fixture.dispatcher_.takeWrites(10, fixture.now_);
+    BOOST_REQUIRE(writes.size() == 1U);
+    BOOST_TEST((writes[0].record_.progress_.state_ == JobState::Failed));
+    BOOST_TEST(formatRecord(writes[0].record_).size() < formatRecord(progress[0].record_).size());
+    fixture.dispatcher_.onWritten("j1", 9, fixture.now_);
+    BOOST_TEST(fixture.dispatcher_.takeActions().acks_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(attempts_are_counted_once_and_limited)
 {
     DispatcherFixture fixture;
--- a/src/ibiswall/cell/dispatcherwrites.cpp
+++ b/src/ibiswall/cell/dispatcherwrites.cpp
@@ -120,6 +120,14 @@
     dirty_.insert(id);
 }
 
+void Dispatcher::onWriteRejected(const std::string &id, std::int64_t revision, Millis now)
+{
+    onWriteFailed(id, revision);
+    if (const auto found = jobs_.find(id); found != jobs_.end() && !isFinal(found->second.state_)) {
+        finish(found->second, JobState::Failed, now);
+    }
+}
+
 void Dispatcher::onResultSaved(const ResultRef &result)
 {
     Target &target = targets_[result.agent_];
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -170,6 +170,7 @@
     void send(cell::DispatcherActions &&actions);
     void store();
     void onStored(const std::vector<cell::JobWrite> &writes, const std::vector<std::string> &values, const platform::StoreResult &answer);
+    void onWritesRejected(const std::vector<cell::JobWrite> &writes);
     void removeExpiredRecords(Millis now);
     void onRemovalConflict(const std::vector<cell::JobRemoval> &removals, const platform::StoreResult &answer);
     void confirmLeadership();
@@ -226,6 +227,8 @@
     /// Contained queues as logged last.
     std::set<std::string> loggedContained_;
     bool storing_ = false;
+    /// Number of records that are stored in a transaction each, since the store has rejected one with several.
+    std::size_t separateWrites_ = 0;
     /// When the latest transaction was sent; set to a later time to delay a retry.
     Millis storedAt_;
     /// When acknowledgements last went out to all agents that had some.
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -162,7 +162,7 @@
         });
         return;
     }
-    const std::vector<cell::JobWrite> writes = dispatcher_.takeWrites(maxRecords, now);
+    std::vector<cell::JobWrite> writes = dispatcher_.takeWrites(separateWrites_ > 0 ? 1 : maxRecords, now);
     if (writes.empty()) {
         removeExpiredRecords(now);
         return;
@@ -171,11 +171,21 @@
     storedAt_ = now;
     platform::Transaction transaction = leaderTransaction();
     std::vector<std::string> values;
+    std::size_t bytes = 0;
     for (const cell::JobWrite &write : writes) {
-        values.push_back(formatRecord(write.record_));
+        std::string value = formatRecord(write.record_);
+        bytes += value.size();
+        if (!values.empty() && bytes > platform::maxBatchBytes) {
+            break;
+        }
         transaction.conditions_.push_back({keys::job(write.job_), write.expectedRevision_});
-        transaction.writes_.push_back({keys::job(write.job_), values.back()});
+        transaction.writes_.push_back({keys::job(write.job_), value});
+        values.push_back(std::move(value));
+    }
+    for (std::size_t i = values.size(); i < writes.size(); ++i) {
+        dispatcher_.onWriteFailed(writes[i].job_, writes[i].expectedRevision_);
     }
+    writes.resize(values.size());
     store_.commit(transaction, [self = shared_from_this(), writes, values, now](const platform::StoreResult &answer) {
         if (self->stopped_) {
             return;
@@ -243,6 +253,12 @@
     using platform::StoreOutcome;
     storing_ = false;
     const Millis now = bootClock();
+    separateWrites_ -= separateWrites_ > 0 ? 1 : 0;
+    if (answer.outcome_ == StoreOutcome::Rejected) {
+        onWritesRejected(writes);
+        scheduleDispatch();
+        return;
+    }
     if (answer.outcome_ == StoreOutcome::Conflict) {
         const auto leaderItem = std::find_if(answer.items_.begin(), answer.items_.end(),
                                              [](const platform::Item &item) { return item.key_ == keys::leader; });
@@ -282,6 +298,24 @@
     scheduleDispatch();
 }
 
+// Finds the record that the store does not take by storing each record of the transaction alone. While such a record is written again
+// and again, no other one is stored, and its targets keep their results until they take no more starts, so its job ends.
+void LeaderSession::onWritesRejected(const std::vector<cell::JobWrite> &writes)
+{
+    if (writes.size() > 1) {
+        separateWrites_ = writes.size();
+        for (const cell::JobWrite &write : writes) {
+            dispatcher_.onWriteFailed(write.job_, write.expectedRevision_);
+        }
+        return;
+    }
+    const cell::JobWrite &write = writes.front();
+    count("ibiswall_unstorable_jobs_total");
+    logEvent("job.unstorable", {{"job", std::string_view(write.job_)}});
+    dispatcher_.onWriteRejected(write.job_, write.expectedRevision_, bootClock());
+    storedAt_ = bootClock() + retryDelay;
+}
+
 void LeaderSession::recordConfirmation(Millis sentAt)
 {
     confirmedAt_ = {std::max(confirmedAt_.count_, sentAt.count_)};
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -49,6 +49,7 @@
         {"ibiswall_ends_total", {"Ends of runs told to this leader, by kind", "how"}},
         {"ibiswall_run_crashes_total", {"Runs during which their target crashed, as reported to this leader", "cause"}},
         {"ibiswall_jobs_given_up_total", {"Jobs failed because their tasks crashed targets", ""}},
+        {"ibiswall_unstorable_jobs_total", {"Jobs that this leader has failed because the store did not take their records", ""}},
         {"ibiswall_containments_total", {"Times that a queue was contained, since its jobs crashed targets", ""}},
         {"ibiswall_interfering_pairs", {"Pairs of kinds of tasks that this leader keeps apart, since one slows the other down", ""}},
         {"ibiswall_target_stalls_total", {"Times that this leader found a target stalled, tried it, or used it again", "change"}},
