Take the incomplete and unsent frames of all links from one budget

What happened: 12 peers that name themselves on `links` and send frames of 16 MB without their last bytes, whole or in fragments, took an entry to 171,576 and 162,504 kB; 60 that relay to one another without reading took it to 221,396 kB. The smallest entry's machine has 120 MB.

Cause: each identified link may hold a frame of 16 MB and 4 MB unsent; nothing limited their sum, and websocketpp does not show an incomplete frame to the handler of messages.

Fix: LinkMessage, a message type for websocketpp, counts the capacity of its payload for its link, and takes it from a budget of an eighth of memory_mb (metric ibiswall_link_bytes). When it is exceeded, the server closes the link that holds most. Frames of a cell are far smaller (20,480 neighbours: about 2 MB), so the crowd is closed before the cell's own links. The links of `ibiswall entry` have 64 MB, or four of its largest frames.

--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <ibiswall/base.hpp>
+#include <ibiswall/base/budget.hpp>
 #include <memory>
 
 namespace ibiswall {
@@ -33,6 +34,9 @@
     std::size_t maxUnidentifiedFrameBytes_ = 4096;
     /// A link whose send buffer exceeds this is closed.
     std::size_t maxBufferedBytes_ = 64U << 20U;
+    /// Bytes of incomplete and of unsent frames, of all links that share the budget; may be null. When it is exceeded, a server closes
+    /// the link that holds most.
+    std::shared_ptr<Budget> buffers_ = {};
     /// Maximum number of identified links of a server.
     std::size_t maxLinks_ = 4096;
     /// Maximum number of connections of a server that are not identified links. The oldest one is closed in favour of a new one: a peer
--- a/src/ibiswall/entry/dispatchloop.cpp
+++ b/src/ibiswall/entry/dispatchloop.cpp
@@ -29,6 +29,9 @@
 {
     LinkLimits limits;
     limits.maxFrameBytes_ = settings.maxFrame_;
+    constexpr std::size_t minBuffers = 64U << 20U;
+    constexpr std::size_t largestFrames = 4;
+    limits.buffers_ = std::make_shared<Budget>(std::max(minBuffers, largestFrames * settings.maxFrame_));
     // Together not more than the descriptors that are counted for links.
     constexpr std::size_t unidentifiedShare = 4;
     limits.maxUnidentified_ = std::clamp<std::size_t>(settings.maxLinks_ / unidentifiedShare, 1, limits.maxUnidentified_);
--- a/src/ibiswall/net/linkclient.cpp
+++ b/src/ibiswall/net/linkclient.cpp
@@ -3,6 +3,7 @@
 #include <ibiswall/net/link.hpp>
 
 #include "endpoint.hpp"
+#include "linkbuffers.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 #include <websocketpp/client.hpp>
@@ -14,7 +15,7 @@
 
 // The default configuration with a shorter connect timeout. A host that is just starting misses the first packet of a
 // connection, and the operating system resends it only after a second.
-struct ClientConfig : websocketpp::config::asio_client
+struct ClientConfig : LinkConfig<websocketpp::config::asio_client>
 {
     struct TransportConfig : websocketpp::config::asio_client::transport_config
     {
@@ -53,6 +54,9 @@
             scheduleReconnect();
             return;
         }
+        if (limits_.buffers_) {
+            buffersOf(*connection)->attach(limits_.buffers_, {});
+        }
         const auto weak = weak_from_this();
         connection->set_open_handler([weak](const Handle &handle) {
             if (const auto self = weak.lock()) {
--- a/src/ibiswall/net/linkserver.cpp
+++ b/src/ibiswall/net/linkserver.cpp
@@ -3,6 +3,8 @@
 #include <ibiswall/net/link.hpp>
 
 #include "endpoint.hpp"
+#include "linkbuffers.hpp"
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 #include <unordered_set>
@@ -13,7 +15,7 @@
 
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
+using Server = websocketpp::server<LinkConfig<websocketpp::config::asio>>;
 using Handle = websocketpp::connection_hdl;
 
 } // namespace
@@ -36,6 +38,40 @@
         const LinkId link = nextLink_++;
         ids_[handle] = link;
         unidentified_[link] = handle;
+        if (limits_.buffers_) {
+            const std::shared_ptr<LinkBuffers> buffers = buffersOf(*server_.get_con_from_hdl(handle));
+            buffers->attach(limits_.buffers_, [this] { closeLargest(); });
+            buffers_[link] = {buffers, handle};
+        }
+    }
+
+    // Closes the links that hold most until the others are within the budget: what the peers of a cell send is small.
+    void closeLargest()
+    {
+        while (limits_.buffers_->used() > limits_.buffers_->limit()) {
+            const auto largest = std::max_element(buffers_.begin(), buffers_.end(), [](const auto &a, const auto &b) {
+                return a.second.first->bytes() < b.second.first->bytes();
+            });
+            if (largest == buffers_.end()) {
+                return;
+            }
+            const auto [buffers, handle] = largest->second;
+            buffers_.erase(largest);
+            buffers->detach();
+            reportRefusal("incomplete and unsent frames exceed the memory for links");
+            closeSocket(handle);
+        }
+    }
+
+    // At once, since a closing handshake would keep the descriptor for as long as the peer does not answer.
+    void closeSocket(const Handle &handle)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = server_.get_con_from_hdl(handle, error);
+        if (!error) {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().close(ignored);
+        }
     }
 
     void onHandshakeFailed(const Handle &handle)
@@ -47,6 +83,7 @@
         if (unidentified_.erase(found->second) > 0) {
             reportRefusal("WebSocket handshake failed: " + server_.get_con_from_hdl(handle)->get_ec().message());
         }
+        buffers_.erase(found->second);
         ids_.erase(found);
     }
 
@@ -75,6 +112,7 @@
         }
         const LinkId link = found->second;
         ids_.erase(found);
+        buffers_.erase(link);
         unidentified_.erase(link);
         identified_.erase(link);
         pongAt_.erase(link);
@@ -108,7 +146,6 @@
         return true;
     }
 
-    // Closes the socket at once, since a closing handshake would keep the descriptor for as long as the peer does not answer.
     void dropUnidentified(LinkId link)
     {
         const auto found = unidentified_.find(link);
@@ -117,12 +154,7 @@
         }
         const Handle handle = found->second;
         unidentified_.erase(found);
-        websocketpp::lib::error_code error;
-        const auto connection = server_.get_con_from_hdl(handle, error);
-        if (!error) {
-            boost::system::error_code ignored;
-            connection->get_raw_socket().close(ignored);
-        }
+        closeSocket(handle);
     }
 
     void reportRefusal(const std::string &reason) const
@@ -141,6 +173,8 @@
     std::unordered_map<LinkId, Handle> links_;
     /// Connections whose handshake is in progress and links that are not identified, the oldest first.
     std::map<LinkId, Handle> unidentified_;
+    /// Frames of connections that take from LinkLimits::buffers_.
+    std::map<LinkId, std::pair<std::shared_ptr<LinkBuffers>, Handle>> buffers_;
     /// A subset of links_.
     std::unordered_set<LinkId> identified_;
     /// When the latest pong was sent on each link that has received a ping.
@@ -240,14 +274,8 @@
 void LinkServer::drop(LinkId link)
 {
     const auto found = state_->links_.find(link);
-    if (found == state_->links_.end()) {
-        return;
-    }
-    websocketpp::lib::error_code error;
-    const auto connection = state_->server_.get_con_from_hdl(found->second, error);
-    if (!error) {
-        boost::system::error_code ignored;
-        connection->get_raw_socket().close(ignored);
+    if (found != state_->links_.end()) {
+        state_->closeSocket(found->second);
     }
 }
 
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -38,12 +38,13 @@
     return static_cast<std::int64_t>(settings.cores_ * millicoresPerCore);
 }
 
-MeshSettings meshSettings(const Peer &self, const CellEntrySettings &settings)
+MeshSettings meshSettings(const Peer &self, const CellEntrySettings &settings, const ProcessLimits &limits)
 {
     MeshSettings out;
     out.self_ = self;
     out.listen_ = settings.linksAddress_;
     out.maxDescriptors_ = settings.maxDescriptors_;
+    out.buffers_ = limits.links_;
     return out;
 }
 
@@ -63,7 +64,7 @@
     , self_{settings.name_, wallClock().count_, true}
     , store_(io, settings.storeAddress_, storeTimeout)
     , mesh_(io,
-            meshSettings(self_, settings),
+            meshSettings(self_, settings, limits_),
             {[this](const Peer &peer) { onPeerUp(peer); }, [this](const std::string &name) { onPeerDown(name); },
              [this](const std::string &from, std::string_view bytes) {
                  receive(from, bytes);
@@ -138,6 +139,7 @@
     gauge("ibiswall_leading", leaderSession_ && leadership_.isLeader() ? 1 : 0);
     gauge("ibiswall_connection_bytes", static_cast<double>(limits_.connections_->used()));
     gauge("ibiswall_job_bytes", static_cast<double>(limits_.jobs_->used()));
+    gauge("ibiswall_link_bytes", static_cast<double>(limits_.links_->used()));
     gauge("ibiswall_task_bytes", static_cast<double>(limits_.tasks_->used()));
     gauge("ibiswall_interfering_pairs", leaderSession_ ? static_cast<double>(leaderSession_->interferingPairCount()) : 0);
     if (stop_.hasBegun()) {
--- a/src/ibiswall/node/mesh.cpp
+++ b/src/ibiswall/node/mesh.cpp
@@ -22,9 +22,10 @@
 // Untrusted peers may connect and send malformed frames without end: at most one of each event is logged in this time.
 constexpr Millis minLogInterval{10000};
 
-LinkLimits meshLimits()
+LinkLimits meshLimits(const MeshSettings &settings)
 {
     LinkLimits limits;
+    limits.buffers_ = settings.buffers_;
     limits.maxFrameBytes_ = maxFrame;
     limits.maxBufferedBytes_ = maxBuffered;
     limits.maxReconnectDelay_ = {400};
@@ -41,7 +42,7 @@
     if (rlimit limit{}; descriptors == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0) {
         descriptors = limit.rlim_cur;
     }
-    LinkLimits limits = meshLimits();
+    LinkLimits limits = meshLimits(settings);
     const std::size_t forLinks = std::min(descriptors / linksShare, limits.maxLinks_);
     limits.maxUnidentified_ = std::clamp<std::size_t>(forLinks / unidentifiedShare, 1, limits.maxUnidentified_);
     limits.maxLinks_ = std::max<std::size_t>(forLinks - std::min(forLinks, limits.maxUnidentified_), 1);
@@ -97,7 +98,7 @@
         }
         const std::uint64_t base = nextClient_++ << 32U;
         auto clientRef = std::make_shared<std::weak_ptr<LinkClient>>();
-        auto client = std::make_shared<LinkClient>(io_, address, meshLimits(),
+        auto client = std::make_shared<LinkClient>(io_, address, meshLimits(settings_),
                                                    LinkEvents{[this, base, clientRef](LinkId id) {
                                                                   onLinkOpened({true, base + id}, clientRef->lock());
                                                               },
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -57,6 +57,8 @@
     Millis identificationTimeout_{5000};
     /// Descriptors that the process may open; 0 for the limit that the system sets. At most half of them are links.
     std::size_t maxDescriptors_ = 0;
+    /// Memory for incomplete and unsent frames of all links; null for no limit.
+    std::shared_ptr<Budget> buffers_ = {};
     /// Peers that one entry may announce, and peers known in total. The largest cells have 20,000 targets.
     std::size_t maxNeighbours_ = 20480;
     std::size_t maxPeers_ = 32768;
--- a/src/ibiswall/node/processlimits.cpp
+++ b/src/ibiswall/node/processlimits.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t tasksDivisor = 4;
 // Tasks of stored jobs are taken over whatever a leader holds, so they are limited where they are accepted.
 constexpr std::size_t durableTasksDivisor = 4;
+constexpr std::size_t linksDivisor = 8;
 // 200 for files, and 512 for links (two to each of 70 agents and 12 entries, while one replaces the other), the store, readiness
 // and metrics.
 constexpr std::size_t reservedDescriptors = 712;
@@ -52,6 +53,7 @@
     limits.jobs_ = std::make_shared<Budget>(bytes / jobsDivisor);
     limits.durableTasks_ = std::make_shared<Budget>(bytes / durableTasksDivisor);
     limits.tasks_ = std::make_shared<Budget>(bytes / tasksDivisor);
+    limits.links_ = std::make_shared<Budget>(bytes / linksDivisor);
     limits.maxConnections_ = std::min(maxCallers, descriptors - std::min(reservedDescriptors, descriptors / reservedDivisor));
     limits.maxLookups_ = std::min(maxLookups, std::max<std::size_t>(descriptors / lookupsDivisor, 1));
     return limits;
--- a/src/ibiswall/node/processlimits.hpp
+++ b/src/ibiswall/node/processlimits.hpp
@@ -17,6 +17,8 @@
     std::shared_ptr<Budget> durableTasks_;
     /// Tasks of the jobs of this leader.
     std::shared_ptr<Budget> tasks_;
+    /// Frames of links that are incomplete or not sent yet.
+    std::shared_ptr<Budget> links_;
     /// Connections of callers.
     std::size_t maxConnections_ = 0;
     /// State reads of jobs that the entry does not know, and cancels that wait, each. Each may hold a connection to the store.
