Reject CBOR that takes more than 32 MB when decoded

What happened: a frame of 8 MB that is a list of empty arrays, from a peer that has named itself on `links`, took an entry to 1,008,052 kB. Any kind of frame does; the same bytes as a record in an offer do too.

Cause: an empty array takes one byte of CBOR and 40 and more in memory. The check before the decoder covered the structure and the depth, not the size of what is decoded.

Fix: the same pass adds up an estimate of the values, lists and entries of maps, and rejects the bytes at 32 MB; the link is closed as after any malformed frame. Strings are not counted, since they take no more than in the frame. A list of 20,480 neighbours is estimated at 6 MB, and the largest list of numbers that fits into a request of 1 MB at 17 MB.

Without processes: malformed/cbor_that_grows_when_decoded_is_rejected, which decodes 500,000 numbers and rejects as many empty lists, maps and texts.

--- a/src/ibiswall/cell/cbor.cpp
+++ b/src/ibiswall/cell/cbor.cpp
@@ -1,4 +1,5 @@
-// Checks the structure of CBOR without recursion, so that the decoder, which calls itself for each level, can be called safely.
+// Checks the structure and the decoded size of CBOR without recursion, so that the decoder, which calls itself for each level and takes
+// up to 80 bytes for one byte of input, can be called safely.
 
 #include <ibiswall/cell/cbor.hpp>
 
@@ -14,6 +15,11 @@
 
 // Frames and records of the cell have fewer than 10 levels.
 constexpr std::size_t maxDepth = 32;
+// A list of 20,480 peers takes about 6 MB, a record of the largest request about 17 MB.
+constexpr std::size_t maxDecodedBytes = 32U << 20U;
+// Memory of a value in a list that has doubled its capacity, and what strings, lists and entries of maps take beside it.
+constexpr std::size_t valueBytes = 2 * sizeof(Json);
+constexpr std::size_t blockBytes = 48;
 
 // Major types of CBOR (RFC 8949).
 enum MajorType : std::uint8_t { Unsigned, Negative, Bytes, Text, Array, Map, Tag, Other };
@@ -52,6 +58,7 @@
 private:
     static constexpr std::uint8_t indefinite = 31;
     static constexpr std::uint8_t breakByte = 0xff;
+    static constexpr const char *tooLarge = "too large when decoded";
 
     const char *scanItem()
     {
@@ -73,12 +80,19 @@
         const std::uint8_t info = head & 31U;
         if (info == indefinite) {
             // The decoder calls itself for each chunk of a string of indefinite length, and such strings are not used here.
-            return type == Array || type == Map ? open({0, true}) : "string of indefinite length";
+            if (type != Array && type != Map) {
+                return "string of indefinite length";
+            }
+            return count(valueBytes + blockBytes) ? open({0, true}) : tooLarge;
         }
         const std::optional<std::uint64_t> argument = readArgument(info);
         if (!argument) {
             return "unexpected end";
         }
+        const bool hasBlock = type == Bytes || type == Text || type == Array || type == Map;
+        if (!count(valueBytes + (hasBlock ? blockBytes : 0))) {
+            return tooLarge;
+        }
         switch (type) {
         case Bytes:
         case Text:
@@ -92,6 +106,13 @@
         }
     }
 
+    // Whether the values so far are within the limit. Bytes of strings are not counted, as they take no more than in the input.
+    bool count(std::size_t bytes)
+    {
+        decodedBytes_ += bytes;
+        return decodedBytes_ <= maxDecodedBytes;
+    }
+
     const char *open(Container container)
     {
         if (open_.size() == maxDepth) {
@@ -131,6 +152,8 @@
 
     std::string_view bytes_;
     std::size_t at_ = 0;
+    /// Estimate of the memory of the values so far, without the bytes of strings.
+    std::size_t decodedBytes_ = 0;
     std::vector<Container> open_;
 };
 
--- a/src/ibiswall/cell/malformed_test.cpp
+++ b/src/ibiswall/cell/malformed_test.cpp
@@ -92,6 +92,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(cbor_that_grows_when_decoded_is_rejected)
+{
+    constexpr std::size_t count = 500000;
+    const std::string head("\x9a\x00\x07\xa1\x20", 5);
+    BOOST_TEST(parseCbor(head + std::string(count, '\0')).size() == count);
+    for (const std::string &item : {std::string("\x80"), std::string("\xa0"), std::string("\x60"), std::string("\x9f\xff")}) {
+        std::string bytes = head;
+        for (std::size_t i = 0; i < count; ++i) {
+            bytes += item;
+        }
+        BOOST_CHECK_THROW(parseCbor(bytes), std::out_of_range);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(cbor_with_a_wrong_structure_is_rejected)
 {
     const std::vector<std::string> malformed{"",
