Count the records of jobs at the leader, not only their tasks

What happened: stored jobs of one task and 4,000 bytes, submitted at 8 entries with 64 MB each until these refused, took the leader to 88,324 kB.

Cause: each entry limits the records that it has accepted to an eighth of its memory, but the leader holds those of all entries and limited only tasks, at 160 bytes. Eight such shares are the whole memory, twelve are more.

Fix: a job counts with its record and its tasks, both where an entry limits stored jobs and at the leader.

Dispatcher: records_of_narrow_jobs_count. dispatcher_budget and process_limits compute with jobBytes instead of taskBytes, at the same proportions.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -43,9 +43,9 @@
 
     void setScheduling(const SchedulingSettings &settings);
 
-    /// Limits the bytes of tasks. Ephemeral jobs of which no dispatcher can have started a task are refused beyond it; others are
+    /// Limits the bytes of jobs and their tasks. Ephemeral jobs of which no dispatcher can have started a task are refused beyond it; others are
     /// always added.
-    void setTaskBudget(std::shared_ptr<Budget> budget);
+    void setJobBudget(std::shared_ptr<Budget> budget);
 
     /// Adds a job. Does not change a job that was added before.
     /// @return the job's state if it is final already, to be reported to the offering entry
@@ -394,7 +394,7 @@
     CellConfig config_;
     SchedulingSettings scheduling_;
     /// Null for no limit.
-    std::shared_ptr<Budget> taskBudget_;
+    std::shared_ptr<Budget> jobBudget_;
     std::set<std::string> domainsOut_;
     std::unordered_map<std::string, Job> jobs_;
     /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -96,6 +96,12 @@
 /// Number of tasks of a job, over all steps.
 std::uint32_t taskCount(const JobSpec &spec);
 
+/// Bytes that an entry holds for a job until it has ended.
+std::size_t recordBytes(const JobSpec &spec);
+
+/// Bytes that a leader holds for a job until it has ended: its record and its tasks.
+std::size_t jobBytes(const JobSpec &spec);
+
 /// State of a job. The states from Completed on are final.
 enum class JobState : std::uint8_t {
     Pending,
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -40,9 +40,9 @@
     }
 }
 
-void Dispatcher::setTaskBudget(std::shared_ptr<Budget> budget)
+void Dispatcher::setJobBudget(std::shared_ptr<Budget> budget)
 {
-    taskBudget_ = std::move(budget);
+    jobBudget_ = std::move(budget);
 }
 
 const Queue *Dispatcher::queueOf(const Job &job) const
@@ -99,8 +99,8 @@
         }
         return state;
     }
-    const std::size_t bytes = taskCount(offer.record_.spec_) * taskBytes;
-    if (taskBudget_ && !mayHaveStarted && offer.record_.spec_.ephemeral_ && jobs_.count(offer.id_) == 0 && !taskBudget_->hasRoomFor(bytes)
+    const std::size_t bytes = jobBytes(offer.record_.spec_);
+    if (jobBudget_ && !mayHaveStarted && offer.record_.spec_.ephemeral_ && jobs_.count(offer.id_) == 0 && !jobBudget_->hasRoomFor(bytes)
         && !mayRunSomewhere(offer.id_)) {
         finalJobs_[offer.id_] = {JobState::Refused, now, true, offer.revision_, false, false};
         return JobState::Refused;
@@ -124,7 +124,7 @@
     job.id_ = std::move(offer.id_);
     job.record_ = std::move(offer.record_);
     static_assert(sizeof(Task) <= taskBytes);
-    job.share_ = BudgetShare(taskBudget_);
+    job.share_ = BudgetShare(jobBudget_);
     job.share_.resize(bytes);
     job.revision_ = offer.revision_;
     job.activeAt_ = now;
--- a/src/ibiswall/cell/dispatcherbudget_test.cpp
+++ b/src/ibiswall/cell/dispatcherbudget_test.cpp
@@ -1,4 +1,4 @@
-// Tests the limit on the tasks of a leader: a job of 100 bytes can declare 100,000 tasks.
+// Tests the limit on the jobs of a leader: a job of 100 bytes can declare 100,000 tasks, and a record comes from each entry.
 
 #include "dispatcherfixture.hpp"
 
@@ -14,7 +14,7 @@
 {
     BudgetFixture()
     {
-        dispatcher_.setTaskBudget(budget_);
+        dispatcher_.setJobBudget(budget_);
     }
 
     std::optional<JobState> offer(const std::string &id, bool ephemeral, bool fresh)
@@ -24,8 +24,10 @@
         return dispatcher_.addJob(std::move(job), now_);
     }
 
-    /// Holds the tasks of one job and a half.
-    std::shared_ptr<Budget> budget_ = std::make_shared<Budget>(width * taskBytes * 3 / 2);
+    /// Bytes of one of the jobs.
+    std::size_t bytes_ = jobBytes(testJob("j", {testStep(width)}, true).record_.spec_);
+    /// Holds one job and a half.
+    std::shared_ptr<Budget> budget_ = std::make_shared<Budget>(bytes_ * 3 / 2);
 };
 
 } // namespace
@@ -46,6 +48,19 @@
     BOOST_TEST(!fixture.offer("j2", true, true));
 }
 
+BOOST_AUTO_TEST_CASE(records_of_narrow_jobs_count)
+{
+    BudgetFixture fixture;
+    std::size_t taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        JobOffer job = testJob("j" + std::to_string(i), {testStep(1)}, true);
+        job.record_.spec_.payload_.resize(4000);
+        taken += fixture.dispatcher_.addJob(std::move(job), fixture.now_) ? 0 : 1;
+    }
+    BOOST_TEST(taken * (4000 + taskBytes) < fixture.budget_->limit());
+    BOOST_TEST(taken > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(jobs_that_are_stored_or_may_have_been_started_are_taken_over)
 {
     BudgetFixture fixture;
@@ -53,7 +68,7 @@
     BOOST_TEST(!fixture.offer("j2", false, false));
     BOOST_TEST(!fixture.offer("j3", true, false));
     BOOST_TEST(fixture.dispatcher_.openJobs() == 3U);
-    BOOST_TEST(fixture.budget_->used() == std::size_t{3} * width * taskBytes);
+    BOOST_TEST(fixture.budget_->used() == 3 * fixture.bytes_);
     BOOST_TEST((fixture.offer("j4", true, true) == JobState::Refused));
 }
 
--- a/src/ibiswall/cell/model.cpp
+++ b/src/ibiswall/cell/model.cpp
@@ -28,6 +28,23 @@
     return count;
 }
 
+std::size_t recordBytes(const JobSpec &spec)
+{
+    // An entry of the map of jobs and what belongs to it; at an entry the callback of one caller as well.
+    constexpr std::size_t bytesPerJob = 1024;
+    std::size_t bytes = bytesPerJob + spec.queue_.size() + spec.payload_.size();
+    for (const Step &step : spec.steps_) {
+        bytes += sizeof(step) + step.after_.size() * sizeof(step.after_.front()) + step.requiredLabel_.size() + step.dataRack_.size()
+            + step.image_.size();
+    }
+    return bytes;
+}
+
+std::size_t jobBytes(const JobSpec &spec)
+{
+    return recordBytes(spec) + taskCount(spec) * taskBytes;
+}
+
 const Queue *findQueue(const CellConfig &config, std::string_view host, std::string_view path)
 {
     const Queue *best = nullptr;
--- a/src/ibiswall/node/entrybudget.cpp
+++ b/src/ibiswall/node/entrybudget.cpp
@@ -2,23 +2,26 @@
 
 #include "entrynode.hpp"
 
+#include <algorithm>
+
 namespace ibiswall::node {
 
-// Takes the bytes of a new job from the limits of the process. The tasks of a stored job are limited here, since a leader cannot
-// refuse them; those of others are limited by the leader.
+// Takes the bytes of a new job from the limits of the process. What a leader holds for a stored job is limited here, since it cannot
+// refuse one; other jobs are limited by the leader.
 std::optional<EntryNode::JobShares> EntryNode::acquireShares(const cell::JobSpec &spec) const
 {
-    JobShares shares{BudgetShare(limits_.jobs_), BudgetShare(limits_.durableTasks_)};
+    JobShares shares{BudgetShare(limits_.jobs_), BudgetShare(limits_.durableJobs_)};
     if (!shares.record_.tryResize(recordBytes(spec))) {
         return std::nullopt;
     }
     if (!spec.ephemeral_) {
-        const std::size_t bytes = cell::taskCount(spec) * cell::taskBytes;
-        const std::size_t part = limits_.durableTasks_->limit() / (entries_.size() + 1);
-        if (limits_.durableTasks_->used() + bytes > part) {
+        // The records of stored jobs also leave room for those of ephemeral ones at this entry.
+        const std::size_t part = std::min(limits_.durableJobs_->limit() / (entries_.size() + 1), limits_.jobs_->limit() / 2);
+        const std::size_t bytes = jobBytes(spec);
+        if (limits_.durableJobs_->used() + bytes > part) {
             return std::nullopt;
         }
-        shares.durableTasks_.resize(bytes);
+        shares.durableJob_.resize(bytes);
     }
     return shares;
 }
--- a/src/ibiswall/node/entrycampaign.cpp
+++ b/src/ibiswall/node/entrycampaign.cpp
@@ -241,7 +241,7 @@
     };
     leaderSession_ = std::make_shared<LeaderSession>(io_, store_, hooks, epoch, acquiredAt, replaced == 0, settings_.stateRetention_);
     leaderSession_->setConfig(config_, evacuatedDomains_);
-    leaderSession_->setTaskBudget(limits_.tasks_);
+    leaderSession_->setJobBudget(limits_.leaderJobs_);
     leaderSession_->setScheduling(settings_.scheduling_);
     leaderSession_->containQueues(contained_);
     leaderSession_->adoptInterference(interfering_);
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -140,7 +140,7 @@
     gauge("ibiswall_connection_bytes", static_cast<double>(limits_.connections_->used()));
     gauge("ibiswall_job_bytes", static_cast<double>(limits_.jobs_->used()));
     gauge("ibiswall_link_bytes", static_cast<double>(limits_.links_->used()));
-    gauge("ibiswall_task_bytes", static_cast<double>(limits_.tasks_->used()));
+    gauge("ibiswall_task_bytes", static_cast<double>(limits_.leaderJobs_->used()));
     gauge("ibiswall_interfering_pairs", leaderSession_ ? static_cast<double>(leaderSession_->interferingPairCount()) : 0);
     if (stop_.hasBegun()) {
         continueStop();
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -34,7 +34,7 @@
     struct JobShares
     {
         BudgetShare record_;
-        BudgetShare durableTasks_;
+        BudgetShare durableJob_;
     };
 
     /// What this entry knows about a job.
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -69,9 +69,9 @@
     scheduleDispatch();
 }
 
-void LeaderSession::setTaskBudget(std::shared_ptr<Budget> budget)
+void LeaderSession::setJobBudget(std::shared_ptr<Budget> budget)
 {
-    dispatcher_.setTaskBudget(std::move(budget));
+    dispatcher_.setJobBudget(std::move(budget));
 }
 
 void LeaderSession::setScheduling(const cell::SchedulingSettings &settings)
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -89,8 +89,8 @@
     void resume();
 
     void setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut);
-    /// Limits the tasks of jobs that have not ended; see Dispatcher::setTaskBudget.
-    void setTaskBudget(std::shared_ptr<Budget> budget);
+    /// Limits the bytes of jobs that have not ended; see Dispatcher::setJobBudget.
+    void setJobBudget(std::shared_ptr<Budget> budget);
     void setScheduling(const cell::SchedulingSettings &settings);
 
     /// Takes over the containment of the previous leader.
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -35,7 +35,7 @@
         {"ibiswall_connection_bytes", {"Bytes of callers' connections, bodies and replies", ""}},
         {"ibiswall_job_bytes", {"Bytes of open jobs at this entry, without their tasks", ""}},
         {"ibiswall_link_bytes", {"Bytes of incomplete and unsent frames of links", ""}},
-        {"ibiswall_task_bytes", {"Bytes of the tasks of this leader", ""}},
+        {"ibiswall_task_bytes", {"Bytes of the jobs of this leader and their tasks", ""}},
         {"ibiswall_accept_seconds", {"Time from a submission to its being stored", ""}},
         {"ibiswall_lead_taken_total", {"Times that this entry took the lead", ""}},
         {"ibiswall_lead_lost_total", {"Times that this entry lost the lead", ""}},
--- a/src/ibiswall/node/processlimits.hpp
+++ b/src/ibiswall/node/processlimits.hpp
@@ -13,10 +13,10 @@
     std::shared_ptr<Budget> connections_;
     /// Jobs that this entry has accepted and that have not ended, without their tasks.
     std::shared_ptr<Budget> jobs_;
-    /// Tasks of stored jobs that the entries of the cell have accepted; each entry uses an equal part.
-    std::shared_ptr<Budget> durableTasks_;
-    /// Tasks of the jobs of this leader.
-    std::shared_ptr<Budget> tasks_;
+    /// What a leader holds for the stored jobs that the entries of the cell have accepted; each entry uses an equal part.
+    std::shared_ptr<Budget> durableJobs_;
+    /// Jobs of this leader with their tasks.
+    std::shared_ptr<Budget> leaderJobs_;
     /// Frames of links that are incomplete or not sent yet.
     std::shared_ptr<Budget> links_;
     /// Connections of callers.
@@ -29,9 +29,6 @@
 /// @param maxDescriptors 0 for the limit of the process
 ProcessLimits processLimits(std::size_t memory, std::size_t maxDescriptors);
 
-/// Bytes that an entry holds for a job until it has ended.
-std::size_t recordBytes(const cell::JobSpec &spec);
-
 /// The method itself if callers may use it, otherwise `other`, so that clients cannot create metrics.
 std::string methodLabel(const std::string &method);
 
--- a/src/ibiswall/node/processlimits_test.cpp
+++ b/src/ibiswall/node/processlimits_test.cpp
@@ -15,14 +15,17 @@
     const ProcessLimits limits = processLimits(memoryMb, descriptors);
     // 200 files and two links to each of 67 agents and 12 entries.
     BOOST_TEST(limits.maxConnections_ + 200 + 2 * (67 + 12) < descriptors);
-    const std::size_t all = limits.connections_->limit() + limits.jobs_->limit() + limits.durableTasks_->limit() + limits.tasks_->limit();
+    const std::size_t all = limits.connections_->limit() + limits.jobs_->limit() + limits.durableJobs_->limit()
+        + limits.leaderJobs_->limit() + limits.links_->limit();
     BOOST_TEST(all < memoryMb << 20U);
+    BOOST_TEST(limits.durableJobs_->limit() < limits.leaderJobs_->limit());
     // 1,000 callers at a time with jobs of 32 tasks and the longest payload.
     cell::JobSpec spec;
     spec.payload_.resize(4000);
     spec.steps_.resize(1);
+    spec.steps_[0].count_ = 32;
     BOOST_TEST(1000 * recordBytes(spec) < limits.jobs_->limit());
-    BOOST_TEST(1000 * 32 * cell::taskBytes < limits.tasks_->limit());
+    BOOST_TEST(1000 * jobBytes(spec) < limits.leaderJobs_->limit());
 }
 
 BOOST_AUTO_TEST_CASE(small_and_unknown_limits_have_defaults)
