Limit stored jobs by the memory of the smallest entry of the cell

What callers saw: after the loss of an entry with 256 MB that had accepted stored jobs up to its limit, the entry with 32 MB that took over held 35,544 kB, and refused every ephemeral job from then on, since the tasks of the stored ones used up its limit.

Cause: an entry derived the limit of stored jobs from its own memory. The next leader holds them all and cannot refuse them, whatever its memory. Entries of the deployments in force have 120 to 512 MB.

Fix: entries register their memory beside their address; the limit is that of the smallest one, divided by the number of entries. Records of earlier versions have no memory and are passed over. Until it has read the registry for the first time an entry knows only its own.

--- a/src/ibiswall/node/entrybudget.cpp
+++ b/src/ibiswall/node/entrybudget.cpp
@@ -15,8 +15,10 @@
         return std::nullopt;
     }
     if (!spec.ephemeral_) {
-        // The records of stored jobs also leave room for those of ephemeral ones at this entry.
-        const std::size_t part = std::min(limits_.durableJobs_->limit() / (entries_.size() + 1), limits_.jobs_->limit() / 2);
+        // Any entry may become the leader. The records of stored jobs also leave room for those of ephemeral ones at this entry.
+        const std::size_t own = limits_.durableJobs_->limit();
+        const std::size_t leader = smallestMemory_ == 0 ? own : std::min(own, durableJobLimit(smallestMemory_));
+        const std::size_t part = std::min(leader / (entries_.size() + 1), limits_.jobs_->limit() / 2);
         const std::size_t bytes = jobBytes(spec);
         if (limits_.durableJobs_->used() + bytes > part) {
             return std::nullopt;
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -191,6 +191,8 @@
     Millis waitsAt_;
     /// Addresses of the other entries; empty before the first read.
     std::map<std::string, Address> entries_;
+    /// Memory of the other entry with the least, in megabytes; 0 if it is not known.
+    std::size_t smallestMemory_ = 0;
     /// When each registered entry was last reachable.
     std::map<std::string, Millis> entryReachedAt_;
     Millis entriesReadAt_;
--- a/src/ibiswall/node/entryregistration.cpp
+++ b/src/ibiswall/node/entryregistration.cpp
@@ -24,7 +24,7 @@
         if (!known && answer.outcome_ != platform::StoreOutcome::NotFound) {
             return;
         }
-        const std::string record = formatEntry({settings_.linksAddress_, self_.incarnation_, settings_.domain_});
+        const std::string record = formatEntry({settings_.linksAddress_, self_.incarnation_, settings_.domain_, settings_.memory_});
         if (known && answer.items_.front().value_ == record) {
             // The answer to an earlier write was lost, or the registry was read before it.
             succession_.onRegistered(answer.items_.front().revision_, bootClock());
@@ -100,6 +100,7 @@
         }
         succession_.onRegistryRead(others, sentAt);
         entries_ = addressesOf(records);
+        smallestMemory_ = smallestMemory(records);
         mesh_.setEntries(entries_);
         removeUnreachableEntries(answer.items_);
     });
--- a/src/ibiswall/node/entryregistry.cpp
+++ b/src/ibiswall/node/entryregistry.cpp
@@ -25,13 +25,17 @@
         return Error{Code::Corrupt, "not an address"};
     }
     BOOST_OUTCOME_TRY(auto address, parseAddress(json[0].get<std::string>()));
-    EntryRecord entry{address, 0, {}};
+    EntryRecord entry{address, 0, {}, 0};
     if (json.size() > 1 && json[1].is_number_integer()) {
         entry.incarnation_ = json[1].get<std::int64_t>();
     }
     if (json.size() > 2 && json[2].is_string()) {
         entry.domain_ = json[2].get<std::string>();
     }
+    // Earlier versions do not write it.
+    if (json.size() > 3 && json[3].is_number_unsigned()) {
+        entry.memory_ = json[3].get<std::size_t>();
+    }
     return entry;
 }
 
@@ -39,7 +43,8 @@
 
 std::string formatEntry(const EntryRecord &entry)
 {
-    const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({format(entry.address_), entry.incarnation_, entry.domain_}));
+    const std::vector<std::uint8_t> bytes
+        = Json::to_cbor(Json::array({format(entry.address_), entry.incarnation_, entry.domain_, entry.memory_}));
     return {bytes.begin(), bytes.end()};
 }
 
@@ -66,6 +71,17 @@
     return addresses;
 }
 
+std::size_t smallestMemory(const EntryRecords &entries)
+{
+    std::size_t smallest = 0;
+    for (const auto &[name, entry] : entries) {
+        if (entry.memory_ != 0 && (smallest == 0 || entry.memory_ < smallest)) {
+            smallest = entry.memory_;
+        }
+    }
+    return smallest;
+}
+
 EntryRecords chooseRelayEntries(const std::string &agent, const std::string &domain, const EntryRecords &entries, std::size_t count)
 {
     std::vector<EntryPoint> local;
--- a/src/ibiswall/node/entryregistry.hpp
+++ b/src/ibiswall/node/entryregistry.hpp
@@ -16,6 +16,8 @@
     std::int64_t incarnation_ = 0;
     /// Failure domain that it runs in; empty if it is not known.
     std::string domain_;
+    /// Memory of its process in megabytes; 0 if it is not known.
+    std::size_t memory_ = 0;
 };
 
 /// Registered entries by name.
@@ -29,6 +31,9 @@
 /// Link addresses of the entries, by name.
 std::map<std::string, Address> addressesOf(const EntryRecords &entries);
 
+/// Memory of the entry that has the least, in megabytes; 0 if that of none is known.
+std::size_t smallestMemory(const EntryRecords &entries);
+
 /// Selects the entries that an agent links to: one in its own failure domain, which relays without leaving the domain, and
 /// others in distinct domains, so that the loss of one does not disconnect the agent.
 /// @param count number of entries to select; if there are fewer, all are selected
--- a/src/ibiswall/node/entryregistry_test.cpp
+++ b/src/ibiswall/node/entryregistry_test.cpp
@@ -33,16 +33,27 @@
 {
     platform::Item item;
     item.key_ = std::string(keys::entries) + "e1";
-    item.value_ = formatEntry({{"10.1.0.13", 7720}, 42, "z1"});
+    item.value_ = formatEntry({{"10.1.0.13", 7720}, 42, "z1", 120});
     const platform::Item bad{std::string(keys::entries) + "e2", "\xff not an entry", 1, 1, false};
     const std::vector<platform::Item> items{item, bad};
     const EntryRecords parsed = parseEntries(items);
     BOOST_REQUIRE(parsed.size() == 1U);
     BOOST_TEST(parsed.at("e1").incarnation_ == 42);
     BOOST_TEST(parsed.at("e1").domain_ == "z1");
+    BOOST_TEST(parsed.at("e1").memory_ == 120U);
     BOOST_TEST(addressesOf(parsed).at("e1").port_ == 7720);
 }
 
+BOOST_AUTO_TEST_CASE(smallest_memory_passes_over_entries_that_state_none)
+{
+    EntryRecords entries;
+    BOOST_TEST(smallestMemory(entries) == 0U);
+    entries["e1"] = {{"10.0.0.1", 7000}, 1, "z1", 0};
+    entries["e2"] = {{"10.0.0.2", 7000}, 1, "z1", 512};
+    entries["e3"] = {{"10.0.0.3", 7000}, 1, "z1", 120};
+    BOOST_TEST(smallestMemory(entries) == 120U);
+}
+
 // 240 agents and 55 entries in 5 failure domains.
 BOOST_AUTO_TEST_CASE(agents_are_spread_and_reach_several_domains)
 {
--- a/src/ibiswall/node/keys.hpp
+++ b/src/ibiswall/node/keys.hpp
@@ -8,7 +8,7 @@
 
 /// One record for each job, by the job id that the caller chose.
 constexpr const char *jobs = "ibiswall/jobs/";
-/// Link address of each entry, as CBOR of [address, incarnation, failure domain].
+/// Link address of each entry, as CBOR of [address, incarnation, failure domain, memory].
 constexpr const char *entries = "ibiswall/entries/";
 /// Agents that may have active runs; the values are empty.
 constexpr const char *agents = "ibiswall/agents/";
--- a/src/ibiswall/node/processlimits.cpp
+++ b/src/ibiswall/node/processlimits.cpp
@@ -32,6 +32,13 @@
 // Callers of one entry in the largest known deployment.
 constexpr std::size_t maxCallers = 3500;
 
+// A sixteenth of the memory, in bytes.
+std::size_t partOf(std::size_t memory)
+{
+    constexpr std::size_t bytesPerMb = 1U << 20U;
+    return (memory == 0 ? defaultMemoryMb : memory) * bytesPerMb / parts;
+}
+
 std::size_t systemDescriptors()
 {
     rlimit limit{};
@@ -45,14 +52,13 @@
 
 ProcessLimits processLimits(std::size_t memory, std::size_t maxDescriptors)
 {
-    constexpr std::size_t bytesPerMb = 1U << 20U;
-    const std::size_t part = (memory == 0 ? defaultMemoryMb : memory) * bytesPerMb / parts;
+    const std::size_t part = partOf(memory);
     const std::size_t system = systemDescriptors();
     const std::size_t descriptors = maxDescriptors == 0 ? system : std::min(maxDescriptors, system);
     ProcessLimits limits;
     limits.connections_ = std::make_shared<Budget>(part * connectionParts);
     limits.jobs_ = std::make_shared<Budget>(part * jobParts);
-    limits.durableJobs_ = std::make_shared<Budget>(part * durableJobParts);
+    limits.durableJobs_ = std::make_shared<Budget>(durableJobLimit(memory));
     limits.leaderJobs_ = std::make_shared<Budget>(part * leaderJobParts);
     limits.links_ = std::make_shared<Budget>(part * linkParts);
     limits.maxConnections_ = std::min(maxCallers, descriptors - std::min(reservedDescriptors, descriptors / reservedDivisor));
@@ -60,6 +66,11 @@
     return limits;
 }
 
+std::size_t durableJobLimit(std::size_t memory)
+{
+    return partOf(memory) * durableJobParts;
+}
+
 std::string methodLabel(const std::string &method)
 {
     return method == "POST" || method == "GET" || method == "DELETE" ? method : "other";
--- a/src/ibiswall/node/processlimits.hpp
+++ b/src/ibiswall/node/processlimits.hpp
@@ -29,6 +29,9 @@
 /// @param maxDescriptors 0 for the limit of the process
 ProcessLimits processLimits(std::size_t memory, std::size_t maxDescriptors);
 
+/// What a leader with this memory holds for stored jobs: the limit of ProcessLimits::durableJobs_, in bytes.
+std::size_t durableJobLimit(std::size_t memory);
+
 /// The method itself if callers may use it, otherwise `other`, so that clients cannot create metrics.
 std::string methodLabel(const std::string &method);
 
