Limit the states of ended jobs that an entry keeps

What happened: a client that asked for the states of 48,000 ended jobs took an entry with 32 MB to 36,244 kB. Each notice of the end of a stored job, at every entry, adds the same for keep_states_ms (120 s).

Cause: an entry kept the final state of each job that it learned of until its retention had passed, without a limit on their number, in a record of 600 bytes that is empty by then.

Fix: the record is allocated only while a job is open. Final states use what open jobs leave of their share, at most half of it, and the oldest are discarded first: they are read from the store when someone asks for them, as are those that the entry never knew. An open job that needs the memory discards them too. They are in order, so they expire without a pass over all jobs.

Open: the leader still remembers each ended job (about 130 bytes) until it removes its record from the store.

--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -169,7 +169,7 @@
     }
     job.shares_ = std::move(*shares);
     logEvent("job.received", {{"job", std::string_view(id)}, {"queue", std::string_view(spec.queue_)}});
-    job.record_.emplace();
+    job.record_ = std::make_unique<cell::JobRecord>();
     job.record_->spec_ = std::move(spec);
     queueOffer(id);
 }
@@ -242,10 +242,15 @@
               {"revision", job.revision_},
               {"new", job.acceptance_ == Acceptance::Created ? 1 : 0}});
     KnownJob &known = jobs_[id];
+    const bool wasFinal = isFinal(known.state_);
     known.state_ = job.record_.progress_.state_;
     known.revision_ = job.revision_;
-    if (!isFinal(known.state_)) {
-        known.record_ = job.record_;
+    if (isFinal(known.state_)) {
+        if (!wasFinal) {
+            keepFinalState(id, known);
+        }
+    } else {
+        known.record_ = std::make_unique<cell::JobRecord>(job.record_);
         known.shares_ = std::move(shares);
         // A job that was stored before may be known to another entry or an earlier leader.
         known.offeredEpoch_ = job.acceptance_ == Acceptance::Created ? 0 : leadership_.leaderInfo().epoch_;
@@ -316,9 +321,9 @@
     }
     logEvent("job.ended", {{"job", std::string_view(notice.job_)}, {"state", platform::stateName(notice.state_)}});
     const bool ephemeral = job.isEphemeral();
-    job.record_.reset();
-    job.shares_ = {};
-    job.endedAt_ = bootClock();
+    if (!ephemeral) {
+        keepFinalState(notice.job_, job);
+    }
     const Millis retryAfter = notice.retryAfter_ > Millis{0} ? notice.retryAfter_ : startRetryAfter;
     const HttpReply reply = notice.state_ == cell::JobState::Refused ? errorReply(Unavailable, Code::Overloaded, {}, retryAfter)
                                                                      : jsonReply(Success, platform::formatState(notice.state_));
--- a/src/ibiswall/node/entrydeadlines.cpp
+++ b/src/ibiswall/node/entrydeadlines.cpp
@@ -73,10 +73,7 @@
 {
     if (now > prunedAt_ + prunePeriod) {
         prunedAt_ = now;
-        for (auto each = jobs_.begin(); each != jobs_.end();) {
-            const KnownJob &job = each->second;
-            each = isFinal(job.state_) && now > job.endedAt_ + settings_.stateRetention_ ? jobs_.erase(each) : std::next(each);
-        }
+        expireFinalStates(now);
     }
     for (Callers *waiting : {&submitters_, &cancellers_}) {
         std::vector<std::string> expired;
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -13,6 +13,7 @@
 #include "recoverystages.hpp"
 #include "stopsignals.hpp"
 #include "succession.hpp"
+#include <deque>
 #include <ibiswall/settings.hpp>
 
 namespace ibiswall::node {
@@ -42,13 +43,13 @@
     {
         cell::JobState state_ = cell::JobState::Pending;
         /// Set while this entry must make sure that the leader has the job.
-        std::optional<cell::JobRecord> record_;
+        std::unique_ptr<cell::JobRecord> record_;
         std::int64_t revision_ = 0;
         /// Epoch of the leader that it was last offered to, 0 for none.
         std::uint64_t offeredEpoch_ = 0;
         /// When this entry was notified of the final state.
         Millis endedAt_;
-        /// Taken from ProcessLimits while record_ is set.
+        /// Taken from ProcessLimits while record_ is set, and for a final state that is kept.
         JobShares shares_;
 
         bool isEphemeral() const
@@ -73,7 +74,10 @@
     void submit(const cell::Queue &queue, const std::string &id, const HttpRequest &request, Respond respond);
     void submitEphemeral(const std::string &id, cell::JobSpec spec, const HttpRequest &request, Respond respond);
     void onCallerDisconnected(const std::string &id, std::uint64_t number);
-    std::optional<JobShares> acquireShares(const cell::JobSpec &spec) const;
+    std::optional<JobShares> acquireShares(const cell::JobSpec &spec);
+    void keepFinalState(const std::string &id, KnownJob &job);
+    void discardOldestFinalState();
+    void expireFinalStates(Millis now);
     void refuse(const std::string &id, const char *reason, const Respond &respond);
     void answerAll(Callers &waiting, const std::string &id, const HttpReply &reply);
     /// @param unknownStatus status if there is no such job
@@ -171,6 +175,8 @@
     std::int64_t replacedRevision_ = 0;
 
     std::unordered_map<std::string, KnownJob> jobs_;
+    /// Jobs whose final states are kept, in the order in which this entry learned of them. Some may have been submitted again.
+    std::deque<std::string> finalStates_;
     /// Callers waiting for a job to be stored, or for an ephemeral job to end.
     Callers submitters_;
     Callers cancellers_;
