Apply stored jobs page by page instead of holding all of them

What happened: with 60,000 small records of ended jobs in the store, an entry with 32 MB that became the leader took 39,724 kB. The records stay for keep_states_ms (120 s) after the jobs; a leader reads all of them when it takes over and after the loss of each entry.

Cause: the leader collected all pages before it applied the first one, beside the jobs that it made of them.

Fix: readEach applies the items of each page when it arrives. Applying is idempotent: a job that the dispatcher has is passed over, so a read that ends in an error is repeated as before. Nothing is placed before the whole read and the reports of the agents, as before: tasks of loaded jobs are unreconciled until then.

--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -160,6 +160,7 @@
     void deregisterAgent(const std::string &agent);
     void lookUp(const std::string &job, std::function<void(bool)> callback);
     void lookUpOrphan(const std::string &job);
+    void readJobs(std::function<void(platform::StoreOutcome)> done);
     void sweep();
     void dispatch();
     void logContainment();
@@ -205,9 +206,11 @@
     Millis unansweredSince_;
     /// The registered agents are known, from the former leader or the store.
     bool loaded_ = false;
-    /// Answers to the reads of jobs and agents, until both have arrived.
-    std::optional<platform::StoreResult> jobsRead_;
+    /// Outcome of the read of all jobs and answer to that of the agents, until both have arrived.
+    std::optional<platform::StoreOutcome> jobsRead_;
     std::optional<platform::StoreResult> agentsRead_;
+    /// Records that the latest read of all jobs has returned so far.
+    std::size_t jobsReadCount_ = 0;
     /// Jobs and agents have been read in this epoch, so nothing that an earlier leader has stored is unknown.
     bool storeRead_ = false;
     bool reconciled_ = false;
--- a/src/ibiswall/node/leadersessionload.cpp
+++ b/src/ibiswall/node/leadersessionload.cpp
@@ -13,11 +13,12 @@
 
 } // namespace
 
-// Both reads are sent after the leadership was acquired, so they return all that earlier leaders have stored.
+// Both reads are sent after the leadership was acquired, so they return all that earlier leaders have stored. There may be more records
+// than fit into memory beside the jobs, so each page is applied when it arrives.
 void LeaderSession::load()
 {
-    store_.readAll(keys::jobs, false, [self = shared_from_this()](const platform::StoreResult &answer) {
-        self->jobsRead_ = answer;
+    readJobs([self = shared_from_this()](platform::StoreOutcome outcome) {
+        self->jobsRead_ = outcome;
         self->onRead();
     });
     store_.readAll(keys::agents, false, [self = shared_from_this()](const platform::StoreResult &answer) {
@@ -26,14 +27,27 @@
     });
 }
 
+// Adds stored jobs that the dispatcher does not have.
+void LeaderSession::readJobs(std::function<void(platform::StoreOutcome)> done)
+{
+    jobsReadCount_ = 0;
+    const auto add = [self = shared_from_this()](const platform::Item &item) {
+        ++self->jobsReadCount_;
+        if (!self->stopped_ && !self->dispatcher_.hasJob(keys::nameOf(item.key_, keys::jobs))) {
+            self->addStored(item);
+        }
+    };
+    store_.readEach(keys::jobs, add, std::move(done));
+}
+
 void LeaderSession::onRead()
 {
     if (stopped_ || !jobsRead_ || !agentsRead_) {
         return;
     }
-    const platform::StoreResult jobs = *std::exchange(jobsRead_, std::nullopt);
+    const platform::StoreOutcome jobs = *std::exchange(jobsRead_, std::nullopt);
     const platform::StoreResult agents = *std::exchange(agentsRead_, std::nullopt);
-    if (jobs.outcome_ != platform::StoreOutcome::Ok || agents.outcome_ != platform::StoreOutcome::Ok) {
+    if (jobs != platform::StoreOutcome::Ok || agents.outcome_ != platform::StoreOutcome::Ok) {
         loadTimer_.expires_after(std::chrono::milliseconds(loadRetryDelay.count_));
         loadTimer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
             if (!error) {
@@ -44,14 +58,9 @@
     }
     logEvent("lead.loaded",
              {{"epoch", logNumber(epoch_)},
-              {"jobs", logNumber(jobs.items_.size())},
+              {"jobs", logNumber(jobsReadCount_)},
               {"agents", logNumber(agents.items_.size())},
               {"after_ms", (bootClock() - startedAt_).count_}});
-    for (const platform::Item &item : jobs.items_) {
-        if (!dispatcher_.hasJob(keys::nameOf(item.key_, keys::jobs))) {
-            addStored(item);
-        }
-    }
     storeRead_ = true;
     for (const platform::Item &item : agents.items_) {
         addAgent(keys::nameOf(item.key_, keys::agents), item.revision_);
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -356,24 +356,19 @@
     }
 }
 
-// Adds stored jobs that the dispatcher does not have, for example because their entry failed before it could offer them.
+// Finds stored jobs that no entry has offered, for example because theirs failed before it could.
 void LeaderSession::sweep()
 {
     sweeping_ = true;
-    store_.readAll(keys::jobs, false, [self = shared_from_this()](const platform::StoreResult &answer) {
+    readJobs([self = shared_from_this()](platform::StoreOutcome outcome) {
         self->sweeping_ = false;
         if (self->stopped_) {
             return;
         }
-        if (answer.outcome_ != platform::StoreOutcome::Ok) {
+        if (outcome != platform::StoreOutcome::Ok) {
             self->sweeps_.push_back(bootClock() + retryDelay);
             return;
         }
-        for (const platform::Item &item : answer.items_) {
-            if (!self->dispatcher_.hasJob(keys::nameOf(item.key_, keys::jobs))) {
-                self->addStored(item);
-            }
-        }
         self->scheduleDispatch();
     });
 }
--- a/tests/system/hostilejobs_test.cpp
+++ b/tests/system/hostilejobs_test.cpp
@@ -82,6 +82,25 @@
     }
 }
 
+std::string endedJobId(std::size_t number)
+{
+    return jobId(static_cast<int>(0x100000 + number));
+}
+
+// Copies the record of a job that has ended, so that the test need not run so many.
+void storeEndedJobs(Cell &cell, std::size_t jobs)
+{
+    const std::string ended = jobId(0x10);
+    BOOST_REQUIRE(cell.submit(ended, 1, 1, false, {5000}).status_ == 200);
+    await("the job ends", [&] { return cell.state(ended) == "completed"; });
+    const std::string record = cell.bytesOf("ibiswall/jobs/" + ended);
+    std::vector<std::string> keys;
+    for (std::size_t i = 0; i < jobs; ++i) {
+        keys.push_back("ibiswall/jobs/" + endedJobId(i));
+    }
+    cell.createKeys(keys, record);
+}
+
 void checkAnswersJob(const Cell &cell, bool bestEffort = true)
 {
     static int number = 0x7000000;
@@ -164,32 +183,40 @@
     constexpr std::size_t jobsPerPart = 100;
     Cell cell(cellOf(1, smallMemoryMb));
     cell.awaitReady();
-    const std::string ended = jobId(0x10);
-    BOOST_REQUIRE(cell.submit(ended, 1, 1, false, {5000}).status_ == 200);
-    await("the job ends", [&] { return cell.state(ended) == "completed"; });
-    const std::string record = cell.bytesOf("ibiswall/jobs/" + ended);
-    const auto id = [](std::size_t number) {
-        return jobId(static_cast<int>(0x100000 + number));
-    };
-    std::vector<std::string> keys;
-    for (std::size_t i = 0; i < jobs; ++i) {
-        keys.push_back("ibiswall/jobs/" + id(i));
-    }
-    cell.createKeys(keys, record);
+    storeEndedJobs(cell, jobs);
     const auto reads = [&](std::size_t client, std::size_t index) {
         std::string part;
         for (std::size_t i = 0; i < jobsPerPart; ++i) {
-            part += requestHead("GET /jobs/" + id(client * (jobs / clients) + index * jobsPerPart + i), "\r\n");
+            part += requestHead("GET /jobs/" + endedJobId(client * (jobs / clients) + index * jobsPerPart + i), "\r\n");
         }
         return part;
     };
-    const Attack attack{clients, {}, reads, jobs / clients * requestHead("GET /jobs/" + id(0), "\r\n").size(), true, jobsPerPart};
+    const Attack attack{clients, {}, reads, jobs / clients * requestHead("GET /jobs/" + endedJobId(0), "\r\n").size(), true, jobsPerPart};
     const std::vector<Use> uses = runAttack(callersPorts(cell), entryPids(cell), attack);
     checkUses(cell, uses, smallMemoryMb);
-    BOOST_TEST(cell.state(id(0)) == "completed");
+    BOOST_TEST(cell.state(endedJobId(0)) == "completed");
     checkAnswersJob(cell);
 }
 
+BOOST_AUTO_TEST_CASE(ended_jobs_read_by_a_new_leader)
+{
+    Cell cell(cellOf(2, smallMemoryMb));
+    cell.awaitReady();
+    storeEndedJobs(cell, 60000);
+    const std::size_t former = cell.leader();
+    const std::size_t next = 1 - former;
+    cell.entries()[former].process_->kill();
+    const CellEntry &entry = cell.entries()[next];
+    await("the other entry leads", [&] { return cell.leader() == next; });
+    checkAnswersJob(cell);
+    // It answers a read of an ended job once it has read all.
+    await("a job is cancelled", [&] {
+        const auto answer = cell.call(next, "DELETE", endedJobId(0));
+        return answer && answer.value().status_ == 200;
+    });
+    checkUse(entry, peakUse(entry.process_->pid()), smallMemoryMb);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::system
