Offer open jobs again at the pace of the link to the leader

What callers saw: after the loss of the leader no accepted job is run any more while two entries hold some thousand stored jobs of 4,000 bytes. The two take the leadership from each other about once a second, without end.

Cause: an entry offered all its open jobs to a new leader at once. More than 4 MB unsent close the link; the next one counts as a new path, over which everything is offered again. The other entry misses the heartbeats meanwhile, campaigns, and is flooded in turn.

Fix: a frame of offers has at most 64 KB of records, and offers wait while the link has 256 KB unsent; they go on every 10 ms. Jobs whose callers wait go first. A cancel of a job that is still to be offered follows its offer, as it did before.

--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -65,6 +65,9 @@
     /// @return false if the link is closed, or is closed now because its send buffer is full
     bool send(LinkId link, std::string_view frame);
 
+    /// Bytes that were passed to send() and are not written to the socket yet.
+    std::size_t unsentBytes(LinkId link) const;
+
     /// Accepts the identification of a peer: larger frames and an unlimited time are allowed from now on.
     /// @return false if the link is closed, or is closed now because there are LinkLimits::maxLinks_ identified ones
     bool identify(LinkId link);
@@ -100,6 +103,9 @@
     /// @return false if the link is closed, or is closed now because its send buffer is full
     bool send(std::string_view frame);
 
+    /// Bytes that were passed to send() and are not written to the socket yet.
+    std::size_t unsentBytes() const;
+
     /// Closes the link with a closing handshake and reconnects after a delay.
     void close();
 
--- a/src/ibiswall/net/linkclient.cpp
+++ b/src/ibiswall/net/linkclient.cpp
@@ -162,6 +162,13 @@
     return !error;
 }
 
+std::size_t LinkClient::unsentBytes() const
+{
+    websocketpp::lib::error_code error;
+    const auto connection = state_->client_.get_con_from_hdl(state_->handle_, error);
+    return error || !state_->open_ ? 0 : connection->get_buffered_amount();
+}
+
 void LinkClient::close()
 {
     websocketpp::lib::error_code ignored;
--- a/src/ibiswall/net/linkserver.cpp
+++ b/src/ibiswall/net/linkserver.cpp
@@ -239,6 +239,17 @@
     return !error;
 }
 
+std::size_t LinkServer::unsentBytes(LinkId link) const
+{
+    const auto found = state_->links_.find(link);
+    if (found == state_->links_.end()) {
+        return 0;
+    }
+    websocketpp::lib::error_code error;
+    const auto connection = state_->server_.get_con_from_hdl(found->second, error);
+    return error ? 0 : connection->get_buffered_amount();
+}
+
 bool LinkServer::identify(LinkId link)
 {
     const auto found = state_->links_.find(link);
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -303,7 +303,13 @@
     }
     cancellers_[id].push_back({std::move(respond), deadline, nextCaller_++, bootClock()});
     flushOffers();
-    sendTo(leadership_.leaderInfo().leader_, CancelFrame{id});
+    // A leader that has not been offered the job yet would not know it; the offer is followed by the cancel.
+    const auto known = jobs_.find(id);
+    const bool isUnoffered
+        = known != jobs_.end() && known->second.record_ && known->second.offeredEpoch_ != leadership_.leaderInfo().epoch_;
+    if (!isUnoffered) {
+        sendTo(leadership_.leaderInfo().leader_, CancelFrame{id});
+    }
 }
 
 void EntryNode::onNotice(const cell::Notice &notice)
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -12,6 +12,12 @@
 namespace {
 
 constexpr std::size_t maxOffers = 64;
+// Bytes of the records of one frame, exceeded by at most one record.
+constexpr std::size_t maxOfferBytes = 64U << 10U;
+// Unsent bytes of a link beyond which further offers wait, far below those that close it. Heartbeats share the link; the slowest one sends
+// them in 0.1 s.
+constexpr std::size_t maxUnsentBytes = 256U << 10U;
+constexpr Millis offerInterval{10};
 // Time between the refusal of a job by the leader and the caller's deadline.
 constexpr Millis refusalReserve{60};
 constexpr double millisPerSecond = 1000;
@@ -106,8 +112,16 @@
 void EntryNode::queueOffer(const std::string &id)
 {
     offerQueue_.push_back(id);
-    if (offerQueue_.size() == 1) {
-        boost::asio::post(io_, [this] { flushOffers(); });
+    scheduleOffers();
+}
+
+void EntryNode::scheduleOffers()
+{
+    if (!std::exchange(offersScheduled_, true)) {
+        boost::asio::post(io_, [this] {
+            offersScheduled_ = false;
+            flushOffers();
+        });
     }
 }
 
@@ -139,41 +153,70 @@
     return age;
 }
 
+// Offers all open jobs again, to a new leader or over a new path.
 void EntryNode::offerOpenJobs()
 {
+    offerQueue_.clear();
+    reoffers_.clear();
     for (const auto &[id, job] : jobs_) {
         if (job.record_) {
-            queueOffer(id);
+            (submitters_.count(id) != 0 ? offerQueue_ : reoffers_).push_back(id);
         }
     }
+    scheduleOffers();
 }
 
+// More unsent bytes than a link may have would close it, and everything would be offered again over the next one.
 void EntryNode::flushOffers()
 {
-    OffersFrame frame;
+    sendOffers(offerQueue_);
+    if (offerQueue_.empty()) {
+        sendOffers(reoffers_);
+    }
+    if (offerQueue_.empty() && reoffers_.empty()) {
+        return;
+    }
+    offerTimer_.expires_after(std::chrono::milliseconds(offerInterval.count_));
+    offerTimer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            flushOffers();
+        }
+    });
+}
+
+// Sends offers until the link to the leader has enough to do.
+void EntryNode::sendOffers(std::deque<std::string> &queue)
+{
     const std::uint64_t epoch = leadership_.leaderInfo().epoch_;
-    const auto send = [&] {
-        // Without a path to the leader the jobs remain unoffered; they are offered when there is one.
-        if (!frame.offers_.empty() && sendTo(leadership_.leaderInfo().leader_, frame)) {
-            for (const cell::JobOffer &offer : frame.offers_) {
-                jobs_.at(offer.id_).offeredEpoch_ = epoch;
+    const std::string leader = leadership_.leaderInfo().leader_;
+    std::size_t sentBytes = 0;
+    while (!queue.empty() && sentBytes < maxUnsentBytes && mesh_.unsentBytes(leader) < maxUnsentBytes) {
+        OffersFrame frame;
+        std::size_t bytes = 0;
+        while (!queue.empty() && frame.offers_.size() < maxOffers && bytes < maxOfferBytes) {
+            const std::string id = std::move(queue.front());
+            queue.pop_front();
+            const auto found = jobs_.find(id);
+            if (found == jobs_.end() || !found->second.record_ || epoch == 0) {
+                continue;
             }
+            const KnownJob &job = found->second;
+            bytes += recordBytes(job.record_->spec_);
+            frame.offers_.push_back(
+                {id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id), settings_.domain_});
         }
-        frame.offers_.clear();
-    };
-    for (const std::string &id : std::exchange(offerQueue_, {})) {
-        const auto found = jobs_.find(id);
-        if (found == jobs_.end() || !found->second.record_ || epoch == 0) {
+        // Without a path to the leader the jobs remain unoffered; they are offered when there is one.
+        if (frame.offers_.empty() || !sendTo(leader, frame)) {
             continue;
         }
-        const KnownJob &job = found->second;
-        frame.offers_.push_back(
-            {id, *job.record_, job.revision_, job.offeredEpoch_ == 0, {}, callerTimeout(id), callerWait(id), settings_.domain_});
-        if (frame.offers_.size() == maxOffers) {
-            send();
+        sentBytes += bytes;
+        for (const cell::JobOffer &offer : frame.offers_) {
+            jobs_.at(offer.id_).offeredEpoch_ = epoch;
+            if (cancellers_.count(offer.id_) != 0) {
+                sendTo(leader, CancelFrame{offer.id_});
+            }
         }
     }
-    send();
 }
 
 void EntryNode::onPeerUp(const Peer &peer)
--- a/src/ibiswall/node/entrynode.cpp
+++ b/src/ibiswall/node/entrynode.cpp
@@ -80,6 +80,7 @@
     , metrics_(io)
     , timer_(io)
     , configTimer_(io)
+    , offerTimer_(io)
     , signals_(io, [this] { beginStop(); })
 {
 }
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -104,6 +104,8 @@
     Millis callerWait(const std::string &id) const;
     void offerOpenJobs();
     void flushOffers();
+    void scheduleOffers();
+    void sendOffers(std::deque<std::string> &queue);
     void onPeerUp(const Peer &peer);
     void onPeerDown(const std::string &name);
     HeartbeatFrame makeHeartbeat(Millis now);
@@ -159,6 +161,7 @@
     MetricsServer metrics_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer configTimer_;
+    boost::asio::steady_timer offerTimer_;
     StopSignals signals_;
 
     cell::CellConfig config_;
@@ -185,7 +188,10 @@
     /// Reads of states from the store that are in progress.
     std::size_t lookups_ = 0;
     std::uint64_t nextCaller_ = 1;
-    std::vector<std::string> offerQueue_;
+    /// Jobs to be offered to the leader: those with a caller that waits for their end, and after them others that are offered again.
+    std::deque<std::string> offerQueue_;
+    std::deque<std::string> reoffers_;
+    bool offersScheduled_ = false;
     /// The leader's count of jobs with no task started, by queue.
     std::map<std::string, std::size_t> waiting_;
     /// Queues that the leader contains.
--- a/src/ibiswall/node/mesh.hpp
+++ b/src/ibiswall/node/mesh.hpp
@@ -80,6 +80,9 @@
     /// @return false if there is no path
     bool send(const std::string &name, std::string_view frame);
 
+    /// Unsent bytes of the link that send() would use; 0 if there is no path. A link with too many is closed.
+    std::size_t unsentBytes(const std::string &name) const;
+
     /// Peers that are reachable, directly or through an entry.
     std::vector<Peer> reachable() const;
     bool isReachable(const std::string &name) const;
--- a/src/ibiswall/node/meshpaths.cpp
+++ b/src/ibiswall/node/meshpaths.cpp
@@ -172,6 +172,17 @@
     return true;
 }
 
+std::size_t Mesh::unsentBytes(const std::string &name) const
+{
+    const auto found = paths_.find(name);
+    const std::optional<Key> key = found == paths_.end() ? std::nullopt : linkTo(found->second);
+    const auto link = key ? links_.find(*key) : links_.end();
+    if (link == links_.end()) {
+        return 0;
+    }
+    return link->second.client_ ? link->second.client_->unsentBytes() : server_.unsentBytes(link->second.id_);
+}
+
 // Frames to a peer may have been lost with a relay that is not the reported path: reports the path again.
 void Mesh::reportLostFrames(Key key, const std::string &name)
 {
