Leave half of the memory for links to those that the process has accepted

Cause, found by reading the new code: links that a process has opened take from the same budget and are not closed. Had they used it up, any frame on an accepted link would have closed all accepted ones, those of agents included.

Change: accepted links are closed only while they hold more than half of the budget. link_server/small_links_stay_when_others_use_up_the_budget.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -43,8 +43,8 @@
 
     void setScheduling(const SchedulingSettings &settings);
 
-    /// Limits the bytes of jobs and their tasks. Ephemeral jobs of which no dispatcher can have started a task are refused beyond it; others are
-    /// always added.
+    /// Limits the bytes of jobs and their tasks. Ephemeral jobs of which no dispatcher can have started a task are refused beyond it;
+    /// others are always added.
     void setJobBudget(std::shared_ptr<Budget> budget);
 
     /// Adds a job. Does not change a job that was added before.
--- a/include/ibiswall/net/link.hpp
+++ b/include/ibiswall/net/link.hpp
@@ -52,7 +52,7 @@
 class LinkServer
 {
 public:
-    LinkServer(boost::asio::io_context &io, LinkLimits limits, LinkEvents events);
+    LinkServer(boost::asio::io_context &io, const LinkLimits &limits, LinkEvents events);
     ~LinkServer();
     LinkServer(const LinkServer &) = delete;
     LinkServer &operator=(const LinkServer &) = delete;
@@ -91,7 +91,7 @@
 {
 public:
     /// Each connection that is opened has a new id.
-    LinkClient(boost::asio::io_context &io, Address server, LinkLimits limits, LinkEvents events);
+    LinkClient(boost::asio::io_context &io, Address server, const LinkLimits &limits, LinkEvents events);
     ~LinkClient();
     LinkClient(const LinkClient &) = delete;
     LinkClient &operator=(const LinkClient &) = delete;
--- a/src/ibiswall/cell/cbor.cpp
+++ b/src/ibiswall/cell/cbor.cpp
@@ -15,7 +15,7 @@
 
 // Frames and records of the cell have fewer than 10 levels.
 constexpr std::size_t maxDepth = 32;
-// A list of 20,480 peers takes about 6 MB, a record of the largest request about 17 MB.
+// More than the record of the largest request or a list of all peers takes.
 constexpr std::size_t maxDecodedBytes = 32U << 20U;
 // Memory of a value in a list that has doubled its capacity, and what strings, lists and entries of maps take beside it.
 constexpr std::size_t valueBytes = 2 * sizeof(Json);
--- a/src/ibiswall/net/linkbuffers.hpp
+++ b/src/ibiswall/net/linkbuffers.hpp
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <ibiswall/base/budget.hpp>
+#include <memory>
+#include <utility>
 #include <websocketpp/message_buffer/alloc.hpp>
 #include <websocketpp/message_buffer/message.hpp>
 
@@ -14,7 +16,7 @@
 class LinkBuffers
 {
 public:
-    /// Takes the bytes from a budget from now on.
+    /// Takes the bytes from a budget from now on, even beyond its limit.
     /// @param exceeded called when they have grown and the budget is exceeded; may be empty
     void attach(const std::shared_ptr<Budget> &budget, std::function<void()> exceeded)
     {
@@ -36,6 +38,7 @@
         return bytes_;
     }
 
+    /// Replaces the size of one message by another one.
     void change(std::size_t from, std::size_t to)
     {
         bytes_ = bytes_ - from + to;
--- a/src/ibiswall/net/linkclient.cpp
+++ b/src/ibiswall/net/linkclient.cpp
@@ -33,7 +33,7 @@
 
 struct LinkClient::State : std::enable_shared_from_this<LinkClient::State>
 {
-    State(boost::asio::io_context &io, Address server, LinkLimits limits, LinkEvents events)
+    State(boost::asio::io_context &io, Address server, const LinkLimits &limits, LinkEvents events)
         : server_(std::move(server))
         , limits_(limits)
         , events_(std::move(events))
@@ -129,7 +129,7 @@
     std::int64_t reconnectDelayMillis_ = initialReconnectDelayMillis;
 };
 
-LinkClient::LinkClient(boost::asio::io_context &io, Address server, LinkLimits limits, LinkEvents events)
+LinkClient::LinkClient(boost::asio::io_context &io, Address server, const LinkLimits &limits, LinkEvents events)
     : state_(std::make_shared<State>(io, std::move(server), limits, std::move(events)))
 {
 }
--- a/src/ibiswall/net/linkserver.cpp
+++ b/src/ibiswall/net/linkserver.cpp
@@ -22,7 +22,7 @@
 
 struct LinkServer::State
 {
-    State(LinkLimits limits, LinkEvents events)
+    State(const LinkLimits &limits, LinkEvents events)
         : limits_(limits)
         , events_(std::move(events))
     {
@@ -45,19 +45,22 @@
         }
     }
 
-    // Closes the links that hold most until the others are within the budget: what the peers of a cell send is small.
+    // Closes the links that hold most until the budget is kept: what the peers of a cell send is small. Links of clients take from the
+    // same budget, so half of it is left to those of the server whatever the others hold.
     void closeLargest()
     {
-        while (limits_.buffers_->used() > limits_.buffers_->limit()) {
+        std::size_t held = 0;
+        for (const auto &[link, each] : buffers_) {
+            held += each.first->bytes();
+        }
+        while (limits_.buffers_->used() > limits_.buffers_->limit() && held > limits_.buffers_->limit() / 2) {
             const auto largest = std::max_element(buffers_.begin(), buffers_.end(), [](const auto &a, const auto &b) {
                 return a.second.first->bytes() < b.second.first->bytes();
             });
-            if (largest == buffers_.end()) {
-                return;
-            }
             const auto [buffers, handle] = largest->second;
             buffers_.erase(largest);
             buffers->detach();
+            held -= buffers->bytes();
             reportRefusal("incomplete and unsent frames exceed the memory for links");
             closeSocket(handle);
         }
@@ -183,7 +186,7 @@
     bool stopping_ = false;
 };
 
-LinkServer::LinkServer(boost::asio::io_context &io, LinkLimits limits, LinkEvents events)
+LinkServer::LinkServer(boost::asio::io_context &io, const LinkLimits &limits, LinkEvents events)
     : state_(std::make_unique<State>(limits, std::move(events)))
 {
     Server &server = state_->server_;
--- a/src/ibiswall/net/linkserver_test.cpp
+++ b/src/ibiswall/net/linkserver_test.cpp
@@ -94,6 +94,18 @@
     BOOST_TEST(fixture.budget_->used() < limit * 3 / 4);
 }
 
+BOOST_AUTO_TEST_CASE(small_links_stay_when_others_use_up_the_budget)
+{
+    ServerFixture fixture;
+    BudgetShare others(fixture.budget_);
+    others.resize(limit);
+    const tcp::socket first = fixture.sendUnfinished(limit / 8, 100);
+    const tcp::socket second = fixture.sendUnfinished(limit / 8, 100);
+    fixture.runUntil([&] { return fixture.budget_->used() >= limit * 5 / 4; });
+    BOOST_TEST(fixture.open_ == 2);
+    BOOST_TEST(fixture.refused_ == 0);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_are_returned_with_each_frame_and_each_link)
 {
     ServerFixture fixture;
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -14,8 +14,7 @@
 constexpr std::size_t maxOffers = 64;
 // Bytes of the records of one frame, exceeded by at most one record.
 constexpr std::size_t maxOfferBytes = 64U << 10U;
-// Unsent bytes of a link beyond which further offers wait, far below those that close it. Heartbeats share the link; the slowest one sends
-// them in 0.1 s.
+// Unsent bytes of a link beyond which further offers wait. Heartbeats share the link.
 constexpr std::size_t maxUnsentBytes = 256U << 10U;
 constexpr Millis offerInterval{10};
 // Time between the refusal of a job by the leader and the caller's deadline.
@@ -184,7 +183,7 @@
     });
 }
 
-// Sends offers until the link to the leader has enough to do.
+// Sends offers, in order, until the link to the leader has maxUnsentBytes.
 void EntryNode::sendOffers(std::deque<std::string> &queue)
 {
     const std::uint64_t epoch = leadership_.leaderInfo().epoch_;
