--- a/tests/system/hostileclients_test.cpp
+++ b/tests/system/hostileclients_test.cpp
@@ -1,6 +1,7 @@
 // Clients that send anything: processes keep running within their memory and descriptors, and ordinary jobs are answered.
 // Guards against input that is buffered without limit, which ended an entry before it was bounded.
 
+#include "../environment.hpp"
 #include "cell.hpp"
 #include "cluster.hpp"
 #include "crowd.hpp"
@@ -203,6 +204,51 @@
     attackEntry({8, {}, always(std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11)), partBytes});
 }
 
+// Several kinds of clients at a time, in rounds, of which the last must fit like the first. IBISWALL_ROUNDS sets their number.
+BOOST_AUTO_TEST_CASE(rounds_of_mixed_clients)
+{
+    constexpr unsigned rounds = 5;
+    constexpr std::size_t kinds = 8;
+    Cell cell(smallCell());
+    cell.awaitReady();
+    const CellEntry &entry = cell.entries().front();
+    const WorkerNode &node = cell.workerNodes().front();
+    std::size_t round = 0;
+    const auto start = [&round](std::size_t number) -> std::string {
+        const std::size_t job = round * manyClients + number;
+        switch (number % kinds) {
+        case 0:
+            return post(job, std::string(chunked) + "0\r\n" + repeat("X-T: aaaaaaaaaaaaaaaa\r\n", partBytes));
+        case 1:
+            return "POST /jobs/0000";
+        case 2:
+            return post(job, "Content-Length: 1000000\r\n\r\n") + std::string(partBytes, ' ');
+        case 3:
+            return withBody(post(job, ""), jobBody(10000, true));
+        case 4:
+            return withBody(post(job, ""), jobBody(100, false));
+        case 5:
+            return requestHead("DELETE /jobs/" + jobId(static_cast<int>(0x30000 + job)), "\r\n");
+        case 6:
+            return withBody(post(job, ""), std::string(10000, '[') + std::string(10000, ']'));
+        default:
+            return repeat("GET /jobs/ HTTP/1.1\r\nHost: desk.example\r\n\r\n", partBytes);
+        }
+    };
+    const unsigned count = numberFromEnvironment("IBISWALL_ROUNDS", rounds);
+    const std::vector<std::uint16_t> ports{entry.callersPort_, entry.callersPort_, entry.callersPort_, node.agentPort_};
+    const std::vector<pid_t> pids{entry.process_->pid(), node.agent_->pid()};
+    for (; round < count; ++round) {
+        const std::vector<Use> uses = runAttack(ports, pids, {manyClients, start, {}, 0});
+        BOOST_TEST_CONTEXT("round " << round)
+        {
+            checkUse(*entry.process_, pids[0], uses[0]);
+            checkUse(*node.agent_, pids[1], uses[1]);
+            checkAnswersJob(cell);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endless_trailers_to_an_own_entry)
 {
     ClusterConfig config;
