--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -324,6 +324,36 @@
     return std::min(hooks_.heldOffUntil_(), confirmedAt_ + leaseSettings_.holdOffLimit_);
 }
 
+void LeaderSession::recordConfirmation(Millis sentAt)
+{
+    confirmedAt_ = {std::max(confirmedAt_.count_, sentAt.count_)};
+    unansweredSince_ = {};
+}
+
+void LeaderSession::confirmLeadership()
+{
+    if (confirming_) {
+        return;
+    }
+    confirming_ = true;
+    const Millis sentAt = bootClock();
+    if (unansweredSince_ == Millis{0}) {
+        unansweredSince_ = sentAt;
+    }
+    store_.get(keys::leader, [self = shared_from_this(), sentAt](const platform::StoreResult &answer) {
+        self->confirming_ = false;
+        if (self->stopped_ || answer.outcome_ != platform::StoreOutcome::Ok || answer.items_.empty()) {
+            return;
+        }
+        if (answer.items_.front().revision_ == static_cast<std::int64_t>(self->epoch_)) {
+            self->recordConfirmation(sentAt);
+            self->scheduleDispatch();
+        } else {
+            self->loseLeadership();
+        }
+    });
+}
+
 Millis LeaderSession::confirmationAge() const
 {
     return bootClock() - confirmedAt_;
--- a/src/ibiswall/node/leadersessionload.cpp
+++ b/src/ibiswall/node/leadersessionload.cpp
@@ -1,4 +1,4 @@
-// What a leader session takes over at its start, from the former leader or the store, and hands over at its end.
+// What a leader session reads from the store or takes over from the former leader, and hands over at its end.
 
 #include "keys.hpp"
 #include "leadersession.hpp"
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Millis loadRetryDelay{100};
+constexpr Millis sweepRetryDelay{50};
 
 } // namespace
 
@@ -40,6 +41,23 @@
     store_.readEach(keys::jobs, add, std::move(done));
 }
 
+// Finds stored jobs that no entry has offered, for example because theirs failed before it could.
+void LeaderSession::sweep()
+{
+    sweeping_ = true;
+    readJobs([self = shared_from_this()](platform::StoreOutcome outcome) {
+        self->sweeping_ = false;
+        if (self->stopped_) {
+            return;
+        }
+        if (outcome != platform::StoreOutcome::Ok) {
+            self->sweeps_.push_back(bootClock() + sweepRetryDelay);
+            return;
+        }
+        self->scheduleDispatch();
+    });
+}
+
 void LeaderSession::onRead()
 {
     if (stopped_ || !jobsRead_ || !agentsRead_) {
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -316,36 +316,6 @@
     storedAt_ = bootClock() + retryDelay;
 }
 
-void LeaderSession::recordConfirmation(Millis sentAt)
-{
-    confirmedAt_ = {std::max(confirmedAt_.count_, sentAt.count_)};
-    unansweredSince_ = {};
-}
-
-void LeaderSession::confirmLeadership()
-{
-    if (confirming_) {
-        return;
-    }
-    confirming_ = true;
-    const Millis sentAt = bootClock();
-    if (unansweredSince_ == Millis{0}) {
-        unansweredSince_ = sentAt;
-    }
-    store_.get(keys::leader, [self = shared_from_this(), sentAt](const platform::StoreResult &answer) {
-        self->confirming_ = false;
-        if (self->stopped_ || answer.outcome_ != platform::StoreOutcome::Ok || answer.items_.empty()) {
-            return;
-        }
-        if (answer.items_.front().revision_ == static_cast<std::int64_t>(self->epoch_)) {
-            self->recordConfirmation(sentAt);
-            self->scheduleDispatch();
-        } else {
-            self->loseLeadership();
-        }
-    });
-}
-
 void LeaderSession::loseLeadership()
 {
     if (!stopped_) {
@@ -356,23 +326,6 @@
     }
 }
 
-// Finds stored jobs that no entry has offered, for example because theirs failed before it could.
-void LeaderSession::sweep()
-{
-    sweeping_ = true;
-    readJobs([self = shared_from_this()](platform::StoreOutcome outcome) {
-        self->sweeping_ = false;
-        if (self->stopped_) {
-            return;
-        }
-        if (outcome != platform::StoreOutcome::Ok) {
-            self->sweeps_.push_back(bootClock() + retryDelay);
-            return;
-        }
-        self->scheduleDispatch();
-    });
-}
-
 void LeaderSession::tick()
 {
     if (stopped_) {
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -7,7 +7,6 @@
 #include <boost/test/framework.hpp>
 #include <boost/test/results_collector.hpp>
 #include <fstream>
-#include <ibiswall/base/base64.hpp>
 #include <iostream>
 #include <limits>
 #include <thread>
@@ -164,11 +163,6 @@
     await("a job completes", [&] { return submit(jobId(number++), 1, 1, true, {2000}).state_ == "completed"; });
 }
 
-void Cell::postToStore(const std::string &path, const Json &body) const
-{
-    postJson(storePort_, path, body);
-}
-
 std::uint16_t Cell::makeStorePath(std::unique_ptr<Relay> &relay) const
 {
     if (!config_.useStoreRelays_) {
@@ -178,61 +172,6 @@
     return relay->port();
 }
 
-void Cell::putKey(const std::string &key, const Json &value)
-{
-    putBytes(key, value.dump());
-}
-
-void Cell::putBytes(const std::string &key, const std::string &value)
-{
-    const auto existing = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
-    const bool exists = existing && existing.value().status_ == 200;
-    const std::int64_t revision = exists ? Json::parse(existing.value().body_).at("rev").get<std::int64_t>() : 0;
-    const Json body = {{"expected", Json::array({Json::object({{"key", key}, {"rev", revision}})})},
-                       {"writes", Json::array({Json::object({{"key", key}, {"value", toBase64(value)}, {"lease", 0}})})},
-                       {"deletes", Json::array()}};
-    postToStore("/kv-txn", body);
-}
-
-void Cell::deleteKey(const std::string &key)
-{
-    const Json body = {{"expected", Json::array()}, {"writes", Json::array()}, {"deletes", Json::array({key})}};
-    postToStore("/kv-txn", body);
-}
-
-std::string Cell::bytesOf(const std::string &key) const
-{
-    const auto answer = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
-    if (!answer || answer.value().status_ != 200) {
-        return {};
-    }
-    return fromBase64(Json::parse(answer.value().body_).at("value").get<std::string>()).value_or(std::string());
-}
-
-void Cell::createKeys(const std::vector<std::string> &keys, const std::string &value)
-{
-    // Entries of one transaction.
-    constexpr std::size_t maxBatch = 32;
-    for (std::size_t first = 0; first < keys.size(); first += maxBatch) {
-        Json writes = Json::array();
-        for (std::size_t i = first; i < std::min(first + maxBatch, keys.size()); ++i) {
-            writes.push_back({{"key", keys[i]}, {"value", toBase64(value)}, {"lease", 0}});
-        }
-        postToStore("/kv-txn", {{"expected", Json::array()}, {"writes", std::move(writes)}, {"deletes", Json::array()}});
-    }
-}
-
-bool Cell::hasKey(const std::string &key) const
-{
-    const auto answer = callHttp({"127.0.0.1", storePort_}, {"GET", "/kv-key?key=" + key, {}, {}, {5000}, {}});
-    return answer && answer.value().status_ == 200;
-}
-
-void Cell::setStoreMode(const Json &mode)
-{
-    postToStore("/standin/mode", mode);
-}
-
 Result<HttpResponse> Cell::call(std::size_t entry, const std::string &method, const std::string &path, const std::string &body) const
 {
     return callHttp({"127.0.0.1", entries_[entry].callersPort_}, {method, prefix + path, body, {}, {12000}, host});
--- a/tests/system/hostilelinks_test.cpp
+++ b/tests/system/hostilelinks_test.cpp
@@ -322,12 +322,7 @@
         }
         return frame('c', Json::array({opened, Json::array()}));
     };
-    run({"neighbours",
-         fewPeers,
-         [](std::size_t peer) { return upgrade + "\r\n" + identification("stranger-" + std::to_string(peer), true); },
-         announce,
-         {},
-         true});
+    run({"neighbours", fewPeers, identifiedUpgrade, announce, {}, true});
 }
 
 BOOST_AUTO_TEST_CASE(names_of_a_megabyte)
