--- a/review/13/scenario.cpp
+++ b/review/13/scenario.cpp
@@ -18,14 +18,15 @@
 constexpr std::int64_t killGapMs = 1000;
 constexpr std::int64_t restartMs = 300;
 constexpr std::int64_t maxLateMs = 12000;
-constexpr int clients = 4;
+constexpr std::int64_t pauseMs = 20;
+constexpr int clients = 8;
 
 void handIn(Cell &cell, int client, const std::atomic<bool> &stop)
 {
     for (std::uint64_t i = 0; !stop; ++i) {
         const std::string id = jobId((static_cast<std::uint64_t>(client + 1) << 16U) + i);
         cell.submit(static_cast<std::size_t>(client) % 2, "jobs", id, stepOf(2, 500, 60), 2000);
-        sleepMs(30);
+        sleepMs(pauseMs);
     }
 }
 
