Reject late starts of killed agents by a fence of epoch and term

Cause: a target left a start without an answer, and its agent was killed before it had stopped the run. The next agent process knew nothing of it and the target did not list it, so its full report lacked the run, and the leader placed the task elsewhere. Seconds later the target carried out the first start, for which it had no reason to reject: the fence was the epoch, the same for both agent processes.

Fix: leaders number their announcements to an agent (term), and an agent process uses the fence of epoch and term. Its first full report waits for a reply to a call with that fence, after which the target rejects all calls of its predecessors. Nothing that a killed process knew has to be kept. A process whose fence is outdated asks for another announcement.

New log lines run.missing and target.fenced, new metrics ibiswall_missing_runs_total and ibiswall_fenced_total.

--- a/include/ibiswall/cell/dispatcheractions.hpp
+++ b/include/ibiswall/cell/dispatcheractions.hpp
@@ -24,6 +24,13 @@
     Run run_;
 };
 
+/// A run that the full report of its agent lacks, so that its task is placed again.
+struct MissingRun
+{
+    std::string agent_;
+    Run run_;
+};
+
 /// Notifies an agent that results up to a number are no longer needed.
 struct AckOrder
 {
@@ -83,6 +90,8 @@
     std::vector<StallChange> stalls_;
     /// For logs and metrics only; the callers get notices.
     std::vector<Refusal> refusals_;
+    /// For logs and metrics only.
+    std::vector<MissingRun> missingRuns_;
 };
 
 /// A record to store if the stored one has the expected revision.
--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <ibiswall/cell/fence.hpp>
 #include <ibiswall/cell/model.hpp>
 #include <optional>
 #include <set>
@@ -29,6 +30,8 @@
     /// End of the target lease on the target's clock, in milliseconds; empty to leave the lease unchanged.
     std::optional<std::int64_t> leaseEnd_;
     std::uint64_t epoch_ = 0;
+    /// The target rejects the call once it has received one with a higher fence.
+    std::uint64_t fence_ = 0;
     /// The target may discard its results up to this number; 0 to discard none.
     std::uint64_t acknowledged_ = 0;
     /// How long the target may delay the reply to a renewal while it has no new result.
@@ -49,6 +52,8 @@
     NoRoom,
     /// Rejected for another reason; not carried out.
     Rejected,
+    /// Rejected since the target has received a call with a higher fence; not carried out.
+    Fenced,
     /// Certainly not carried out: the target was unreachable, or another incarnation of it replied.
     NotSent,
     /// Certainly not carried out: nothing listens at the target's address. The target runs on the agent's machine, so its
@@ -168,11 +173,10 @@
     ///        target
     TargetSupervisor(TargetSupervisorSettings settings, std::int64_t firstReport);
 
-    /// Follows the dispatcher of an epoch and schedules a full report to it.
-    /// @param lastReport number of the latest report that the dispatcher accepted from this agent. The next report gets
-    ///        a higher number even when this process started with a clock behind that of an earlier one.
+    /// Follows a dispatcher and schedules a full report to it. Its fence voids the calls of an earlier agent process that the target has
+    /// not carried out yet, so a run that is missing in the first report will never be started.
     /// @return false when the epoch is older than the current one
-    bool follow(std::uint64_t epoch, std::int64_t lastReport, Millis now);
+    bool follow(const Lead &lead, Millis now);
 
     /// The current dispatcher has extended the agent lease: runs may be started until then.
     void renewAgentLease(Millis until);
@@ -226,6 +230,10 @@
     /// Whether the target has replied to the latest calls.
     bool isResponsive() const;
 
+    /// Whether the target rejects the calls of this process: another one has used a higher fence. A new announcement of the dispatcher
+    /// has a fence above that.
+    bool isFenced() const;
+
     /// Whether a start can be sent: the target is known, neither it nor the agent is draining, the agent lease is valid for as long as
     /// the lease of the target, and no full report is due.
     bool isReady(Millis now) const;
@@ -316,6 +324,9 @@
     /// Incarnation of the target that runs_ and the result numbers belong to, 0 before the first contact.
     std::int64_t targetIncarnation_ = 0;
     std::uint64_t epoch_ = 0;
+    std::uint64_t fence_ = 0;
+    /// Whether a call with fence_ was rejected as outdated, and none has been carried out since.
+    bool fenced_ = false;
     Millis agentLeaseUntil_;
     /// The target's clock was at least clock_ at the local time clockAt_; empty before the first contact.
     std::optional<std::int64_t> clock_;
--- a/src/ibiswall/cell/cellsimulation.hpp
+++ b/src/ibiswall/cell/cellsimulation.hpp
@@ -30,8 +30,14 @@
     int capacityChanges_ = 0;
     /// Time in ms after which a new dispatcher has read the stored jobs. It begins without them, as after a planned handover.
     int storeReadMillis_ = 0;
+    /// Times that an agent restarts besides the faults.
+    int agentRestarts_ = 0;
+    /// Whether the lease of a late start counts from when it is carried out.
+    bool renewLateLeases_ = false;
     /// Disables a safeguard to verify that the checks detect it: orders do not name the report that they are based on.
     bool ignoreReportNumbers_ = false;
+    /// Same: the processes of an agent use one fence in an epoch.
+    bool ignoreTerms_ = false;
     /// Same: reports older than the accepted ones are applied.
     bool acceptStaleReports_ = false;
     /// Same: a new dispatcher does not wait for the agents.
--- a/src/ibiswall/cell/cellsimulation_test.cpp
+++ b/src/ibiswall/cell/cellsimulation_test.cpp
@@ -122,6 +122,7 @@
         bool mayHoldLease_ = false;
         std::int64_t leaseGrantedAt_ = 0;
         ReportOrder reports_;
+        std::uint64_t leadsSent_ = 0;
     };
 
     explicit SimulatedLeader(std::uint64_t epoch)
@@ -176,6 +177,10 @@
         for (int i = 0; i < settings_.faults_; ++i) {
             at(eventsBegin + randomBelow(eventsEnd - eventsBegin), [this] { injectFault(); });
         }
+        for (int i = 0; i < settings_.agentRestarts_; ++i) {
+            at(eventsBegin + randomBelow(eventsEnd - eventsBegin),
+               [this] { restartAgent(static_cast<int>(randomBelow(settings_.agents_))); });
+        }
         while (now_ < simulationEnd) {
             step();
         }
@@ -263,11 +268,11 @@
             return reply;
         }
         // A target that is back takes calls that were meant for its former incarnation: its id is the same.
-        if (call.epoch_ < target.fence_) {
-            reply.outcome_ = CallOutcome::Rejected;
+        if (call.fence_ < target.fence_) {
+            reply.outcome_ = CallOutcome::Fenced;
             return reply;
         }
-        target.fence_ = std::max(target.fence_, call.epoch_);
+        target.fence_ = call.fence_;
         if (call.leaseEnd_) {
             target.extendLease(*call.leaseEnd_, now_);
         }
@@ -436,7 +441,9 @@
         const std::uint64_t path = agent(i).path_;
         after(1 + randomBelow(3), [this, leader, i, path] {
             if (agent(i).path_ == path && isConnected(*leader, i)) {
-                agent(i).supervisor_->follow(leader->epoch_, leader->agentStates_[i].reports_.lastAccepted().number_, {now_});
+                SimulatedLeader::AgentState &state = leader->agentStates_[i];
+                const std::uint64_t term = settings_.ignoreTerms_ ? 0 : ++state.leadsSent_;
+                agent(i).supervisor_->follow({leader->epoch_, state.reports_.lastAccepted().number_, term}, {now_});
                 flushAgent(i);
             }
         });
@@ -571,14 +578,19 @@
         constexpr std::int64_t timeToPrevent = 1000;
         const std::int64_t sentTo = agent(i).target_.targetIncarnation_;
         const std::uint64_t sentBy = agent(i).incarnation_;
-        after(minDelay + randomBelow(delayRange), [this, i, call, sentTo, sentBy] {
+        const std::int64_t delay = minDelay + randomBelow(delayRange);
+        TargetCall late = call;
+        if (settings_.renewLateLeases_ && call.kind_ == TargetCall::Kind::Start) {
+            *late.leaseEnd_ += delay;
+        }
+        after(delay, [this, i, late, sentTo, sentBy] {
             const SimulatedAgent &each = agent(i);
             const std::int64_t incarnation = each.target_.targetIncarnation_;
             const bool prevented
                 = each.incarnation_ == sentBy && each.knownTarget_ == incarnation && now_ > each.knownSince_ + timeToPrevent;
-            const bool renewal = call.kind_ == TargetCall::Kind::Renew;
-            if (renewal ? incarnation == call.targetIncarnation_ : incarnation == sentTo || prevented) {
-                carryOut(agent(i), call);
+            const bool renewal = late.kind_ == TargetCall::Kind::Renew;
+            if (renewal ? incarnation == late.targetIncarnation_ : incarnation == sentTo || prevented) {
+                carryOut(agent(i), late);
             }
         });
     }
@@ -939,6 +951,17 @@
     return static_cast<int>(numberFromEnvironment("IBISWALL_HISTORIES", defaultRuns));
 }
 
+// Many starts are carried out late while agents restart.
+SimulationSettings lateStartSettings()
+{
+    SimulationSettings settings;
+    settings.lostCalls_ = 0.4;
+    settings.jobs_ = 200;
+    settings.agentRestarts_ = 60;
+    settings.renewLateLeases_ = true;
+    return settings;
+}
+
 // Runs scenarios with one safeguard disabled until one of them reports a violation.
 bool findsViolation(SimulationSettings settings)
 {
@@ -1049,6 +1072,25 @@
     BOOST_TEST(findsViolation(settings));
 }
 
+// Starts without an answer whose agent was killed were carried out seconds later, when their tasks were done elsewhere.
+BOOST_AUTO_TEST_CASE(late_starts_of_killed_agents_repeat_no_task)
+{
+    for (int i = 0; i < simulationCount() / 2; ++i) {
+        SimulationSettings settings = lateStartSettings();
+        settings.seed_ = firstSeed() + static_cast<std::uint32_t>(i);
+        for (const std::string &violation : runSimulation(settings).violations_) {
+            BOOST_TEST(false, "seed " << settings.seed_ << ": " << violation);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(detects_agent_processes_with_the_same_fence)
+{
+    SimulationSettings settings = lateStartSettings();
+    settings.ignoreTerms_ = true;
+    BOOST_TEST(findsViolation(settings));
+}
+
 BOOST_AUTO_TEST_CASE(detects_dispatcher_that_skips_reconciliation)
 {
     SimulationSettings settings;
--- a/src/ibiswall/cell/dispatcherreports.cpp
+++ b/src/ibiswall/cell/dispatcherreports.cpp
@@ -126,6 +126,7 @@
         if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent && target.unlistedResults_) {
             target.missingRuns_[id] = task->run_;
         } else if (task != nullptr && task->phase_ == Phase::Placed && task->agent_ == agent) {
+            actions_.missingRuns_.push_back({agent, {id, task->run_}});
             applyResult(agent, {0, {id, task->run_}, RunOutcome::Lost, {}}, now);
         } else {
             removeRun(target, id);
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -6,26 +6,22 @@
 
 namespace ibiswall::cell {
 
-namespace {
-
-// Minimum remaining agent lease for a start to be worth sending.
-constexpr Millis minLease{50};
-
-} // namespace
-
 TargetSupervisor::TargetSupervisor(TargetSupervisorSettings settings, std::int64_t firstReport)
     : settings_(settings)
     , reportNumber_(firstReport)
 {
 }
 
-bool TargetSupervisor::follow(std::uint64_t epoch, std::int64_t lastReport, Millis now)
+bool TargetSupervisor::follow(const Lead &lead, Millis now)
 {
-    if (epoch < epoch_) {
+    if (lead.epoch_ < epoch_) {
         return false;
     }
-    epoch_ = epoch;
-    reportNumber_ = std::max(reportNumber_, lastReport);
+    epoch_ = lead.epoch_;
+    // Announcements of one epoch may arrive out of order.
+    fence_ = std::max(fence_, fenceOf(lead));
+    fenced_ = false;
+    reportNumber_ = std::max(reportNumber_, lead.lastReport_);
     scheduleFullReport();
     tick(now);
     return true;
@@ -95,29 +91,18 @@
     tick(now);
 }
 
-bool TargetSupervisor::isReady(Millis now) const
-{
-    return info_ && !agentDraining_ && !info_->draining_ && isClockKnown(now) && now + minLease < agentLeaseUntil_
-        && strayLeaseUntil_ <= agentLeaseUntil_ && !fullReportDue_;
-}
-
 bool TargetSupervisor::isLossy(Millis now) const
 {
     return lastTimeoutAt_ != Millis{0} && now < lastTimeoutAt_ + settings_.lossyPeriod_;
 }
 
-bool TargetSupervisor::mayRequestLease(Millis now) const
-{
-    return isClockKnown(now) && now + minLease < agentLeaseUntil_ && responsive_
-        && (runs_.empty() || now <= lastContactAt_ + settings_.unresponsiveAfter_);
-}
-
 TargetCall TargetSupervisor::makeCall(TargetCall::Kind kind, const Run &run, Millis now) const
 {
     TargetCall call;
     call.kind_ = kind;
     call.run_ = run;
     call.epoch_ = epoch_;
+    call.fence_ = fence_;
     call.targetIncarnation_ = targetIncarnation_;
     call.sentAt_ = now;
     return call;
@@ -146,6 +131,9 @@
         }
         return;
     }
+    if (call.fence_ == fence_) {
+        fenced_ = outcome == CallOutcome::Fenced;
+    }
     refusedSince_ = {};
     crashRecorded_ = false;
     unexplainedLosses_.clear();
@@ -246,6 +234,7 @@
         break;
     case CallOutcome::NoRoom:
     case CallOutcome::Rejected:
+    case CallOutcome::Fenced:
     case CallOutcome::NotSent:
     case CallOutcome::Refused:
         if (call.retries_ > 0) {
@@ -382,6 +371,11 @@
     return responsive_;
 }
 
+bool TargetSupervisor::isFenced() const
+{
+    return fenced_;
+}
+
 std::int64_t TargetSupervisor::reportNumber() const
 {
     return reportNumber_;
--- a/src/ibiswall/cell/targetsupervisor_test.cpp
+++ b/src/ibiswall/cell/targetsupervisor_test.cpp
@@ -61,8 +61,8 @@
 BOOST_AUTO_TEST_CASE(ignores_older_epoch)
 {
     TargetSupervisorFixture fixture;
-    BOOST_TEST(fixture.supervisor_.follow(2, 0, fixture.now_));
-    BOOST_TEST(!fixture.supervisor_.follow(1, 0, fixture.now_));
+    BOOST_TEST(fixture.supervisor_.follow({2, 0}, fixture.now_));
+    BOOST_TEST(!fixture.supervisor_.follow({1, 0}, fixture.now_));
 }
 
 BOOST_AUTO_TEST_CASE(unanswered_start_is_retried_then_stopped_then_reported_lost)
@@ -214,7 +214,7 @@
     BOOST_REQUIRE(renewals.size() == 1U);
     BOOST_TEST(renewals[0].acknowledged_ == 1U);
     fixture.supervisor_.onRenewalReply(renewals[0], {CallOutcome::Ok, fixture.now_.count_, 1, {}, {}}, fixture.now_);
-    fixture.supervisor_.follow(2, 0, fixture.now_);
+    fixture.supervisor_.follow({2, 0}, fixture.now_);
     fixture.answerRenewals({}, {});
     BOOST_TEST(fixture.supervisor_.takeReport().results_.size() == 1U);
     fixture.supervisor_.acknowledge(1, 1);
@@ -292,7 +292,7 @@
 {
     TargetSupervisor supervisor({}, 1);
     supervisor.onAnnouncement(testTarget("t"), 0, {1000});
-    supervisor.follow(1, 0, {1000});
+    supervisor.follow({1, 0}, {1000});
     for (const TargetCall &call : supervisor.takeCalls()) {
         supervisor.onRenewalReply(call, {CallOutcome::Ok, 1000, 1, {{{"j1", 0, 0}, 1}}, {}}, {1001});
     }
@@ -375,7 +375,7 @@
 {
     TargetSupervisor supervisor({}, 1);
     supervisor.onAnnouncement(testTarget("t"), 0, {1000});
-    supervisor.follow(1, 5000, {1000});
+    supervisor.follow({1, 5000}, {1000});
     for (const TargetCall &call : supervisor.takeCalls()) {
         supervisor.onRenewalReply(call, {CallOutcome::Ok, 1000, 1, {}, {}}, {1001});
     }
@@ -384,6 +384,41 @@
     BOOST_TEST(report.number_ > 5000);
 }
 
+// Calls of a killed agent process that the target carries out late had the fence of its successor.
+BOOST_AUTO_TEST_CASE(fence_is_above_those_of_earlier_epochs_and_of_earlier_processes_in_the_epoch)
+{
+    BOOST_TEST(fenceOf({4, 0, 2}) > fenceOf({4, 0, 1}));
+    BOOST_TEST(fenceOf({5, 0, 1}) > fenceOf({4, 0, termsPerEpoch + 7}));
+    TargetSupervisor first({}, 1);
+    first.follow({4, 0, 1}, {1000});
+    TargetSupervisor second({}, 2);
+    second.follow({4, 0, 2}, {1300});
+    BOOST_TEST(first.takeCalls().at(0).fence_ < second.takeCalls().at(0).fence_);
+}
+
+BOOST_AUTO_TEST_CASE(earlier_announcement_that_arrives_late_does_not_lower_the_fence)
+{
+    TargetSupervisor supervisor({}, 1);
+    supervisor.follow({4, 0, 2}, {1000});
+    supervisor.takeCalls();
+    BOOST_TEST(supervisor.follow({4, 0, 1}, {1010}));
+    BOOST_TEST(supervisor.takeCalls().at(0).fence_ == fenceOf({4, 0, 2}));
+}
+
+// Otherwise an agent process that followed an outdated announcement could use its target no more in the epoch.
+BOOST_AUTO_TEST_CASE(agent_process_with_an_outdated_fence_is_fenced_until_the_next_announcement)
+{
+    TargetSupervisor supervisor({}, 1);
+    supervisor.follow({4, 0, 1}, {1000});
+    RenewalReply fenced;
+    fenced.outcome_ = CallOutcome::Fenced;
+    supervisor.onRenewalReply(supervisor.takeCalls().at(0), fenced, {1001});
+    BOOST_TEST(supervisor.isFenced());
+    supervisor.follow({4, 0, 3}, {1010});
+    BOOST_TEST(!supervisor.isFenced());
+    BOOST_TEST(supervisor.takeCalls().at(0).fence_ == fenceOf({4, 0, 3}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/targetsupervisorclock.cpp
+++ b/src/ibiswall/cell/targetsupervisorclock.cpp
@@ -1,4 +1,4 @@
-// Requests leases by the clock of a supervised target.
+// Decides when starts and leases can be requested, and requests leases by the clock of the target.
 
 #include <ibiswall/cell/targetsupervisor.hpp>
 
@@ -11,6 +11,8 @@
 // The clock of a target may be this slow.
 constexpr std::int64_t maxDriftPercent = 2;
 constexpr std::int64_t percent = 100;
+// Minimum remaining agent lease for a start to be worth sending.
+constexpr Millis minLease{50};
 
 Millis drift(Millis age)
 {
@@ -41,6 +43,19 @@
     return *clock_ + (age - drift(age)).count_;
 }
 
+bool TargetSupervisor::isReady(Millis now) const
+{
+    return info_ && !agentDraining_ && !info_->draining_ && isClockKnown(now) && now + minLease < agentLeaseUntil_
+        && strayLeaseUntil_ <= agentLeaseUntil_ && !fullReportDue_;
+}
+
+// Whether calls may request a lease now.
+bool TargetSupervisor::mayRequestLease(Millis now) const
+{
+    return isClockKnown(now) && now + minLease < agentLeaseUntil_ && responsive_
+        && (runs_.empty() || now <= lastContactAt_ + settings_.unresponsiveAfter_);
+}
+
 // Makes a call request the longest lease that the agent lease allows.
 void TargetSupervisor::requestLease(TargetCall &call, Millis now)
 {
--- a/src/ibiswall/cell/targetsupervisorfixture.hpp
+++ b/src/ibiswall/cell/targetsupervisorfixture.hpp
@@ -15,7 +15,7 @@
     explicit TargetSupervisorFixture(Millis agentLeaseUntil = {100000})
     {
         supervisor_.onAnnouncement(testTarget("t"), 0, now_);
-        supervisor_.follow(1, 0, now_);
+        supervisor_.follow({1, 0}, now_);
         answerRenewals({}, {});
         const AgentReport report = supervisor_.takeReport();
         BOOST_REQUIRE(report.full_);
--- a/src/ibiswall/cell/targetsupervisorloss_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorloss_test.cpp
@@ -259,7 +259,7 @@
     fixture.restartTarget();
     for (const bool expired : {false, true}) {
         fixture.advance(expired ? 60000 : 500);
-        fixture.supervisor_.follow(expired ? 3 : 2, 0, fixture.now_);
+        fixture.supervisor_.follow({expired ? 3U : 2U, 0}, fixture.now_);
         fixture.answerRenewals({}, {}, 2);
         const AgentReport report = fixture.supervisor_.takeReport();
         BOOST_REQUIRE(report.full_);
@@ -274,7 +274,7 @@
     fixture.startRunning("j1", 1);
     fixture.advance(10);
     fixture.refuseRenewals();
-    fixture.supervisor_.follow(2, 0, fixture.now_);
+    fixture.supervisor_.follow({2, 0}, fixture.now_);
     fixture.supervisor_.tick(fixture.now_);
     const AgentReport report = fixture.supervisor_.takeReport();
     BOOST_REQUIRE(report.full_);
@@ -288,7 +288,7 @@
 {
     TargetSupervisorFixture fixture;
     TargetSupervisor restarted({}, 100);
-    restarted.follow(1, 0, fixture.now_);
+    restarted.follow({1, 0}, fixture.now_);
     const auto refuse = [&restarted, &fixture] {
         for (const TargetCall &call : restarted.takeCalls()) {
             RenewalReply reply;
--- a/src/ibiswall/node/agentnode.cpp
+++ b/src/ibiswall/node/agentnode.cpp
@@ -38,7 +38,7 @@
 
 const char *outcomeName(cell::CallOutcome outcome)
 {
-    constexpr const char *names[] = {"ok", "no_room", "rejected", "not_sent", "refused", "unknown"};
+    constexpr const char *names[] = {"ok", "no_room", "rejected", "fenced", "not_sent", "refused", "unknown"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -178,13 +178,12 @@
 
 void AgentNode::follow(const std::string &from, const LeadFrame &lead)
 {
-    const std::uint64_t epoch = lead.epoch_;
-    if (!supervisor_.follow(epoch, lead.lastReport_, bootClock())) {
-        logEvent("lead.stale", {{"from", std::string_view(from)}, {"epoch", static_cast<std::int64_t>(epoch)}});
+    if (!supervisor_.follow({lead.epoch_, lead.lastReport_, lead.term_}, bootClock())) {
+        logEvent("lead.stale", {{"from", std::string_view(from)}, {"epoch", logNumber(lead.epoch_)}});
         return;
     }
     if (leader_ != from) {
-        logEvent("lead.followed", {{"leader", std::string_view(from)}, {"epoch", static_cast<std::int64_t>(epoch)}});
+        logEvent("lead.followed", {{"leader", std::string_view(from)}, {"epoch", logNumber(lead.epoch_)}, {"term", logNumber(lead.term_)}});
         leader_ = from;
         delayLeaderLink();
         connectToEntries();
@@ -214,7 +213,13 @@
     }
     lastPingAt_ = now;
     pingAnswered_ = false;
-    mesh_.send(leader_, formatFrame(PingFrame{supervisor_.epoch(), now}));
+    const bool fenced = supervisor_.isFenced();
+    if (fenced) {
+        count("ibiswall_fenced_total");
+        logEvent("target.fenced", {{"epoch", logNumber(supervisor_.epoch())}, {"born", lastIncarnation_}});
+    }
+    // A leader announces itself to an agent that follows no epoch, with a higher fence than before.
+    mesh_.send(leader_, formatFrame(PingFrame{fenced ? 0 : supervisor_.epoch(), now}));
 }
 
 void AgentNode::flush()
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -78,7 +78,7 @@
 
 Json body(const LeadFrame &frame)
 {
-    return Json::array({frame.epoch_, frame.lastReport_});
+    return Json::array({frame.epoch_, frame.lastReport_, frame.term_});
 }
 
 Json body(const PingFrame &frame)
@@ -337,7 +337,8 @@
 {
     switch (kind) {
     case Lead:
-        return LeadFrame{json.at(0).get<std::uint64_t>(), json.at(1).get<std::int64_t>()};
+        return LeadFrame{json.at(0).get<std::uint64_t>(), json.at(1).get<std::int64_t>(),
+                         json.size() > 2 ? json[2].get<std::uint64_t>() : 0};
     case Ping:
         return PingFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}};
     case Pong:
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -14,6 +14,8 @@
     std::uint64_t epoch_ = 0;
     /// Number of the agent's latest report that the sender has applied; 0 for none.
     std::int64_t lastReport_ = 0;
+    /// Number of this announcement among those of the epoch to the agent; see cell::Lead.
+    std::uint64_t term_ = 0;
 };
 
 /// Request of an agent to renew its lease.
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -132,6 +132,8 @@
         bool mayHoldLease_ = false;
         /// Complete once it has reported in this epoch over the current path.
         cell::ReportOrder reports_;
+        /// Number of announcements of this leader to the agent.
+        std::uint64_t leadsSent_ = 0;
         /// What is to be acknowledged with the next orders.
         std::optional<cell::AckOrder> pendingAck_;
         /// When it was last granted a lease or sent a full report; its lease expires at the latest
--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -28,7 +28,8 @@
 // Announces this leader to an agent and asks it for a full report.
 void LeaderSession::sendLead(const std::string &agent)
 {
-    hooks_.send_(agent, LeadFrame{epoch_, agents_[agent].reports_.lastAccepted().number_});
+    AgentState &state = agents_[agent];
+    hooks_.send_(agent, LeadFrame{epoch_, state.reports_.lastAccepted().number_, ++state.leadsSent_});
 }
 
 void LeaderSession::requestFullReport(const std::string &agent)
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -78,6 +78,14 @@
         hooks_.reached_(RecoveryStage::FirstStart);
     }
     logRefusals(actions.refusals_);
+    for (const cell::MissingRun &missing : actions.missingRuns_) {
+        count("ibiswall_missing_runs_total");
+        logEvent("run.missing",
+                 {{"job", std::string_view(missing.run_.task_.job_)},
+                  {"task", missing.run_.task_.index_},
+                  {"run", logNumber(missing.run_.number_)},
+                  {"agent", std::string_view(missing.agent_)}});
+    }
     std::map<std::string, OrdersFrame> orders;
     for (cell::StartOrder &start : actions.starts_) {
         count("ibiswall_placements_total");
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -54,6 +54,7 @@
         {"ibiswall_containments_total", {"Times that a queue was contained, since its jobs crashed targets", ""}},
         {"ibiswall_interfering_pairs", {"Pairs of kinds of tasks that this leader keeps apart, since one slows the other down", ""}},
         {"ibiswall_target_stalls_total", {"Times that this leader found a target stalled, tried it, or used it again", "change"}},
+        {"ibiswall_missing_runs_total", {"Runs that the full report of their agent lacked, so that their tasks are placed again", ""}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
         {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
         {"ibiswall_unservable_total", {"Jobs that this leader refused since they cannot be served in time, by when it knew", "reason"}},
@@ -63,6 +64,7 @@
         {"ibiswall_store_seconds", {"Time of calls to the store, by kind", "kind"}},
         {"ibiswall_starts_total", {"Starts sent to the target, by outcome", "outcome"}},
         {"ibiswall_start_seconds", {"Time of starts sent to the target", ""}},
+        {"ibiswall_fenced_total", {"Times that this agent asked for a higher fence, since its target had received one", ""}},
         {"ibiswall_runs", {"Runs on the target that go on", ""}},
         {"ibiswall_target_answering", {"1 while the target answers", ""}},
     };
--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -7,6 +7,8 @@
 // POST /standin/restart with {"down_ms":N,"announce_ms":M} begins a new incarnation that knows nothing of before: the worker answers
 // no call for N ms, and sends its first heartbeat M ms later. Connections stay open, so calls that were meant for the former
 // incarnation reach the new one.
+// POST /standin/orders with {"hold":true} makes the worker leave starts and stops unanswered and keep them, and record each such start;
+// {"hold":false} ends that for later calls. {"release":true} carries out the kept ones, with their deadlines counted from then.
 
 #include "workeroptions.hpp"
 
@@ -81,6 +83,15 @@
             respond(jsonReply(Ok, "{}"));
             return;
         }
+        if (request.path_ == "/standin/orders") {
+            const Json body = Json::parse(request.body_);
+            holdsOrders_ = body.value("hold", holdsOrders_);
+            if (body.value("release", false)) {
+                releaseOrders();
+            }
+            respond(jsonReply(Ok, "{}"));
+            return;
+        }
         if (bootClock() < upAt_) {
             unansweredCalls_.push_back(respond);
             return;
@@ -97,10 +108,36 @@
             timer->async_wait([this, timer, request](boost::system::error_code) { executeOrder(request, [](const HttpReply &) {}); });
             return;
         }
+        if (holdsOrders_ && request.path_ != "/hold") {
+            holdOrder(request);
+            unansweredCalls_.push_back(respond);
+            return;
+        }
         executeOrder(request, options_.replyMillis_ > 0 ? delayed(respond) : respond);
     }
 
 private:
+    void holdOrder(const HttpRequest &request)
+    {
+        const Json body = Json::parse(request.body_);
+        if (request.path_ == "/run-start") {
+            recordEvent("unanswered", body.at("task"), body.at("run"));
+        }
+        heldOrders_.emplace_back(request, elapsedMillis());
+    }
+
+    void releaseOrders()
+    {
+        for (auto &[request, arrivedAt] : std::exchange(heldOrders_, {})) {
+            Json body = Json::parse(request.body_);
+            if (body.contains("deadline_ms")) {
+                body["deadline_ms"] = body["deadline_ms"].get<std::int64_t>() + elapsedMillis() - arrivedAt;
+            }
+            request.body_ = body.dump();
+            executeOrder(request, [](const HttpReply &) {});
+        }
+    }
+
     Respond delayed(const Respond &respond)
     {
         return [this, respond](const HttpReply &reply) {
@@ -359,6 +396,9 @@
     /// Calls get no answer before this time, and heartbeats are sent from announcedFrom_ on.
     Millis upAt_;
     Millis announcedFrom_;
+    bool holdsOrders_ = false;
+    /// Starts and stops that are kept, in order of arrival, with the time of each.
+    std::vector<std::pair<HttpRequest, std::int64_t>> heldOrders_;
     std::minstd_rand random_;
     std::ofstream recordFile_;
     std::uint64_t highestFence_ = 0;
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -192,13 +192,23 @@
     postJson(workerNodes_[index].workerPort_, "/standin/restart", {{"down_ms", down.count_}, {"announce_ms", announcement.count_}});
 }
 
+void Cell::holdOrders(std::size_t index, bool hold) const
+{
+    postJson(workerNodes_[index].workerPort_, "/standin/orders", {{"hold", hold}});
+}
+
+void Cell::releaseOrders(std::size_t index) const
+{
+    postJson(workerNodes_[index].workerPort_, "/standin/orders", {{"release", true}});
+}
+
 std::size_t Cell::mostRunsAtOnce(std::size_t index, Millis from, Millis until) const
 {
     std::size_t running = 0;
     std::size_t most = 0;
     for (const Json &line : readJsonLines(workerNodes_[index].runRecordFile_)) {
         const bool started = line.at("what") == "start";
-        if (line.at("what") != "noted") {
+        if (line.at("what") != "noted" && line.at("what") != "unanswered") {
             running += started ? 1 : -1;
         }
         const Millis at{line.at("at").get<std::int64_t>()};
@@ -264,6 +274,9 @@
         std::map<std::pair<std::string, std::uint64_t>, std::int64_t> open;
         for (const Json &line : readJsonLines(node.runRecordFile_)) {
             const std::pair<std::string, std::uint64_t> run{line.at("task"), line.at("run")};
+            if (line.at("what") == "unanswered") {
+                continue;
+            }
             if (line.at("what") == "start") {
                 open[run] = line.at("at");
             } else if (const auto found = open.find(run); found != open.end()) {
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -118,6 +118,12 @@
     /// Begins a new incarnation of a worker under its id, which answers nothing for a time, and announces itself some time after that.
     void restartWorker(std::size_t index, Millis down, Millis announcement) const;
 
+    /// Makes a worker leave starts and stops unanswered and keep them, or carry out later ones at once again.
+    void holdOrders(std::size_t index, bool hold) const;
+
+    /// Makes a worker carry out the starts and stops that it has kept, with their deadlines counted from now.
+    void releaseOrders(std::size_t index) const;
+
     /// Largest number of tasks that ran on a worker at a time, of those started in a span of wall-clock time.
     std::size_t mostRunsAtOnce(std::size_t index, Millis from, Millis until) const;
 
@@ -139,7 +145,7 @@
     /// Tasks that were started after a worker had been told to discard their result as done.
     std::vector<std::string> repeatedTasks() const;
 
-    /// Number of runs that the workers recorded to have ended in a way, such as "done" or "crashed", by task.
+    /// Number of runs of each task of which the workers recorded something, such as "done", "crashed", "noted" or "unanswered".
     std::map<std::string, int> endedRuns(const std::string &how) const;
 
     /// Index of the leader according to the metrics of the entries; waits until there is one.
