Keep a run whose start had no answer until its stop is confirmed

What callers would have seen: a target that answers nothing for over a second and carries out its calls after that runs tasks again that were done elsewhere meanwhile.

Cause: as for the late starts of killed agents, a task was placed again while a start of it could still be carried out. When the leases had expired, the agent took all runs for lost, also those whose start had no answer and whose stop was not confirmed. Unanswered starts for which a stop had been ordered meanwhile were not even noted as such.

Fix: a run with an unanswered start is lost with its lease only once its stop is confirmed, a list shows that it was started, the target's process has ended, or no call can be late any more (lateCallPeriod_, 15 s). The same holds for stops in a new incarnation. The caller of such a task waits longer than the 1.2 s before; the alternative is to run it twice.

The stand-in for a worker can keep orders, carry them out on demand and be silent.

--- a/include/ibiswall/cell/targetsupervisor.hpp
+++ b/include/ibiswall/cell/targetsupervisor.hpp
@@ -273,6 +273,8 @@
         std::int64_t startedBy_ = 0;
         /// Incarnation that was known when a call for its start had no reply, 0 if all had one. A later one may still carry it out.
         std::int64_t unansweredIn_ = 0;
+        /// When the latest of these calls was found to have no reply.
+        Millis unansweredAt_;
         /// Its end has been reported; it is only known here until its start is prevented.
         bool reported_ = false;
         /// The crash of an incarnation that it may have been active on; empty once that is known.
@@ -305,10 +307,11 @@
     void onTargetRestarted(std::int64_t incarnation, Millis now);
     void dropRunsOfEarlierIncarnations(Millis now);
     void confirmIncarnation(const TargetCall &call);
-    void rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now);
+    void rememberUnansweredStart(const TargetCall &call, Millis now);
     void stopUnansweredStarts(Millis now);
     void stopRunsWithStrayLease(Millis now);
-    void markAllRunsLost(Millis now);
+    bool mayStartLate(const LocalRun &run, Millis now) const;
+    void expireRuns(Millis now);
     std::map<TaskId, LocalRun>::iterator loseRun(std::map<TaskId, LocalRun>::iterator lost, Millis now);
     void recordResult(const RunResult &result);
     void setUnlistedResults(bool unlisted);
--- a/src/ibiswall/cell/targetsupervisor.cpp
+++ b/src/ibiswall/cell/targetsupervisor.cpp
@@ -204,6 +204,9 @@
 void TargetSupervisor::onStartReply(const TargetCall &call, CallOutcome outcome, Millis now)
 {
     recordOutcome(call, outcome, now);
+    if (outcome == CallOutcome::Unknown) {
+        rememberUnansweredStart(call, now);
+    }
     const auto found = runs_.find(call.run_.task_);
     if (found == runs_.end() || found->second.number_ != call.run_.number_ || found->second.phase_ != Phase::Starting) {
         return;
@@ -217,7 +220,6 @@
         run.since_ = now;
         break;
     case CallOutcome::Unknown:
-        rememberUnansweredStart(call, run, now);
         if (call.retries_ < settings_.maxStartRetries_ && call.targetIncarnation_ == targetIncarnation_ && mayRequestLease(now)) {
             // The target starts a run only once, however often the start arrives.
             TargetCall retry = call;
@@ -297,14 +299,8 @@
         // Nobody can wait for results of a target that may never reply again.
         setUnlistedResults(false);
     }
-    if (!runs_.empty() && leaseExpired) {
-        // Neither starts nor renewals have extended the lease.
-        for (const auto &[task, run] : runs_) {
-            if (!run.reported_ && !run.crash_) {
-                unexplainedLosses_.emplace_back(Run{task, run.number_}, run.started_);
-            }
-        }
-        markAllRunsLost(now);
+    if (leaseExpired) {
+        expireRuns(now);
     }
     stopRunsWithStrayLease(now);
     for (auto &[task, run] : runs_) {
--- a/src/ibiswall/cell/targetsupervisorlists.cpp
+++ b/src/ibiswall/cell/targetsupervisorlists.cpp
@@ -28,15 +28,27 @@
     }
 }
 
-// The lease of all runs has expired, but for those with a start in flight.
-void TargetSupervisor::markAllRunsLost(Millis now)
+// Whether the current incarnation may still carry out the start of a run: a call for it has no reply, and neither a list nor a stop shows
+// that the target would reject it.
+bool TargetSupervisor::mayStartLate(const LocalRun &run, Millis now) const
+{
+    const bool ended = refusedSince_ != Millis{0} && now >= refusedSince_ + settings_.crashConfirmation_;
+    return run.unansweredIn_ != 0 && !ended && run.startedBy_ != targetIncarnation_ && run.phase_ != Phase::Stopped
+        && now <= run.unansweredAt_ + settings_.lateCallPeriod_;
+}
+
+// Neither starts nor renewals have extended the lease: all runs have ended, but for those that may still be started.
+void TargetSupervisor::expireRuns(Millis now)
 {
     for (auto each = runs_.begin(); each != runs_.end();) {
-        const LocalRun &run = each->second;
-        if (run.phase_ == Phase::Starting && run.calling_) {
+        const auto &[task, run] = *each;
+        if ((run.phase_ == Phase::Starting && run.calling_) || mayStartLate(run, now)) {
             ++each;
             continue;
         }
+        if (!run.reported_ && !run.crash_) {
+            unexplainedLosses_.emplace_back(Run{task, run.number_}, run.started_);
+        }
         each = loseRun(each, now);
     }
 }
--- a/src/ibiswall/cell/targetsupervisorloss_test.cpp
+++ b/src/ibiswall/cell/targetsupervisorloss_test.cpp
@@ -308,6 +308,50 @@
     BOOST_TEST(report.running_.empty());
 }
 
+// The lease of a run whose start had no reply expired, its task was placed elsewhere, and the silent target started it seconds later.
+BOOST_AUTO_TEST_CASE(run_that_a_silent_target_may_still_start_is_not_lost_before_its_stop_is_confirmed)
+{
+    TargetSupervisorFixture fixture;
+    fixture.start("j1", 1);
+    fixture.answerStart(CallOutcome::Unknown);
+    fixture.advance(800);
+    fixture.answerStart(CallOutcome::Unknown);
+    for (int i = 0; i < 20; ++i) {
+        fixture.advance(100);
+        for (const TargetCall &stop : fixture.calls(TargetCall::Kind::Stop)) {
+            fixture.supervisor_.onStopReply(stop, CallOutcome::Unknown, fixture.now_);
+        }
+        fixture.failRenewals(CallOutcome::Unknown);
+    }
+    BOOST_TEST(fixture.supervisor_.takeReport().results_.empty());
+    fixture.supervisor_.onStopReply(fixture.calls(TargetCall::Kind::Stop).at(0), CallOutcome::Ok, fixture.now_);
+    fixture.advance(5);
+    fixture.answerRenewals({}, {});
+    const AgentReport report = fixture.supervisor_.takeReport();
+    BOOST_REQUIRE(report.results_.size() == 1U);
+    BOOST_TEST((report.results_[0].kind_ == RunOutcome::Lost));
+}
+
+BOOST_AUTO_TEST_CASE(run_without_a_reply_is_lost_with_its_lease_if_its_target_has_ended_or_no_call_can_be_late_any_more)
+{
+    for (const bool ended : {true, false}) {
+        TargetSupervisorFixture fixture;
+        fixture.start("j1", 1);
+        fixture.answerStart(CallOutcome::Unknown);
+        fixture.advance(800);
+        fixture.answerStart(CallOutcome::Unknown);
+        const std::int64_t steps = ended ? 20 : 152;
+        for (std::int64_t i = 0; i < steps; ++i) {
+            fixture.advance(100);
+            for (const TargetCall &stop : fixture.calls(TargetCall::Kind::Stop)) {
+                fixture.supervisor_.onStopReply(stop, ended ? CallOutcome::Refused : CallOutcome::Unknown, fixture.now_);
+            }
+            fixture.failRenewals(ended ? CallOutcome::Refused : CallOutcome::Unknown);
+        }
+        BOOST_TEST(fixture.supervisor_.takeReport().results_.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::cell
--- a/src/ibiswall/cell/targetsupervisorrestart.cpp
+++ b/src/ibiswall/cell/targetsupervisorrestart.cpp
@@ -56,9 +56,12 @@
     }
 }
 
-void TargetSupervisor::rememberUnansweredStart(const TargetCall &call, LocalRun &run, Millis now)
+void TargetSupervisor::rememberUnansweredStart(const TargetCall &call, Millis now)
 {
-    run.unansweredIn_ = call.targetIncarnation_;
+    if (const auto found = runs_.find(call.run_.task_); found != runs_.end() && found->second.number_ == call.run_.number_) {
+        found->second.unansweredIn_ = call.targetIncarnation_;
+        found->second.unansweredAt_ = now;
+    }
     while (!unansweredStarts_.empty()
            && (unansweredStarts_.size() >= settings_.maxUnansweredStarts_
                || now > unansweredStarts_.front().first + settings_.lateCallPeriod_)) {
@@ -83,6 +86,8 @@
         if (now <= at + settings_.lateCallPeriod_ && runs_.count(run.task_) == 0) {
             LocalRun &local = runs_[run.task_];
             local.number_ = run.number_;
+            local.unansweredIn_ = targetIncarnation_;
+            local.unansweredAt_ = at;
             local.reported_ = true;
             sendStop(run.task_, local, now);
         }
--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -9,6 +9,7 @@
 // incarnation reach the new one.
 // POST /standin/orders with {"hold":true} makes the worker leave starts and stops unanswered and keep them, and record each such start;
 // {"hold":false} ends that for later calls. {"release":true} carries out the kept ones, with their deadlines counted from then.
+// With {"silent":true} renewals get no answer and are never carried out, and no heartbeats are sent.
 
 #include "workeroptions.hpp"
 
@@ -86,6 +87,7 @@
         if (request.path_ == "/standin/orders") {
             const Json body = Json::parse(request.body_);
             holdsOrders_ = body.value("hold", holdsOrders_);
+            silent_ = body.value("silent", silent_);
             if (body.value("release", false)) {
                 releaseOrders();
             }
@@ -108,8 +110,11 @@
             timer->async_wait([this, timer, request](boost::system::error_code) { executeOrder(request, [](const HttpReply &) {}); });
             return;
         }
-        if (holdsOrders_ && request.path_ != "/hold") {
-            holdOrder(request);
+        const bool renewal = request.path_ == "/hold";
+        if (renewal ? silent_ : holdsOrders_) {
+            if (!renewal) {
+                holdOrder(request);
+            }
             unansweredCalls_.push_back(respond);
             return;
         }
@@ -361,7 +366,7 @@
                 sendHeartbeat();
             }
         });
-        if (bootClock() < announcedFrom_) {
+        if (silent_ || bootClock() < announcedFrom_) {
             return;
         }
         PoolCall call;
@@ -397,6 +402,7 @@
     Millis upAt_;
     Millis announcedFrom_;
     bool holdsOrders_ = false;
+    bool silent_ = false;
     /// Starts and stops that are kept, in order of arrival, with the time of each.
     std::vector<std::pair<HttpRequest, std::int64_t>> heldOrders_;
     std::minstd_rand random_;
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -197,6 +197,11 @@
     postJson(workerNodes_[index].workerPort_, "/standin/orders", {{"hold", hold}});
 }
 
+void Cell::silenceWorker(std::size_t index, bool silent) const
+{
+    postJson(workerNodes_[index].workerPort_, "/standin/orders", {{"silent", silent}});
+}
+
 void Cell::releaseOrders(std::size_t index) const
 {
     postJson(workerNodes_[index].workerPort_, "/standin/orders", {{"release", true}});
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -121,6 +121,9 @@
     /// Makes a worker leave starts and stops unanswered and keep them, or carry out later ones at once again.
     void holdOrders(std::size_t index, bool hold) const;
 
+    /// Makes a worker leave renewals unanswered and send no heartbeats, or answer and send later ones again.
+    void silenceWorker(std::size_t index, bool silent) const;
+
     /// Makes a worker carry out the starts and stops that it has kept, with their deadlines counted from now.
     void releaseOrders(std::size_t index) const;
 
