Withdraw unknown jobs in the store before a cancel is answered with 410

Cause: while the store did not answer an entry, its submission of the job was still on its way. The leader read the store, found nothing, and the cancel was answered as one of an unknown job. Nothing remembered it, and the late submission met no condition that it failed.

Fix: the leader stores a record under the id, on condition that the key does not exist, before it answers 410. The store rejects a submission from then on, and the entry answers it with 503; the leader refuses offers of ephemeral jobs under the id. The record is removed after 30 s; entries send no transaction for a submission older than 15 s and read its outcome 7 s after the last one, so no write outlives the record. Related: an entry wrote a submission for as long as the store did not answer, also when a job of that id had ended and expired.

New log lines job.withdrawn and cancel.refused, metric ibiswall_withdrawn_total, reason withdrawn of ibiswall_refusals_total.

--- a/include/ibiswall/cell/dispatcher.hpp
+++ b/include/ibiswall/cell/dispatcher.hpp
@@ -127,6 +127,14 @@
 
     CancelOutcome cancel(const std::string &job, Millis now);
 
+    /// A record has been stored under the id of a job that neither the store nor any entry had, so that it cannot be submitted. Stops its
+    /// runs. Offers of it are refused, or end as cancelled if it may have been started.
+    /// @return false if an entry has offered the job meanwhile; the record is scheduled for removal then
+    bool withdraw(const std::string &job, std::int64_t revision, Millis now);
+
+    /// Number of withdrawn jobs whose records have not expired.
+    std::size_t withdrawnJobs() const;
+
     /// The last caller at an entry that waited for an ephemeral job has left. Cancels the job when no other entry has a
     /// caller.
     void abandon(const std::string &job, const std::string &origin, Millis now);
@@ -138,7 +146,7 @@
 
     /// Discards final states older than the given times; records of stored ones are scheduled for removal from the
     /// store.
-    void expireFinalJobs(Millis ephemeralBefore, Millis storedBefore);
+    void expireFinalJobs(Millis ephemeralBefore, Millis storedBefore, Millis withdrawnBefore);
 
     /// Takes records that are due for removal.
     std::vector<JobRemoval> takeRemovals(std::size_t most);
@@ -291,7 +299,8 @@
         std::int64_t revision_ = 0;
         /// Cancelled because all callers had left. A caller that returns is not told so: the job is run again.
         bool abandoned_ = false;
-        /// A target with a run of the job was lost, and the run may go on under a later dispatcher.
+        /// A target with a run of the job was lost, and the run may go on under a later dispatcher; or targets had runs or results of
+        /// the job when it was withdrawn.
         bool mayRun_ = false;
     };
 
@@ -358,6 +367,7 @@
     void finalizeJob(Job &job, Millis now);
     void stopRuns(Job &job);
     void markRunLost(const std::string &agent, const TaskId &id, Millis now);
+    void releaseOrphan(const OrphanJob &orphan);
     void recordOrphanResult(Target &target, const RunResult &result);
     void markMissingRunsLost(const std::string &agent, const std::set<TaskId> &reported, Millis now);
     void adopt(Job &job, Task &task, const std::string &agent, const Run &run, Millis now);
@@ -399,6 +409,8 @@
     std::unordered_map<std::string, Job> jobs_;
     /// Jobs in a final state that are stored or ephemeral; none of them is in jobs_.
     std::unordered_map<std::string, FinalJob> finalJobs_;
+    /// Number of finalJobs_ that are withdrawn.
+    std::size_t withdrawnJobs_ = 0;
     /// Offers of abandoned jobs of which a run may still be active.
     std::vector<JobOffer> returned_;
     /// Records of jobs that are in none of the other tables.
--- a/include/ibiswall/cell/model.hpp
+++ b/include/ibiswall/cell/model.hpp
@@ -111,6 +111,9 @@
     Cancelled,
     /// Refused before any task was started. Never stored; the same id may be submitted again.
     Refused,
+    /// Cancelled when neither a leader nor the store had it. Stored for a time in place of the job, so that the store does not accept a
+    /// submission that is still on its way; unlike the other states it is not shown to callers.
+    Withdrawn,
 };
 
 constexpr bool isFinal(JobState state)
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -84,6 +84,9 @@
             returned_.push_back(std::move(offer));
             return std::nullopt;
         }
+        if (finalJob->second.state_ == JobState::Withdrawn) {
+            return offer.fresh_ && !finalJob->second.mayRun_ ? JobState::Refused : JobState::Cancelled;
+        }
         // A refused job may be submitted again, but a repeated offer of the refused submission stays refused.
         if (!abandoned && (finalJob->second.state_ != JobState::Refused || !offer.fresh_)) {
             return finalJob->second.state_;
@@ -96,6 +99,7 @@
         // Final states never change, so the stored state takes precedence over the one known here.
         if (const auto known = jobs_.find(offer.id_); known == jobs_.end()) {
             finalJobs_[offer.id_] = {state, now, false, offer.revision_, false, false};
+            withdrawnJobs_ += state == JobState::Withdrawn ? 1 : 0;
         }
         return state;
     }
@@ -220,17 +224,19 @@
     }
 }
 
-void Dispatcher::expireFinalJobs(Millis ephemeralBefore, Millis storedBefore)
+void Dispatcher::expireFinalJobs(Millis ephemeralBefore, Millis storedBefore, Millis withdrawnBefore)
 {
     for (auto each = finalJobs_.begin(); each != finalJobs_.end();) {
         const auto &[id, finalJob] = *each;
-        if (finalJob.at_ >= (finalJob.ephemeral_ ? ephemeralBefore : storedBefore)) {
+        const bool withdrawn = finalJob.state_ == JobState::Withdrawn;
+        if (finalJob.at_ >= (withdrawn ? withdrawnBefore : finalJob.ephemeral_ ? ephemeralBefore : storedBefore)) {
             ++each;
             continue;
         }
         if (!finalJob.ephemeral_) {
             removals_.push_back({id, finalJob.revision_});
         }
+        withdrawnJobs_ -= withdrawn ? 1 : 0;
         each = finalJobs_.erase(each);
     }
 }
--- a/src/ibiswall/cell/dispatcher_test.cpp
+++ b/src/ibiswall/cell/dispatcher_test.cpp
@@ -523,10 +523,10 @@
     loaded.record_.progress_.state_ = JobState::Failed;
     loaded.revision_ = 41;
     fixture.dispatcher_.addJob(loaded, fixture.now_);
-    fixture.dispatcher_.expireFinalJobs(fixture.now_, fixture.now_);
+    fixture.dispatcher_.expireFinalJobs(fixture.now_, fixture.now_, fixture.now_);
     BOOST_TEST(fixture.dispatcher_.takeRemovals(10).empty());
     BOOST_TEST(fixture.dispatcher_.hasJob("d1"));
-    fixture.dispatcher_.expireFinalJobs(fixture.now_ + Millis{1}, fixture.now_ + Millis{1});
+    fixture.dispatcher_.expireFinalJobs(fixture.now_ + Millis{1}, fixture.now_ + Millis{1}, fixture.now_ + Millis{1});
     BOOST_TEST(!fixture.dispatcher_.hasJob("d1"));
     std::map<std::string, std::int64_t> removed;
     for (const JobRemoval &removal : fixture.dispatcher_.takeRemovals(1)) {
@@ -747,7 +747,7 @@
     fixture.dispatcher_.abandon("j1", "entry-1", fixture.now_);
     fixture.dispatcher_.markTargetLost("a", fixture.now_);
     fixture.dispatcher_.addJob(offer, fixture.now_);
-    fixture.dispatcher_.expireFinalJobs(fixture.now_ + Millis{1}, fixture.now_ + Millis{1});
+    fixture.dispatcher_.expireFinalJobs(fixture.now_ + Millis{1}, fixture.now_ + Millis{1}, fixture.now_ + Millis{1});
     fixture.schedule();
     BOOST_TEST(fixture.dispatcher_.openJobs() == 1U);
     fixture.now_ = fixture.now_ + Millis{120000};
--- a/src/ibiswall/cell/dispatcherorphans.cpp
+++ b/src/ibiswall/cell/dispatcherorphans.cpp
@@ -4,9 +4,9 @@
 
 namespace ibiswall::cell {
 
-void Dispatcher::discardUnknownJob(const std::string &id)
+// Stops the runs of a job that will not be offered, and lets targets discard its results.
+void Dispatcher::releaseOrphan(const OrphanJob &orphan)
 {
-    const OrphanJob orphan = orphans_.discardResults(id);
     for (const auto &[ref, result] : orphan.results_) {
         onResultSaved(ref);
     }
@@ -15,6 +15,31 @@
     }
 }
 
+void Dispatcher::discardUnknownJob(const std::string &id)
+{
+    releaseOrphan(orphans_.discardResults(id));
+}
+
+bool Dispatcher::withdraw(const std::string &id, std::int64_t revision, Millis now)
+{
+    const auto finalJob = finalJobs_.find(id);
+    if (jobs_.count(id) != 0 || (finalJob != finalJobs_.end() && finalJob->second.state_ != JobState::Withdrawn)) {
+        removals_.push_back({id, revision});
+        return false;
+    }
+    const OrphanJob orphan = orphans_.take(id);
+    releaseOrphan(orphan);
+    const bool mayRun = !orphan.running_.empty() || !orphan.results_.empty();
+    const bool added = finalJobs_.insert_or_assign(id, FinalJob{JobState::Withdrawn, now, false, revision, false, mayRun}).second;
+    withdrawnJobs_ += added ? 1 : 0;
+    return true;
+}
+
+std::size_t Dispatcher::withdrawnJobs() const
+{
+    return withdrawnJobs_;
+}
+
 // Keeps the result of a run of a job that nobody has offered yet.
 void Dispatcher::recordOrphanResult(Target &target, const RunResult &result)
 {
--- a/src/ibiswall/cell/record.cpp
+++ b/src/ibiswall/cell/record.cpp
@@ -141,7 +141,7 @@
     JobRecord record;
     record.nonce_ = json.at(1).get<std::string>();
     const int state = json.at(2).get<int>();
-    if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
+    if (state < 0 || (state > static_cast<int>(JobState::Cancelled) && state != static_cast<int>(JobState::Withdrawn))) {
         throw std::out_of_range("unknown job state");
     }
     record.progress_.state_ = static_cast<JobState>(state);
--- a/src/ibiswall/cell/record_test.cpp
+++ b/src/ibiswall/cell/record_test.cpp
@@ -62,6 +62,17 @@
     BOOST_TEST((parseRecord(bytes).value().progress_.state_ == JobState::Completed));
 }
 
+BOOST_AUTO_TEST_CASE(reads_records_of_withdrawn_jobs_and_rejects_those_of_refused_ones)
+{
+    JobRecord record;
+    record.progress_.state_ = JobState::Withdrawn;
+    const auto back = parseRecord(formatRecord(record));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST((back.value().progress_.state_ == JobState::Withdrawn));
+    record.progress_.state_ = JobState::Refused;
+    BOOST_TEST(parseRecord(formatRecord(record)).has_error());
+}
+
 BOOST_AUTO_TEST_CASE(handles_truncated_and_corrupted_records)
 {
     const std::string bytes = formatRecord(testJob("j1", {testStep(3)}, false).record_);
--- a/src/ibiswall/node/acceptor.cpp
+++ b/src/ibiswall/node/acceptor.cpp
@@ -32,6 +32,7 @@
     }
     entry->second.bytes_ = formatRecord(record);
     entry->second.record_ = std::move(record);
+    entry->second.since_ = bootClock();
     queue_.push_back(id);
     scheduleCommit();
 }
@@ -52,8 +53,10 @@
         return;
     }
     busy_ = true;
-    const Millis due = lastCommit_ + (batch_.empty() ? batchInterval : retryDelay);
     const Millis now = bootClock();
+    const bool reading = uncertain_ && !batch_.empty() && isTooOld(batch_.front());
+    const Millis due = reading ? std::max(lastCommit_ + platform::lateWriteDelay, lastRead_ + retryDelay)
+                               : lastCommit_ + (batch_.empty() ? batchInterval : retryDelay);
     if (now >= due) {
         commit();
         return;
@@ -66,8 +69,59 @@
     });
 }
 
+bool Acceptor::isTooOld(const std::string &id) const
+{
+    return bootClock() > pending_.at(id).since_ + maxSubmissionAge;
+}
+
+// Ends submissions for which no transaction was sent in time.
+void Acceptor::expireQueue()
+{
+    while (!queue_.empty() && isTooOld(queue_.front())) {
+        const std::string id = std::move(queue_.front());
+        queue_.pop_front();
+        finish(id, {});
+    }
+}
+
+// Reads the first submission of a transaction whose outcome is unknown, which is too old to be sent again.
+void Acceptor::readOldest()
+{
+    lastRead_ = bootClock();
+    store_.get(keys::job(batch_.front()), [this](const platform::StoreResult &answer) {
+        busy_ = false;
+        const bool found = answer.outcome_ == platform::StoreOutcome::Ok && !answer.items_.empty();
+        if (found || answer.outcome_ == platform::StoreOutcome::NotFound) {
+            const std::string id = std::move(batch_.front());
+            batch_.erase(batch_.begin());
+            lastRead_ = {};
+            uncertain_ = !batch_.empty();
+            if (found) {
+                resolveExisting(id, answer.items_.front());
+            } else {
+                finish(id, {});
+            }
+        }
+        scheduleCommit();
+    });
+}
+
 void Acceptor::commit()
 {
+    if (uncertain_ && !batch_.empty() && isTooOld(batch_.front())) {
+        if (bootClock() < lastCommit_ + platform::lateWriteDelay) {
+            busy_ = false;
+            scheduleCommit();
+        } else {
+            readOldest();
+        }
+        return;
+    }
+    expireQueue();
+    if (batch_.empty() && queue_.empty()) {
+        busy_ = false;
+        return;
+    }
     std::size_t bytes = 0;
     for (const std::string &id : batch_) {
         bytes += pending_.at(id).bytes_.size();
@@ -129,16 +183,21 @@
             remaining.push_back(id);
             continue;
         }
-        if (existing->value_ == pending_.at(id).bytes_) {
-            finish(id, {Acceptance::Created, {}, existing->revision_});
-            continue;
-        }
-        auto record = cell::parseRecord(existing->value_);
-        finish(id, {Acceptance::Existing, record ? std::move(record.value()) : cell::JobRecord{}, existing->revision_});
+        resolveExisting(id, *existing);
     }
     batch_ = std::move(remaining);
 }
 
+void Acceptor::resolveExisting(const std::string &id, const platform::Item &existing)
+{
+    if (existing.value_ == pending_.at(id).bytes_) {
+        finish(id, {Acceptance::Created, {}, existing.revision_});
+        return;
+    }
+    auto record = cell::parseRecord(existing.value_);
+    finish(id, {Acceptance::Existing, record ? std::move(record.value()) : cell::JobRecord{}, existing.revision_});
+}
+
 // Finds the records that the store does not take by storing each job of the transaction alone. Earlier attempts at it were rejected too.
 void Acceptor::resolveRejection()
 {
--- a/src/ibiswall/node/acceptor.hpp
+++ b/src/ibiswall/node/acceptor.hpp
@@ -32,7 +32,11 @@
 
 using AcceptHandler = std::function<void(const std::string &id, const AcceptedJob &job)>;
 
-/// Stores jobs in batches. A transaction whose outcome is unknown is retried until the outcome is known.
+/// No transaction is sent for a submission that is older than this. Longer than the deadline of any caller.
+constexpr Millis maxSubmissionAge{15000};
+
+/// Stores jobs in batches. A transaction whose outcome is unknown is retried until the outcome is known; a submission that has become too
+/// old meanwhile is read instead, once the transactions sent for it can have no more effect.
 class Acceptor
 {
 public:
@@ -51,13 +55,18 @@
     {
         cell::JobRecord record_;
         std::string bytes_;
+        Millis since_;
     };
 
     void scheduleCommit();
     void commit();
+    bool isTooOld(const std::string &id) const;
+    void expireQueue();
+    void readOldest();
     void onAnswer(const platform::StoreResult &answer);
     void resolveConflict(const platform::StoreResult &conflict);
     void resolveRejection();
+    void resolveExisting(const std::string &id, const platform::Item &existing);
     void finish(const std::string &id, AcceptedJob job);
 
     platform::StoreClient &store_;
@@ -74,6 +83,8 @@
     /// Whether an earlier attempt at the batch may have taken effect or may still do so.
     bool uncertain_ = false;
     Millis lastCommit_;
+    /// When the latest read was sent, 0 if its outcome is known.
+    Millis lastRead_;
 };
 
 } // namespace ibiswall::node
--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -236,6 +236,12 @@
         answerAll(submitters_, id, errorReply(TooLarge, Code::TooLarge, {}));
         return;
     }
+    if (job.record_.progress_.state_ == cell::JobState::Withdrawn) {
+        count("ibiswall_refusals_total", "withdrawn");
+        logEvent("job.refused", {{"job", std::string_view(id)}, {"reason", "withdrawn"}});
+        answerAll(submitters_, id, errorReply(Unavailable, Code::Cancelled, {}, withdrawnRetention));
+        return;
+    }
     logEvent("job.accepted",
              {{"job", std::string_view(id)},
               {"queue", std::string_view(job.record_.spec_.queue_)},
@@ -284,6 +290,11 @@
             return;
         }
         const cell::JobState state = record.value().progress_.state_;
+        if (state == cell::JobState::Withdrawn) {
+            logEvent("job.unknown", {{"job", std::string_view(id)}});
+            respond(errorReply(unknownStatus, unknownStatus == Gone ? Code::UnknownJob : Code::UnknownPath, {}));
+            return;
+        }
         if (isFinal(state)) {
             onNotice({id, state, {}});
         }
@@ -346,6 +357,14 @@
     answerAll(cancellers_, id, errorReply(Gone, Code::UnknownJob, {}));
 }
 
+// The leader keeps no more records of cancelled ids until some expire.
+void EntryNode::onCancelRefused(const std::string &id)
+{
+    count("ibiswall_refusals_total", "cancels");
+    logEvent("cancel.refused", {{"job", std::string_view(id)}});
+    answerAll(cancellers_, id, errorReply(Unavailable, Code::Overloaded, {}, withdrawnRetention));
+}
+
 void EntryNode::answerQueueLength(const cell::Queue &queue, const Respond &respond) const
 {
     const auto found = waiting_.find(queue.name_);
--- a/src/ibiswall/node/entrycell.cpp
+++ b/src/ibiswall/node/entrycell.cpp
@@ -64,6 +64,8 @@
         }
     } else if (const auto *unknown = std::get_if<UnknownJobFrame>(&frame)) {
         onUnknownJob(unknown->job_);
+    } else if (const auto *refused = std::get_if<CancelRefusedFrame>(&frame)) {
+        onCancelRefused(refused->job_);
     } else if (const auto *list = std::get_if<HandoverFrame>(&frame)) {
         onHandoverList(from, *list);
     } else if (leaderSession_) {
--- a/src/ibiswall/node/entrynode.hpp
+++ b/src/ibiswall/node/entrynode.hpp
@@ -87,6 +87,7 @@
     void onAccepted(const std::string &id, const AcceptedJob &job);
     void onNotice(const cell::Notice &notice);
     void onUnknownJob(const std::string &id);
+    void onCancelRefused(const std::string &id);
     void expireCallers(Millis now);
     void refuseUnoffered(Millis now);
     bool isStoreLost() const;
--- a/src/ibiswall/node/frames.cpp
+++ b/src/ibiswall/node/frames.cpp
@@ -184,6 +184,11 @@
     return frame.job_;
 }
 
+Json body(const CancelRefusedFrame &frame)
+{
+    return frame.job_;
+}
+
 Json body(const HandoverRequestFrame &frame)
 {
     return Json::array({frame.epoch_, frame.requestedAt_.count_});
@@ -331,7 +336,7 @@
 }
 
 // Kinds of frames on the wire, in the order of the variant.
-enum Kind : std::size_t { Lead, Ping, Pong, Report, Orders, Heartbeat, Offers, Notices, Cancel, UnknownJob, HandoverRequest, Handover };
+enum Kind { Lead, Ping, Pong, Report, Orders, Heartbeat, Offers, Notices, Cancel, UnknownJob, HandoverRequest, Handover, CancelRefused };
 
 Frame readFrame(std::size_t kind, const Json &json)
 {
@@ -361,6 +366,8 @@
         return HandoverRequestFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}};
     case Handover:
         return HandoverFrame{json.at(0).get<std::uint64_t>(), {json.at(1).get<std::int64_t>()}, json.at(2).get<RegisteredAgents>()};
+    case CancelRefused:
+        return CancelRefusedFrame{json.get<std::string>()};
     default:
         throw std::out_of_range("unknown frame kind " + std::to_string(kind));
     }
--- a/src/ibiswall/node/frames.hpp
+++ b/src/ibiswall/node/frames.hpp
@@ -136,12 +136,19 @@
     bool abandoned_ = false;
 };
 
-/// Neither the leader nor the store has the job. Every other answer to a cancel is a notice.
+/// Neither the leader nor the store has the job, and no submission that is on its way can be accepted any more.
 struct UnknownJobFrame
 {
     std::string job_;
 };
 
+/// Neither the leader nor the store has the job, but more of such jobs have been cancelled than the leader withdraws at a time. Every
+/// other answer to a cancel is a notice.
+struct CancelRefusedFrame
+{
+    std::string job_;
+};
+
 using Frame = std::variant<LeadFrame,
                            PingFrame,
                            PongFrame,
@@ -153,7 +160,8 @@
                            CancelFrame,
                            UnknownJobFrame,
                            HandoverRequestFrame,
-                           HandoverFrame>;
+                           HandoverFrame,
+                           CancelRefusedFrame>;
 
 std::string formatFrame(const Frame &frame);
 
--- a/src/ibiswall/node/frames_test.cpp
+++ b/src/ibiswall/node/frames_test.cpp
@@ -46,9 +46,19 @@
     offers.offers_.back().id_ = "j";
     offers.offers_.back().domain_ = "fd-1";
     const NoticesFrame notices{3, true, {{"j", cell::JobState::Refused, {}, {1500}}, {"k", cell::JobState::Completed, {}}}};
-    return {LeadFrame{4}, PingFrame{4, {5}}, PongFrame{4, {5}, {6}},       report,
-            orders,       heartbeat,         CancelFrame{"j", true},       UnknownJobFrame{"j"},
-            offers,       notices,           HandoverRequestFrame{3, {9}}, HandoverFrame{3, {9}, {{"a1", 4}}}};
+    return {LeadFrame{4},
+            PingFrame{4, {5}},
+            PongFrame{4, {5}, {6}},
+            report,
+            orders,
+            heartbeat,
+            CancelFrame{"j", true},
+            UnknownJobFrame{"j"},
+            offers,
+            notices,
+            HandoverRequestFrame{3, {9}},
+            HandoverFrame{3, {9}, {{"a1", 4}}},
+            CancelRefusedFrame{"j"}};
 }
 
 } // namespace
@@ -65,6 +75,17 @@
     }
 }
 
+// Leaders of earlier versions do not number their announcements.
+BOOST_AUTO_TEST_CASE(term_of_an_announcement_is_optional)
+{
+    nlohmann::json json = nlohmann::json::from_cbor(formatFrame(LeadFrame{4, 5, 6}));
+    json.at(1).erase(2);
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(json);
+    const auto decoded = parseFrame({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(std::get<LeadFrame>(decoded.value()).term_ == 0U);
+}
+
 // An entry of an earlier version neither names its failure domain, nor is a leader of one able to say when a caller should return.
 BOOST_AUTO_TEST_CASE(fields_of_admission_control_are_optional)
 {
--- a/src/ibiswall/node/leadersession.cpp
+++ b/src/ibiswall/node/leadersession.cpp
@@ -10,13 +10,6 @@
 
 namespace ibiswall::node {
 
-namespace {
-
-// A write whose answer was lost may take effect this late, so the jobs of a lost entry are scanned for again after it.
-constexpr Millis lateWriteDelay{7000};
-
-} // namespace
-
 LeaderSession::LeaderSession(boost::asio::io_context &io,
                              platform::StoreClient &store,
                              LeaderSessionHooks hooks,
@@ -34,6 +27,7 @@
     , timer_(io)
     , storeTimer_(io)
     , loadTimer_(io)
+    , withdrawTimer_(io)
     , startedAt_(bootClock())
     , confirmedAt_(acquiredAt)
 {
@@ -61,6 +55,7 @@
     timer_.cancel();
     storeTimer_.cancel();
     loadTimer_.cancel();
+    withdrawTimer_.cancel();
 }
 
 void LeaderSession::setConfig(const cell::CellConfig &config, const std::set<std::string> &domainsOut)
@@ -213,14 +208,18 @@
         dispatch();
         break;
     case cell::CancelOutcome::AlreadyFinal:
-        hooks_.send_(from, NoticesFrame{epoch_, false, {{frame.job_, *dispatcher_.finalState(frame.job_), {}}}});
+        if (const cell::JobState state = *dispatcher_.finalState(frame.job_); state == cell::JobState::Withdrawn) {
+            hooks_.send_(from, UnknownJobFrame{frame.job_});
+        } else {
+            hooks_.send_(from, NoticesFrame{epoch_, false, {{frame.job_, state, {}}}});
+        }
         break;
     case cell::CancelOutcome::Unknown:
         lookUp(frame.job_, [self = shared_from_this(), from, frame](bool found) {
             if (found) {
                 self->onCancel(from, frame);
             } else {
-                self->hooks_.send_(from, UnknownJobFrame{frame.job_});
+                self->withdraw(frame.job_, from);
             }
         });
         break;
@@ -270,7 +269,8 @@
 {
     const Millis now = bootClock();
     sweeps_.push_back(now + tickPeriod);
-    sweeps_.push_back(now + lateWriteDelay);
+    // Writes of a lost entry may take effect this late.
+    sweeps_.push_back(now + platform::lateWriteDelay);
 }
 
 void LeaderSession::stepDown()
--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -15,6 +15,10 @@
 /// Interval of the timer that checks timeouts and periodic work.
 constexpr Millis tickPeriod{50};
 
+/// How long the record of a withdrawn job is kept: any transaction that an entry has sent for a submission before then has taken effect or
+/// been rejected.
+constexpr Millis withdrawnRetention{30000};
+
 /// Durations of agent leases.
 struct AgentLeaseSettings
 {
@@ -160,6 +164,11 @@
     void applyReport(const std::string &from, const ReportFrame &frame);
     void registerAgent(const std::string &agent);
     void deregisterAgent(const std::string &agent);
+    void withdraw(const std::string &job, const std::string &entry);
+    void scheduleWithdrawals(Millis due);
+    void storeWithdrawals();
+    void onWithdrawn(const std::vector<std::string> &jobs, const platform::StoreResult &answer);
+    void answerCancels(const std::string &job);
     void lookUp(const std::string &job, std::function<void(bool)> callback);
     void lookUpOrphan(const std::string &job);
     void readJobs(std::function<void(platform::StoreOutcome)> done);
@@ -200,6 +209,7 @@
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer storeTimer_;
     boost::asio::steady_timer loadTimer_;
+    boost::asio::steady_timer withdrawTimer_;
     Millis startedAt_;
     /// When the latest store call that confirmed the leadership was sent.
     Millis confirmedAt_;
@@ -241,6 +251,12 @@
     /// When to scan the stored jobs for some that the dispatcher does not have.
     std::vector<Millis> sweeps_;
     bool sweeping_ = false;
+    /// Cancelled jobs that neither the dispatcher nor the store has, with the entries whose callers wait for the cancel. Each is to be
+    /// withdrawn by a record in the store.
+    std::map<std::string, std::set<std::string>> withdrawals_;
+    bool withdrawing_ = false;
+    /// When the latest transaction with such records was sent.
+    Millis withdrawnAt_;
     std::set<std::string> lookingUp_;
     /// Jobs of orphan runs that are not in the store, with the time of the lookup.
     std::map<std::string, Millis> unstoredOrphans_;
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -351,7 +351,7 @@
         confirmLeadership();
     }
     checkAgents(now);
-    dispatcher_.expireFinalJobs(now - ephemeralRetention, now - stateRetention_);
+    dispatcher_.expireFinalJobs(now - ephemeralRetention, now - stateRetention_, now - withdrawnRetention);
     dispatcher_.expireCrashes(now - cell::crashRetention);
     const auto due = std::remove_if(sweeps_.begin(), sweeps_.end(), [now](Millis at) { return at <= now; });
     if (due != sweeps_.end() && storeRead_ && !sweeping_) {
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -56,6 +56,7 @@
         {"ibiswall_target_stalls_total", {"Times that this leader found a target stalled, tried it, or used it again", "change"}},
         {"ibiswall_missing_runs_total", {"Runs that the full report of their agent lacked, so that their tasks are placed again", ""}},
         {"ibiswall_rejections_total", {"Starts that targets or agents rejected", "reason"}},
+        {"ibiswall_withdrawn_total", {"Unknown jobs that this leader has withdrawn, since they were cancelled", ""}},
         {"ibiswall_handler_failures_total", {"Handlers that an exception ended", ""}},
         {"ibiswall_unservable_total", {"Jobs that this leader refused since they cannot be served in time, by when it knew", "reason"}},
         {"ibiswall_predicted_wait_seconds", {"Predicted time until a job that arrives now has started, by queue", "queue"}},
--- a/tests/fuzz/fuzz_test.cpp
+++ b/tests/fuzz/fuzz_test.cpp
@@ -115,7 +115,8 @@
                                           node::OffersFrame{{{"j", sampleRecord(), 1, true, {}, {500}, {1}}}},
                                           node::NoticesFrame{1, true, {{"j", cell::JobState::Completed, {}}}},
                                           node::CancelFrame{"j", true},
-                                          node::UnknownJobFrame{"j"}};
+                                          node::UnknownJobFrame{"j"},
+                                          node::CancelRefusedFrame{"j"}};
     std::vector<std::string> out;
     out.reserve(frames.size());
     for (const node::Frame &frame : frames) {
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -110,6 +110,8 @@
         if (request.path_ == "/standin/mode") {
             setMode(request.body_);
             respond(jsonReply(Ok, "{}"));
+        } else if (request.path_ == "/standin/writes") {
+            respond(jsonReply(Ok, Json(writes_).dump()));
         } else if (mode_.down_) {
             respond(jsonReply(ServiceUnavailable, "{}"));
         } else if (mode_.silent_) {
@@ -277,6 +279,9 @@
             respond(jsonReply(TooManyRequests, "{}"));
             return;
         }
+        for (const Json &write : json["writes"]) {
+            ++writes_[write.at("key").get<std::string>()];
+        }
         bool conditionsHold = true;
         Json currentItems = Json::array();
         for (const Json &expected : json["expected"]) {
@@ -330,6 +335,8 @@
     Mode mode_;
     /// Calls that arrived in silent mode.
     std::vector<Respond> unanswered_;
+    /// Number of transactions by the keys that they write, whether or not their conditions held. GET /standin/writes returns it.
+    std::map<std::string, int> writes_;
     std::map<std::string, StoredItem> items_;
     std::vector<Event> events_;
     std::vector<Watch> watches_;
--- a/tests/system/cell.cpp
+++ b/tests/system/cell.cpp
@@ -231,6 +231,20 @@
     return json.is_object() ? json.value("state", "") : "";
 }
 
+int Cell::submitOnce(std::size_t entry, const std::string &id, Millis timeout) const
+{
+    const Json step = {{"count", 1}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", 1}};
+    const Json body = {{"spec", "ms=1"}, {"steps", Json::array({step})}};
+    const auto answer = callHttp({"127.0.0.1", entries_[entry].callersPort_}, {"POST", prefix + id, body.dump(), {}, timeout, host});
+    return answer ? answer.value().status_ : 0;
+}
+
+std::string Cell::metrics(std::size_t entry) const
+{
+    const auto answer = callHttp({"127.0.0.1", entries_[entry].metricsPort_}, {"GET", "/metrics", {}, {}, {2000}, {}});
+    return answer ? answer.value().body_ : std::string();
+}
+
 SubmitResult Cell::submitPayload(const std::string &id, int tasks, const std::string &payload, bool bestEffort, Millis timeout) const
 {
     const auto at = payload.find("ms=");
@@ -361,8 +375,7 @@
     std::size_t found = entries_.size();
     await("one entry is the leader", [&] {
         for (std::size_t i = 0; i < entries_.size(); ++i) {
-            const auto answer = callHttp({"127.0.0.1", entries_[i].metricsPort_}, {"GET", "/metrics", {}, {}, {2000}, {}});
-            if (answer && answer.value().body_.find("\nibiswall_leading 1") != std::string::npos) {
+            if (metrics(i).find("\nibiswall_leading 1") != std::string::npos) {
                 found = i;
                 return true;
             }
--- a/tests/system/cell.hpp
+++ b/tests/system/cell.hpp
@@ -112,6 +112,16 @@
     /// Same, with the payload of the tasks.
     SubmitResult submitPayload(const std::string &id, int tasks, const std::string &payload, bool bestEffort, Millis timeout) const;
 
+    /// Submits a job of one task once.
+    /// @return HTTP status of the answer; 0 if there was none in time
+    int submitOnce(std::size_t entry, const std::string &id, Millis timeout) const;
+
+    /// Metrics of an entry in the text format of Prometheus; empty if it does not answer.
+    std::string metrics(std::size_t entry) const;
+
+    /// Number of transactions with a write of a key that have reached the store, whether or not their conditions held.
+    int writesOf(const std::string &key) const;
+
     /// Changes the capacity that a worker announces, in thousandths of a core.
     void setWorkerCpu(std::size_t index, int cpu) const;
 
--- a/tests/system/cellstore.cpp
+++ b/tests/system/cellstore.cpp
@@ -41,6 +41,12 @@
     return fromBase64(Json::parse(answer.value().body_).at("value").get<std::string>()).value_or(std::string());
 }
 
+int Cell::writesOf(const std::string &key) const
+{
+    const auto answer = callHttp({"127.0.0.1", storePort_}, {"GET", "/standin/writes", {}, {}, {5000}, {}});
+    return answer ? Json::parse(answer.value().body_).value(key, 0) : 0;
+}
+
 void Cell::createKeys(const std::vector<std::string> &keys, const std::string &value)
 {
     // Entries of one transaction.
