Release the results of jobs that had ended when a new leader reads them

Cause: agents report beside the new leader's read of the stored jobs. A result of a job that is not read yet is kept as an orphan and holds back the acknowledgement of its target. When the record showed that the job had ended, the orphan was neither applied nor dropped, so the target kept all later results, listed no more than 500, and got nothing more.

Fix: addJob releases the orphan of a job that it adds as ended: its results are discarded, its runs stopped. The same cause elsewhere: an ephemeral job refused for want of memory kept its orphan, and was reported as not run although a result of it was known; it is added now.

--- a/include/ibiswall/cell/orphans.hpp
+++ b/include/ibiswall/cell/orphans.hpp
@@ -54,6 +54,8 @@
     /// Removes the runs of agents that were lost before the given time.
     void removeLost(Millis before);
 
+    bool contains(const std::string &job) const;
+
     /// Removes a job.
     /// @return what was reported of it; empty if nothing was
     OrphanJob take(const std::string &job);
--- a/src/ibiswall/cell/dispatcher.cpp
+++ b/src/ibiswall/cell/dispatcher.cpp
@@ -100,12 +100,14 @@
         if (const auto known = jobs_.find(offer.id_); known == jobs_.end()) {
             finalJobs_[offer.id_] = {state, now, false, offer.revision_, false, false};
             withdrawnJobs_ += state == JobState::Withdrawn ? 1 : 0;
+            // Reported before the job was read. Nothing else would let the targets discard these results.
+            releaseOrphan(orphans_.take(offer.id_));
         }
         return state;
     }
     const std::size_t bytes = jobBytes(offer.record_.spec_);
     if (jobBudget_ && !mayHaveStarted && offer.record_.spec_.ephemeral_ && jobs_.count(offer.id_) == 0 && !jobBudget_->hasRoomFor(bytes)
-        && !mayRunSomewhere(offer.id_)) {
+        && !mayRunSomewhere(offer.id_) && !orphans_.contains(offer.id_)) {
         finalJobs_[offer.id_] = {JobState::Refused, now, true, offer.revision_, false, false};
         return JobState::Refused;
     }
--- a/src/ibiswall/cell/orphans.cpp
+++ b/src/ibiswall/cell/orphans.cpp
@@ -77,6 +77,11 @@
     lost_.erase(removed, lost_.end());
 }
 
+bool OrphanJobs::contains(const std::string &job) const
+{
+    return jobs_.count(job) != 0;
+}
+
 OrphanJob OrphanJobs::take(const std::string &job)
 {
     const auto found = jobs_.find(job);
