Register an agent again after its registration has failed

Cause: the leader makes one attempt to register an agent that it had deregistered. If that failed, it dropped the reports that waited for it and went on to ignore the pings of the agent.

Fix: after a failed attempt the agent counts as a new one: its next ping is answered with a request for a full report, which is the next attempt.

New log line agent.unregistered, metric ibiswall_registrations_failed_total.

--- a/src/ibiswall/node/leadersessionagents.cpp
+++ b/src/ibiswall/node/leadersessionagents.cpp
@@ -206,7 +206,11 @@
                 self->applyReport(agent, report);
             }
         } else {
+            count("ibiswall_registrations_failed_total");
+            logEvent("agent.unregistered", {{"agent", std::string_view(agent)}});
             state.deferredReports_.clear();
+            // Its next ping is answered with a request for a full report, which is another attempt.
+            state.deregistered_ = false;
         }
     });
 }
--- a/src/ibiswall/node/metrics.cpp
+++ b/src/ibiswall/node/metrics.cpp
@@ -46,6 +46,7 @@
         {"ibiswall_links_refused_total", {"Connections to the links' port refused or closed before identification", "reason"}},
         {"ibiswall_links_malformed_total", {"Links closed because of a malformed frame", ""}},
         {"ibiswall_agents_lost_total", {"Agents whose right ran out", ""}},
+        {"ibiswall_registrations_failed_total", {"Attempts to register an agent in the store that failed", ""}},
         {"ibiswall_placements_total", {"Runs placed by this leader", ""}},
         {"ibiswall_ends_total", {"Ends of runs told to this leader, by kind", "how"}},
         {"ibiswall_run_crashes_total", {"Runs during which their target crashed, as reported to this leader", "cause"}},
