--- a/src/ibiswall/node/entrycallers.cpp
+++ b/src/ibiswall/node/entrycallers.cpp
@@ -36,6 +36,13 @@
     return bootClock() + Millis{millis} - answerReserve;
 }
 
+// @param status Gone, or NotFound where no queue has the path
+void answerUnknown(const std::string &id, int status, const Respond &respond)
+{
+    logEvent("job.unknown", {{"job", std::string_view(id)}});
+    respond(errorReply(status, status == Gone ? Code::UnknownJob : Code::UnknownPath, {}));
+}
+
 } // namespace
 
 void EntryNode::serve(HttpRequest &&request, Respond respond)
@@ -279,8 +286,7 @@
     store_.get(keys::job(id), [this, id, unknownStatus, respond](const platform::StoreResult &answer) {
         --lookups_;
         if (answer.outcome_ == platform::StoreOutcome::NotFound) {
-            logEvent("job.unknown", {{"job", std::string_view(id)}});
-            respond(errorReply(unknownStatus, unknownStatus == Gone ? Code::UnknownJob : Code::UnknownPath, {}));
+            answerUnknown(id, unknownStatus, respond);
             return;
         }
         const auto record = answer.items_.empty() ? Result<cell::JobRecord>(Error{Code::PlatformDown, {}})
@@ -291,8 +297,7 @@
         }
         const cell::JobState state = record.value().progress_.state_;
         if (state == cell::JobState::Withdrawn) {
-            logEvent("job.unknown", {{"job", std::string_view(id)}});
-            respond(errorReply(unknownStatus, unknownStatus == Gone ? Code::UnknownJob : Code::UnknownPath, {}));
+            answerUnknown(id, unknownStatus, respond);
             return;
         }
         if (isFinal(state)) {
