--- a/tests/system/latestarts_test.cpp
+++ b/tests/system/latestarts_test.cpp
@@ -95,6 +95,17 @@
     BOOST_TEST(held.cell_.overlappingTasks().empty());
 }
 
+// Nothing makes the target of a lost agent reject late starts before an agent runs again, and tasks are not kept back that long.
+BOOST_AUTO_TEST_CASE(late_start_while_no_agent_runs_does_not_repeat_a_task)
+{
+    HeldStarts held;
+    held.submit();
+    held.cell_.workerNodes()[0].agent_->kill();
+    held.awaitCompleted();
+    held.checkLateOrders();
+    BOOST_TEST(held.cell_.overlappingTasks().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ibiswall::system
