--- a/src/ibiswall/node/leadersession.hpp
+++ b/src/ibiswall/node/leadersession.hpp
@@ -15,6 +15,9 @@
 /// Interval of the timer that checks timeouts and periodic work.
 constexpr Millis tickPeriod{50};
 
+/// Most records of a transaction of the leader: each takes a condition and a write, and the leader key takes a condition.
+constexpr std::size_t maxRecords = (platform::maxTransactionSize - 1) / 2;
+
 /// How long the record of a withdrawn job is kept: any transaction that an entry has sent for a submission before then has taken effect or
 /// been rejected.
 constexpr Millis withdrawnRetention{30000};
@@ -191,6 +194,7 @@
     bool isReconciled(Millis now) const;
     bool haveAgentsReported(Millis now) const;
     platform::Transaction leaderTransaction() const;
+    bool isStillLeader(const platform::StoreResult &conflict) const;
     void recordConfirmation(Millis sentAt);
     Millis leaseUntil() const;
     Millis heldOffUntil() const;
--- a/src/ibiswall/node/leadersessionstore.cpp
+++ b/src/ibiswall/node/leadersessionstore.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Millis confirmationInterval{600};
-// A transaction holds a condition and a write for each record, and one condition for the leader key.
-constexpr std::size_t maxRecords = (platform::maxTransactionSize - 1) / 2;
 // Least time between two transactions, so that results are batched: a call to the store takes longer than this wait.
 constexpr Millis batchInterval{12};
 // Time in which entries can offer a job that a target already runs; callers retry within it.
@@ -155,6 +153,14 @@
     return transaction;
 }
 
+// Whether the leader key is unchanged, according to the conflict of a transaction of leaderTransaction().
+bool LeaderSession::isStillLeader(const platform::StoreResult &conflict) const
+{
+    return std::any_of(conflict.items_.begin(), conflict.items_.end(), [this](const platform::Item &item) {
+        return item.key_ == keys::leader && item.revision_ == static_cast<std::int64_t>(epoch_);
+    });
+}
+
 void LeaderSession::store()
 {
     const Millis now = bootClock();
@@ -240,14 +246,14 @@
 // A record whose revision differs was removed by an earlier call whose answer was lost.
 void LeaderSession::onRemovalConflict(const std::vector<cell::JobRemoval> &removals, const platform::StoreResult &answer)
 {
+    if (!isStillLeader(answer)) {
+        loseLeadership();
+        return;
+    }
     std::map<std::string, std::int64_t> stored;
     for (const platform::Item &item : answer.items_) {
         stored[item.key_] = item.revision_;
     }
-    if (stored[keys::leader] != static_cast<std::int64_t>(epoch_)) {
-        loseLeadership();
-        return;
-    }
     std::vector<cell::JobRemoval> remaining;
     std::copy_if(removals.begin(), removals.end(), std::back_inserter(remaining),
                  [&stored](const cell::JobRemoval &each) { return stored[keys::job(each.job_)] == each.revision_; });
@@ -267,13 +273,9 @@
         scheduleDispatch();
         return;
     }
-    if (answer.outcome_ == StoreOutcome::Conflict) {
-        const auto leaderItem = std::find_if(answer.items_.begin(), answer.items_.end(),
-                                             [](const platform::Item &item) { return item.key_ == keys::leader; });
-        if (leaderItem == answer.items_.end() || leaderItem->revision_ != static_cast<std::int64_t>(epoch_)) {
-            loseLeadership();
-            return;
-        }
+    if (answer.outcome_ == StoreOutcome::Conflict && !isStillLeader(answer)) {
+        loseLeadership();
+        return;
     }
     for (std::size_t i = 0; i < writes.size(); ++i) {
         const std::string &id = writes[i].job_;
--- a/src/ibiswall/node/leadersessionwithdrawals.cpp
+++ b/src/ibiswall/node/leadersessionwithdrawals.cpp
@@ -15,8 +15,6 @@
 
 // Anybody may cancel ids that do not exist. Bounds the records that a new leader reads for them.
 constexpr std::size_t maxWithdrawnJobs = 10000;
-// A transaction holds a condition and a write for each record, and one condition for the leader key.
-constexpr std::size_t maxRecords = (platform::maxTransactionSize - 1) / 2;
 // Least time between two transactions, so that jobs have most of the writes.
 constexpr Millis withdrawInterval{50};
 // Clocks and timers of entries may be late by the rest of the retention.
@@ -87,9 +85,7 @@
         }
         scheduleDispatch();
     } else if (answer.outcome_ == platform::StoreOutcome::Conflict) {
-        const auto leader = std::find_if(answer.items_.begin(), answer.items_.end(),
-                                         [](const platform::Item &item) { return item.key_ == keys::leader; });
-        if (leader == answer.items_.end() || leader->revision_ != static_cast<std::int64_t>(epoch_)) {
+        if (!isStillLeader(answer)) {
             loseLeadership();
             return;
         }
